--- /dev/null
+++ b/apps/egrettrestle/vm_commands.cpp
@@ -0,0 +1,78 @@
+#include "commands.hpp"
+
+#include <iostream>
+
+#include <egrettrestle/http/client.hpp>
+#include <egrettrestle/tools/load.hpp>
+
+namespace egrettrestle::cli {
+
+namespace {
+
+    constexpr HttpCallTimes adminTimes { Milliseconds(500), Milliseconds(2'000) };
+
+    int callEach(const std::vector<std::string>& addresses, const char* method, const char* path)
+    {
+        HttpClient client;
+        int code = Success;
+        for (const std::string& address : addresses) {
+            HttpRequest request;
+            request.method = method;
+            request.path = path;
+            const HttpResult reply = client.call(address, request, adminTimes);
+            if (reply.ok()) {
+                std::cout << reply.response.body << '\n';
+                continue;
+            }
+            std::cerr << "no reply from " << address << ". Next: see whether the VM is up; its peers remove it by themselves if not\n";
+            code = Unreachable;
+        }
+        return code;
+    }
+
+}
+
+int status(const Arguments& arguments)
+{
+    cxxopts::Options options("egrettrestle status", "Prints the state of VMs, one JSON object a line.");
+    options.add_options()("vms", "admin addresses of VMs, separated by commas", cxxopts::value<std::string>());
+    const std::unique_ptr<cxxopts::ParseResult> result = parse(options, arguments);
+    return result ? callEach(splitList(required(*result, "vms")), "GET", "/v1/status") : Success;
+}
+
+int drain(const Arguments& arguments)
+{
+    cxxopts::Options options("egrettrestle drain", "Lets a VM finish its jobs and take no new ones. It stays up until it is stopped.");
+    options.add_options()("vm", "admin address of the VM", cxxopts::value<std::string>());
+    const std::unique_ptr<cxxopts::ParseResult> result = parse(options, arguments);
+    return result ? callEach({ required(*result, "vm") }, "POST", "/v1/drain") : Success;
+}
+
+int load(const Arguments& arguments)
+{
+    cxxopts::Options options("egrettrestle load", "Runs a load against VMs and reports response times, messages and refusals.");
+    options.add_options()("profile", "load profile (docs/LOAD.md), - for standard input", cxxopts::value<std::string>())("vms", "caller addresses, separated by commas", cxxopts::value<std::string>())(
+        "admins", "admin addresses whose metrics are compared, separated by commas", cxxopts::value<std::string>()->default_value(""))("threads", "jobs in flight at most", cxxopts::value<int>()->default_value("256"))(
+        "seed", "seed in place of the profile's", cxxopts::value<std::uint64_t>())("json", "print the report as JSON");
+    const std::unique_ptr<cxxopts::ParseResult> result = parse(options, arguments);
+    if (!result)
+        return Success;
+    LoadProfileParse profile = parseLoadProfile(readFile(required(*result, "profile")));
+    if (!profile.profile)
+        throw InputError(toString(profile.faults) + "docs/LOAD.md gives the form of a profile");
+    if (result->count("seed"))
+        profile.profile->seed = (*result)["seed"].as<std::uint64_t>();
+    LoadTargets targets;
+    targets.callerAddresses = splitList(required(*result, "vms"));
+    targets.adminAddresses = splitList((*result)["admins"].as<std::string>());
+    targets.threads = (*result)["threads"].as<int>();
+    const LoadReport report = runLoad(*profile.profile, targets);
+    std::cout << (result->count("json") ? reportJson(report) + "\n" : reportTable(report));
+    for (const StreamReport& stream : report.streams) {
+        if (stream.wrongAnswers > 0)
+            return NotAchieved;
+    }
+    return Success;
+}
+
+} // namespace egrettrestle::cli
--- /dev/null
+++ b/packages/base/include/egrettrestle/base/event.hpp
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace egrettrestle {
+
+/// How much an event matters to an operator.
+enum class Severity {
+    Info,
+    Warning,
+    Error,
+};
+
+/// A kind of log event: its stable number, its name and what it means. docs/EVENTS.md lists them all.
+struct Event {
+    int number;
+    Severity severity;
+    const char* name;
+    const char* meaning;
+};
+
+/// All events, in the order of their numbers. Families: 1xxx process, 2xxx jobs, 3xxx claims, 4xxx membership,
+/// 5xxx manifest, 6xxx upstreams, 7xxx platform.
+namespace events {
+
+    inline constexpr Event started { 1001, Severity::Info, "started", "The daemon serves its ports." };
+    inline constexpr Event draining { 1002, Severity::Info, "draining", "The daemon takes no new jobs and finishes those in flight." };
+    inline constexpr Event stopped { 1003, Severity::Info, "stopped", "The daemon has finished its jobs and handed its claims over." };
+    inline constexpr Event badRequest { 2001, Severity::Info, "bad-request", "A request was malformed; the reply names the field." };
+    inline constexpr Event unknownKind { 2002, Severity::Info, "unknown-kind", "A job names a service or kind that the manifest does not have." };
+    inline constexpr Event jobTooLarge { 2003, Severity::Info, "job-too-large", "A job has too many tasks, or a task is larger than its kind allows." };
+    inline constexpr Event unknownCaller { 2004, Severity::Info, "unknown-caller", "A job names a caller that the manifest does not have." };
+    inline constexpr Event quotaExceeded { 2005, Severity::Info, "quota-exceeded", "A caller has more tasks in flight or starts more tasks a second than its quota allows." };
+    inline constexpr Event overloaded { 2006, Severity::Info, "overloaded", "A job was refused since it could not make its deadline." };
+    inline constexpr Event drainingRefusal { 2007, Severity::Info, "refused-draining", "A job was refused since the VM is leaving." };
+    inline constexpr Event conflict { 2008, Severity::Warning, "conflict", "A submission id came again with another body." };
+    inline constexpr Event jobFailed { 2009, Severity::Warning, "job-failed", "A task of a job failed, so the whole job is answered failed." };
+    inline constexpr Event deadlinePassed { 2010, Severity::Warning, "deadline-passed", "A job's deadline passed before all its answers were there." };
+    inline constexpr Event cancelled { 2011, Severity::Info, "cancelled", "A caller cancelled a job; its tasks not yet started were dropped." };
+    inline constexpr Event outcomeUnknown { 2012, Severity::Warning, "outcome-unknown", "A submission may have run before, and nobody can tell." };
+    inline constexpr Event holderGone { 2013, Severity::Warning, "holder-gone", "A submission was claimed by a VM that is gone or cannot be reached." };
+    inline constexpr Event claimUnavailable { 2014, Severity::Warning, "claim-unavailable", "A claim could not be made in time; nothing was started." };
+    inline constexpr Event homeUnreachable { 2015, Severity::Warning, "home-unreachable", "The home data centre of a submission cannot be reached." };
+    inline constexpr Event noManifest { 2016, Severity::Warning, "no-manifest", "No manifest is in force yet." };
+    inline constexpr Event answerDropped { 2017, Severity::Info, "answer-dropped", "A submission ran, but its answer is no longer kept." };
+    inline constexpr Event noUpstream { 2018, Severity::Warning, "no-upstream", "No live upstream serves the kind in this data centre." };
+    inline constexpr Event claimHandover { 3001, Severity::Info, "claim-handover", "Claims were handed to a new registrar or mirror." };
+    inline constexpr Event claimPeerLost { 3002, Severity::Warning, "claim-peer-lost", "A registrar or mirror did not answer in time." };
+    inline constexpr Event claimsNotWhole { 3003, Severity::Warning, "claims-not-whole", "Both holders of a range of claims were lost; older submissions are answered unknown until the window has passed." };
+    inline constexpr Event viewAdopted { 4001, Severity::Info, "view-adopted", "A new view of the data centre's VMs is in force here." };
+    inline constexpr Event joined { 4002, Severity::Info, "joined", "This VM has joined the view." };
+    inline constexpr Event peerDead { 4003, Severity::Warning, "peer-dead", "A peer missed its heartbeats and was removed from the view." };
+    inline constexpr Event removedByPeers { 4004, Severity::Warning, "removed-by-peers", "This VM was removed from the view and joins again." };
+    inline constexpr Event resigned { 4005, Severity::Info, "resigned", "A VM stated that it grants nothing any more." };
+    inline constexpr Event manifestInForce { 5001, Severity::Info, "manifest-in-force", "A manifest revision is in force on this VM." };
+    inline constexpr Event manifestRejected { 5002, Severity::Error, "manifest-rejected", "The store holds a manifest that does not pass the checks; the earlier one stays." };
+    inline constexpr Event manifestOlder { 5003, Severity::Warning, "manifest-older", "A lower manifest revision was read and ignored." };
+    inline constexpr Event upstreamAside { 6001, Severity::Warning, "upstream-aside", "An upstream refuses, fails or is slow, and gets only probes." };
+    inline constexpr Event upstreamBack { 6002, Severity::Info, "upstream-back", "An upstream answers probes and gets work again." };
+    inline constexpr Event upstreamLeaving { 6003, Severity::Info, "upstream-leaving", "The platform lists an upstream as leaving; it gets no new work." };
+    inline constexpr Event wrongAnswer { 6004, Severity::Error, "wrong-answer", "An upstream answered with another task's id; the answer was thrown away." };
+    inline constexpr Event storeLost { 7001, Severity::Warning, "store-lost", "The platform's store does not answer; the last known state stays in force." };
+    inline constexpr Event storeBack { 7002, Severity::Info, "store-back", "The platform's store answers again." };
+    inline constexpr Event vmListLost { 7003, Severity::Warning, "vm-list-lost", "The platform's VM list does not answer; the last known list stays in force." };
+
+}
+
+/// The catalogue: every event above, ordered by number.
+const std::vector<Event>& eventCatalogue();
+
+/// The catalogue as the Markdown table of docs/EVENTS.md.
+std::string eventCatalogueTable();
+
+/// Writes one log line: the event's number and name, then the details as given (`key=value` pairs).
+void logEvent(const Event& event, std::string_view details);
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/base/include/egrettrestle/base/metrics.hpp
@@ -0,0 +1,47 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include <egrettrestle/base/clock.hpp>
+
+namespace prometheus {
+class Counter;
+class Registry;
+}
+
+namespace egrettrestle {
+
+/// The daemon's metrics. Families and labels are listed in docs/OPERATIONS.md. Safe for use by several threads.
+class Metrics {
+public:
+    Metrics();
+    ~Metrics();
+
+    /// Counts a job's outcome, with the reason's event name for outcomes other than `complete`.
+    void countJob(const std::string& urgencyClass, const std::string& outcome, const std::string& reason);
+
+    /// Counts a message by its use: `task`, `claim`, `record`, `lookup`, `handover`, `heartbeat`, `view`, `forward`,
+    /// `manifest`, `store`, `vm-list`; wasted ones are those that bring no answer closer.
+    void countMessage(const std::string& use, bool wasted, double bytes = 0);
+
+    /// Counts a task's start at an upstream.
+    void countStart(const std::string& kind);
+
+    /// Records the response time of a job.
+    void observeResponse(const std::string& urgencyClass, Duration responseTime);
+
+    /// Sets a gauge: `view_epoch`, `manifest_revision`, `claims`, `queued_tasks`, `tasks_in_flight`, `upstreams_aside`.
+    void setGauge(const std::string& name, double value);
+
+    /// Renders all metrics in the Prometheus text format.
+    std::string render() const;
+
+private:
+    struct Families;
+
+    std::shared_ptr<prometheus::Registry> m_registry;
+    std::unique_ptr<Families> m_families;
+};
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/base/src/event.cpp
@@ -0,0 +1,93 @@
+#include <egrettrestle/base/event.hpp>
+
+#include <glog/logging.h>
+
+namespace egrettrestle {
+
+namespace {
+
+    const char* severityName(Severity severity)
+    {
+        switch (severity) {
+        case Severity::Info:
+            return "info";
+        case Severity::Warning:
+            return "warning";
+        case Severity::Error:
+            break;
+        }
+        return "error";
+    }
+
+}
+
+const std::vector<Event>& eventCatalogue()
+{
+    static const std::vector<Event> catalogue {
+        events::started,
+        events::draining,
+        events::stopped,
+        events::badRequest,
+        events::unknownKind,
+        events::jobTooLarge,
+        events::unknownCaller,
+        events::quotaExceeded,
+        events::overloaded,
+        events::drainingRefusal,
+        events::conflict,
+        events::jobFailed,
+        events::deadlinePassed,
+        events::cancelled,
+        events::outcomeUnknown,
+        events::holderGone,
+        events::claimUnavailable,
+        events::homeUnreachable,
+        events::noManifest,
+        events::answerDropped,
+        events::noUpstream,
+        events::claimHandover,
+        events::claimPeerLost,
+        events::claimsNotWhole,
+        events::viewAdopted,
+        events::joined,
+        events::peerDead,
+        events::removedByPeers,
+        events::resigned,
+        events::manifestInForce,
+        events::manifestRejected,
+        events::manifestOlder,
+        events::upstreamAside,
+        events::upstreamBack,
+        events::upstreamLeaving,
+        events::wrongAnswer,
+        events::storeLost,
+        events::storeBack,
+        events::vmListLost,
+    };
+    return catalogue;
+}
+
+std::string eventCatalogueTable()
+{
+    std::string table = "| number | severity | name | meaning |\n| --- | --- | --- | --- |\n";
+    for (const Event& event : eventCatalogue())
+        table += "| " + std::to_string(event.number) + " | " + severityName(event.severity) + " | " + event.name + " | " + event.meaning + " |\n";
+    return table;
+}
+
+void logEvent(const Event& event, std::string_view details)
+{
+    switch (event.severity) {
+    case Severity::Info:
+        LOG(INFO) << 'E' << event.number << ' ' << event.name << ' ' << details;
+        break;
+    case Severity::Warning:
+        LOG(WARNING) << 'E' << event.number << ' ' << event.name << ' ' << details;
+        break;
+    case Severity::Error:
+        LOG(ERROR) << 'E' << event.number << ' ' << event.name << ' ' << details;
+        break;
+    }
+}
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/base/src/metrics.cpp
@@ -0,0 +1,84 @@
+#include <egrettrestle/base/metrics.hpp>
+
+#include <prometheus/counter.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+#include <prometheus/text_serializer.h>
+
+namespace egrettrestle {
+
+namespace {
+
+    const prometheus::Histogram::BucketBoundaries responseBuckets { 0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2, 3, 5, 10, 30 };
+
+    prometheus::Family<prometheus::Counter>& counterFamily(prometheus::Registry& registry, const std::string& name, const std::string& help)
+    {
+        return prometheus::BuildCounter().Name("egrettrestle_" + name).Help(help).Register(registry);
+    }
+
+}
+
+struct Metrics::Families {
+    explicit Families(prometheus::Registry& registry)
+        : jobs(counterFamily(registry, "jobs_total", "Jobs by outcome"))
+        , messages(counterFamily(registry, "messages_total", "Messages sent, by use"))
+        , wasted(counterFamily(registry, "wasted_messages_total", "Messages that brought no answer closer, by use"))
+        , messageBytes(counterFamily(registry, "message_bytes_total", "Bytes of message bodies sent and received, by use"))
+        , starts(counterFamily(registry, "task_starts_total", "Tasks sent to an upstream"))
+        , responses(prometheus::BuildHistogram().Name("egrettrestle_response_seconds").Help("Response time of jobs").Register(registry))
+        , gauges(prometheus::BuildGauge().Name("egrettrestle_state").Help("Present values by name").Register(registry))
+    {
+    }
+
+    prometheus::Family<prometheus::Counter>& jobs;
+    prometheus::Family<prometheus::Counter>& messages;
+    prometheus::Family<prometheus::Counter>& wasted;
+    prometheus::Family<prometheus::Counter>& messageBytes;
+    prometheus::Family<prometheus::Counter>& starts;
+    prometheus::Family<prometheus::Histogram>& responses;
+    prometheus::Family<prometheus::Gauge>& gauges;
+};
+
+Metrics::Metrics()
+    : m_registry(std::make_shared<prometheus::Registry>())
+    , m_families(std::make_unique<Families>(*m_registry))
+{
+}
+
+Metrics::~Metrics() = default;
+
+void Metrics::countJob(const std::string& urgencyClass, const std::string& outcome, const std::string& reason)
+{
+    m_families->jobs.Add({ { "class", urgencyClass }, { "outcome", outcome }, { "reason", reason } }).Increment();
+}
+
+void Metrics::countMessage(const std::string& use, bool wasted, double bytes)
+{
+    m_families->messages.Add({ { "use", use } }).Increment();
+    m_families->messageBytes.Add({ { "use", use } }).Increment(bytes);
+    if (wasted)
+        m_families->wasted.Add({ { "use", use } }).Increment();
+}
+
+void Metrics::countStart(const std::string& kind)
+{
+    m_families->starts.Add({ { "kind", kind } }).Increment();
+}
+
+void Metrics::observeResponse(const std::string& urgencyClass, Duration responseTime)
+{
+    m_families->responses.Add({ { "class", urgencyClass } }, responseBuckets).Observe(toSeconds(responseTime));
+}
+
+void Metrics::setGauge(const std::string& name, double value)
+{
+    m_families->gauges.Add({ { "name", name } }).Set(value);
+}
+
+std::string Metrics::render() const
+{
+    return prometheus::TextSerializer().Serialize(m_registry->Collect());
+}
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/decision/src/claim_ledger.cpp
@@ -0,0 +1,393 @@
+#include <egrettrestle/decision/claim_ledger.hpp>
+
+#include <algorithm>
+#include <cassert>
+#include <tuple>
+
+namespace egrettrestle {
+
+namespace {
+
+    constexpr Epoch nothingKnown { UINT64_MAX };
+
+    bool outranks(const Claim& left, const Claim& right)
+    {
+        return std::make_tuple(left.generation, left.state) > std::make_tuple(right.generation, right.state);
+    }
+
+    ClaimStep answered(ClaimAnswer answer)
+    {
+        ClaimStep step;
+        step.answer = answer;
+        return step;
+    }
+
+    ClaimAnswer verdictOnly(ClaimVerdict verdict)
+    {
+        ClaimAnswer answer;
+        answer.verdict = verdict;
+        return answer;
+    }
+
+}
+
+ClaimLedger::ClaimLedger(VmId self, Duration window, ClaimRules rules)
+    : m_self(std::move(self))
+    , m_window(window)
+    , m_rules(rules)
+    , m_ownPairs(bucketCount)
+    , m_pairs(bucketCount)
+{
+    m_knowledge.fill({ nothingKnown, TimePoint::max() });
+}
+
+bool ClaimLedger::adoptView(const View& view, TimePoint now)
+{
+    if (view.epoch == m_view.epoch || (m_rules.epochsOnlyGrow && view.epoch < m_view.epoch))
+        return false;
+    const Member* own = findMember(view, m_self);
+    const Incarnation incarnation = own ? own->incarnation : Incarnation {};
+    // The first view of a data centre has no earlier grants to miss.
+    const bool firstView = view.epoch.value == 1;
+    for (Bucket bucket = 0; bucket < bucketCount; ++bucket) {
+        Knowledge& knowledge = m_knowledge[bucket];
+        knowledge.wholeFrom = wholeFrom(bucket, now);
+        if (firstView)
+            knowledge = { Epoch {}, now };
+        else if (m_resigned || !wasHolderThrough(view, bucket))
+            knowledge = { m_rules.wholeness ? view.epoch : Epoch {}, now + m_window };
+    }
+    m_view = view;
+    m_incarnation = incarnation;
+    m_resignations.clear();
+    refreshPairs();
+    return true;
+}
+
+bool ClaimLedger::wasHolderThrough(const View& next, Bucket bucket) const
+{
+    for (Epoch epoch = m_view.epoch; epoch < next.epoch; ++epoch.value) {
+        if (epoch == m_view.epoch) {
+            if (!m_ownPairs[bucket].contains(m_self) || m_incarnation.value == 0)
+                return false;
+            continue;
+        }
+        const std::optional<std::vector<VmId>> members = membersAt(next, epoch);
+        if (!members || !holdersOf(*members, bucket).contains(m_self))
+            return false;
+    }
+    return true;
+}
+
+void ClaimLedger::refreshPairs()
+{
+    const std::vector<VmId> members = memberIds(m_view);
+    std::vector<VmId> acting;
+    for (const Member& member : m_view.members) {
+        if (m_resignations.count(member.incarnation) == 0)
+            acting.push_back(member.id);
+    }
+    for (Bucket bucket = 0; bucket < bucketCount; ++bucket) {
+        m_ownPairs[bucket] = holdersOf(members, bucket);
+        m_pairs[bucket] = holdersOf(acting, bucket);
+    }
+}
+
+bool ClaimLedger::acceptResignation(Epoch epoch, Incarnation resigner)
+{
+    if (m_rules.resignationKeepsEpoch && epoch != m_view.epoch)
+        return false;
+    if (!findMember(m_view, resigner))
+        return false;
+    m_resignations.insert(resigner);
+    refreshPairs();
+    return true;
+}
+
+HolderPair ClaimLedger::holders(Bucket bucket) const
+{
+    return m_pairs[bucket];
+}
+
+Epoch ClaimLedger::wholeFrom(Bucket bucket, TimePoint now) const
+{
+    const Knowledge& knowledge = m_knowledge[bucket];
+    if (m_rules.steppingInIsNotWhole && !m_ownPairs[bucket].contains(m_self))
+        return nothingKnown;
+    if (knowledge.wholeFrom != nothingKnown && now >= knowledge.doubtEnds)
+        return Epoch {};
+    return knowledge.wholeFrom;
+}
+
+bool ClaimLedger::isWhole(Epoch wholeFrom, const ClaimRequest& request) const
+{
+    return wholeFrom <= request.firstSent;
+}
+
+bool ClaimLedger::isCurrent(Epoch epoch, Incarnation addressee) const
+{
+    if (m_resigned || m_incarnation.value == 0 || epoch != m_view.epoch)
+        return false;
+    return !m_rules.addressedToIncarnation || addressee == m_incarnation;
+}
+
+Claim* ClaimLedger::find(const SubmissionKey& key, TimePoint now)
+{
+    const auto found = m_claims.find(key);
+    if (found == m_claims.end())
+        return nullptr;
+    if (found->second.expiry <= now) {
+        m_claims.erase(found);
+        return nullptr;
+    }
+    return &found->second;
+}
+
+ClaimAnswer ClaimLedger::knownAnswer(const Claim& claim, const ClaimRequest& request) const
+{
+    ClaimAnswer answer;
+    answer.verdict = claim.body == request.body ? ClaimVerdict::Known : ClaimVerdict::Conflict;
+    answer.holder = claim.holder;
+    answer.state = claim.state;
+    return answer;
+}
+
+ClaimStep ClaimLedger::begin(const ClaimRequest& request, Epoch epoch, Incarnation addressee, TimePoint now)
+{
+    // A submission stamped with a later epoch proves that a later view exists.
+    if (!isCurrent(epoch, addressee) || request.firstSent > m_view.epoch)
+        return answered(verdictOnly(ClaimVerdict::Stale));
+    if (request.kind == ClaimRequestKind::Lookup)
+        return beginLookup(request, now);
+    if (m_pairs[bucketOf(request.key)].registrar != m_self)
+        return answered(verdictOnly(ClaimVerdict::Stale));
+    return request.kind == ClaimRequestKind::Release ? beginRelease(request, now) : beginClaim(request, now);
+}
+
+ClaimStep ClaimLedger::beginLookup(const ClaimRequest& request, TimePoint now)
+{
+    const Claim* known = find(request.key, now);
+    if (known)
+        return answered(knownAnswer(*known, request));
+    const bool whole = isWhole(wholeFrom(bucketOf(request.key), now), request);
+    return answered(verdictOnly(whole ? ClaimVerdict::Absent : ClaimVerdict::Unknown));
+}
+
+ClaimStep ClaimLedger::beginRelease(const ClaimRequest& request, TimePoint now)
+{
+    Claim* known = find(request.key, now);
+    if (!known)
+        return answered(verdictOnly(ClaimVerdict::Absent));
+    if (known->holder != request.executor)
+        return answered(knownAnswer(*known, request));
+    known->state = ClaimState::Released;
+    return recordAtMirror(request, *known, now);
+}
+
+ClaimStep ClaimLedger::beginClaim(const ClaimRequest& request, TimePoint now)
+{
+    Claim* known = find(request.key, now);
+    const bool takenUpAgain = known && known->state == ClaimState::Released && known->generation < generationLimit && known->body == request.body;
+    if (known && !takenUpAgain) {
+        const bool ownTentative = known->state == ClaimState::Tentative && known->holder == request.executor && known->body == request.body;
+        if (ownTentative)
+            return recordAtMirror(request, *known, now);
+        if (known->state != ClaimState::Tentative || m_rules.tentativeIsKnown)
+            return answered(knownAnswer(*known, request));
+    }
+    Claim claim;
+    claim.key = request.key;
+    claim.body = request.body;
+    claim.holder = request.executor;
+    claim.expiry = now + m_window;
+    if (takenUpAgain)
+        claim.generation = static_cast<std::uint8_t>(known->generation + 1);
+    m_claims[request.key] = claim;
+    return recordAtMirror(request, claim, now);
+}
+
+ClaimStep ClaimLedger::recordAtMirror(const ClaimRequest& request, const Claim& claim, TimePoint now)
+{
+    const Bucket bucket = bucketOf(request.key);
+    RecordRequest record;
+    record.claim = claim;
+    record.firstSent = request.firstSent;
+    record.registrarWholeFrom = wholeFrom(bucket, now);
+    if (m_pairs[bucket].mirror) {
+        ClaimStep step;
+        step.record = record;
+        step.mirror = *m_pairs[bucket].mirror;
+        return step;
+    }
+    // A lone VM is its own mirror.
+    RecordAnswer alone;
+    const bool whole = isWhole(record.registrarWholeFrom, request) || claim.generation > 1;
+    alone.verdict = whole ? RecordVerdict::Acknowledged : RecordVerdict::NotWhole;
+    return answered(finish(request, m_view.epoch, record, alone, now));
+}
+
+RecordAnswer ClaimLedger::record(const RecordRequest& request, Epoch epoch, Incarnation addressee, TimePoint now)
+{
+    RecordAnswer answer;
+    answer.verdict = RecordVerdict::Stale;
+    if (!isCurrent(epoch, addressee))
+        return answer;
+    Claim* known = find(request.claim.key, now);
+    const bool otherHolder = known && known->generation == request.claim.generation && known->holder != request.claim.holder;
+    const bool replaceable = !m_rules.oneHolder || (!m_rules.tentativeIsKnown && known && known->state == ClaimState::Tentative);
+    const bool releasedMeanwhile = known && known->state == ClaimState::Released && known->generation == request.claim.generation
+        && request.claim.state != ClaimState::Released;
+    if (known && (known->generation > request.claim.generation || (otherHolder && !replaceable) || releasedMeanwhile)) {
+        answer.verdict = RecordVerdict::Existing;
+        answer.existing = *known;
+        return answer;
+    }
+    const Epoch ownWholeFrom = wholeFrom(bucketOf(request.claim.key), now);
+    const bool whole = request.registrarWholeFrom <= request.firstSent || ownWholeFrom <= request.firstSent;
+    // Only a record that was once acknowledged has passed this check already; one that was merely handed over has not.
+    const bool acknowledgedBefore = known && known->state != ClaimState::Tentative;
+    if (!acknowledgedBefore && !whole && request.claim.generation == 1) {
+        answer.verdict = RecordVerdict::NotWhole;
+        return answer;
+    }
+    Claim claim = request.claim;
+    // The registrar may count this acknowledgement as a grant from now on.
+    if (claim.state == ClaimState::Tentative)
+        claim.state = ClaimState::Acknowledged;
+    claim.expiry = now + m_window;
+    m_claims[claim.key] = claim;
+    answer.verdict = RecordVerdict::Acknowledged;
+    return answer;
+}
+
+ClaimAnswer ClaimLedger::finish(const ClaimRequest& request, Epoch epoch, const RecordRequest& record, const RecordAnswer& answer, TimePoint now)
+{
+    if (m_resigned || (m_rules.sameEpochAcknowledgement && epoch != m_view.epoch))
+        return verdictOnly(ClaimVerdict::Stale);
+    Claim* known = find(request.key, now);
+    const bool own = known && known->holder == record.claim.holder && known->generation == record.claim.generation;
+    switch (answer.verdict) {
+    case RecordVerdict::Acknowledged:
+        if (request.kind == ClaimRequestKind::Release)
+            return verdictOnly(ClaimVerdict::Absent);
+        if (!own)
+            return known ? knownAnswer(*known, request) : verdictOnly(ClaimVerdict::Stale);
+        if (known->state == ClaimState::Released)
+            return knownAnswer(*known, request);
+        known->state = ClaimState::Acknowledged;
+        {
+            ClaimAnswer granted = knownAnswer(*known, request);
+            granted.verdict = ClaimVerdict::Granted;
+            return granted;
+        }
+    case RecordVerdict::Existing:
+        return adoptExisting(request, answer.existing, now);
+    case RecordVerdict::NotWhole:
+        if (own && known->state == ClaimState::Tentative)
+            m_claims.erase(request.key);
+        return verdictOnly(ClaimVerdict::Unknown);
+    case RecordVerdict::Stale:
+        return verdictOnly(ClaimVerdict::Stale);
+    case RecordVerdict::NoReply:
+        break;
+    }
+    ClaimAnswer unavailable = verdictOnly(ClaimVerdict::Unavailable);
+    unavailable.neverRan = own && known->state == ClaimState::Tentative && isWhole(record.registrarWholeFrom, request);
+    return unavailable;
+}
+
+ClaimAnswer ClaimLedger::adoptExisting(const ClaimRequest& request, const Claim& existing, TimePoint now)
+{
+    Claim* known = find(request.key, now);
+    // Of two tentative records the mirror's stays, so that both memories name one holder.
+    if (!known || known->state == ClaimState::Tentative || outranks(existing, *known))
+        m_claims[request.key] = existing;
+    known = find(request.key, now);
+    // The asker repeats its question where it may now take up a released claim, or complete its own record.
+    const bool askAgain = !known || (known->state == ClaimState::Released && known->generation < generationLimit)
+        || (known->state == ClaimState::Tentative && known->holder == request.executor);
+    return askAgain ? verdictOnly(ClaimVerdict::Stale) : knownAnswer(*known, request);
+}
+
+std::vector<HandoverTo> ClaimLedger::handovers(const View& before, TimePoint now) const
+{
+    std::vector<HandoverTo> result;
+    std::array<std::vector<Claim>, bucketCount> claims;
+    for (const auto& entry : m_claims) {
+        if (entry.second.expiry > now)
+            claims[bucketOf(entry.first)].push_back(entry.second);
+    }
+    const std::vector<VmId> membersBefore = memberIds(before);
+    for (Bucket bucket = 0; bucket < bucketCount; ++bucket) {
+        const HolderPair pairBefore = holdersOf(membersBefore, bucket);
+        const HolderPair& pairNow = m_ownPairs[bucket];
+        if (!pairBefore.contains(m_self))
+            continue;
+        Handover handover;
+        handover.epoch = m_view.epoch;
+        handover.bucket = bucket;
+        const Knowledge& knowledge = m_knowledge[bucket];
+        handover.wholeFrom = now >= knowledge.doubtEnds ? Epoch {} : knowledge.wholeFrom;
+        handover.claims = claims[bucket];
+        for (const std::optional<VmId>& holder : { pairNow.registrar, pairNow.mirror }) {
+            // A VM that came back under its old id has an empty memory, so incarnations are compared.
+            const Member* then = holder ? findMember(before, *holder) : nullptr;
+            const Member* today = holder ? findMember(m_view, *holder) : nullptr;
+            const bool kept = then && today && then->incarnation == today->incarnation && pairBefore.contains(*holder);
+            if (today && *holder != m_self && !kept)
+                result.push_back({ *holder, handover });
+        }
+    }
+    return result;
+}
+
+bool ClaimLedger::acceptHandover(const Handover& handover, TimePoint now)
+{
+    for (const Claim& claim : handover.claims)
+        merge(claim, now);
+    if (handover.epoch != m_view.epoch || handover.bucket >= bucketCount)
+        return false;
+    Knowledge& knowledge = m_knowledge[handover.bucket];
+    knowledge.wholeFrom = std::min(knowledge.wholeFrom, handover.wholeFrom);
+    return true;
+}
+
+std::vector<Claim> ClaimLedger::allClaims() const
+{
+    std::vector<Claim> claims;
+    claims.reserve(m_claims.size());
+    for (const auto& entry : m_claims)
+        claims.push_back(entry.second);
+    return claims;
+}
+
+void ClaimLedger::merge(const Claim& claim, TimePoint now)
+{
+    if (claim.expiry <= now)
+        return;
+    Claim* known = find(claim.key, now);
+    if (!known || outranks(claim, *known))
+        m_claims[claim.key] = claim;
+}
+
+void ClaimLedger::expire(TimePoint now)
+{
+    for (auto entry = m_claims.begin(); entry != m_claims.end();) {
+        if (entry->second.expiry <= now)
+            entry = m_claims.erase(entry);
+        else
+            ++entry;
+    }
+}
+
+std::size_t ClaimLedger::bucketsNotWhole(TimePoint now) const
+{
+    std::size_t count = 0;
+    for (Bucket bucket = 0; bucket < bucketCount; ++bucket) {
+        if (m_ownPairs[bucket].contains(m_self) && wholeFrom(bucket, now).value > 0)
+            ++count;
+    }
+    return count;
+}
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/decision/src/manifest.cpp
@@ -0,0 +1,192 @@
+#include <egrettrestle/decision/manifest.hpp>
+
+#include <algorithm>
+#include <set>
+
+namespace egrettrestle {
+
+namespace {
+
+    constexpr double maxReservedShare = 0.9;
+    constexpr Milliseconds longestDeadline { 600'000 };
+    constexpr std::size_t mostTasksPerJob = 1000;
+    constexpr std::size_t largestTaskBytes = 1024 * 1024;
+
+    template <typename Item>
+    const Item* findByName(const std::vector<Item>& items, const std::string& name)
+    {
+        const auto found = std::find_if(items.begin(), items.end(), [&name](const Item& item) { return item.name == name; });
+        return found == items.end() ? nullptr : &*found;
+    }
+
+    /// Collects the faults of one manifest.
+    class Checker {
+    public:
+        explicit Checker(const Manifest& manifest)
+            : m_manifest(manifest)
+        {
+        }
+
+        std::vector<Fault> run()
+        {
+            checkLimits();
+            checkNames("/dataCentres", m_manifest.dataCentres);
+            checkNames("/urgencyClasses", m_manifest.urgencyClasses);
+            checkNames("/services", m_manifest.services);
+            checkNames("/callers", m_manifest.callers);
+            checkUrgencyClasses();
+            checkServices();
+            checkKinds();
+            checkCallers();
+            return std::move(m_faults);
+        }
+
+    private:
+        void require(bool holds, int number, const std::string& where, const std::string& found, const std::string& expected)
+        {
+            if (!holds)
+                m_faults.push_back({ number, where, found, expected });
+        }
+
+        template <typename Item>
+        void checkNames(const std::string& list, const std::vector<Item>& items)
+        {
+            require(!items.empty(), manifestFaults::outOfRange, list, "an empty list", "at least one entry");
+            std::set<std::string> seen;
+            for (std::size_t index = 0; index < items.size(); ++index) {
+                const std::string where = list + '/' + std::to_string(index) + "/name";
+                require(!items[index].name.empty(), manifestFaults::outOfRange, where, "\"\"", "a name");
+                require(seen.insert(items[index].name).second, manifestFaults::duplicateName, where, '"' + items[index].name + '"', "a name used once");
+            }
+        }
+
+        void checkLimits()
+        {
+            const JobLimits& limits = m_manifest.limits;
+            require(limits.maxTasksPerJob >= 1 && limits.maxTasksPerJob <= mostTasksPerJob, manifestFaults::outOfRange, "/limits/maxTasksPerJob",
+                std::to_string(limits.maxTasksPerJob), "1 to " + std::to_string(mostTasksPerJob));
+            require(limits.maxDeadline.count() >= 1 && limits.maxDeadline <= longestDeadline, manifestFaults::outOfRange, "/limits/maxDeadlineMs",
+                std::to_string(limits.maxDeadline.count()), "1 to " + std::to_string(longestDeadline.count()));
+            // A claim must outlive the job it stands for.
+            require(m_manifest.claimWindow >= 2 * limits.maxDeadline, manifestFaults::outOfRange, "/claimWindowMs",
+                std::to_string(m_manifest.claimWindow.count()), "at least twice /limits/maxDeadlineMs");
+            require(!m_manifest.changeId.empty(), manifestFaults::outOfRange, "/changeId", "\"\"", "a text that names this change");
+        }
+
+        void checkUrgencyClasses()
+        {
+            std::set<int> ranks;
+            double reserved = 0;
+            for (std::size_t index = 0; index < m_manifest.urgencyClasses.size(); ++index) {
+                const UrgencyClass& urgencyClass = m_manifest.urgencyClasses[index];
+                const std::string where = "/urgencyClasses/" + std::to_string(index);
+                require(ranks.insert(urgencyClass.rank).second, manifestFaults::duplicateName, where + "/rank", std::to_string(urgencyClass.rank), "a rank used once");
+                require(urgencyClass.reservedShare >= 0, manifestFaults::outOfRange, where + "/reservedShare", std::to_string(urgencyClass.reservedShare), "0 or more");
+                require(urgencyClass.ageAfter.count() >= 0, manifestFaults::outOfRange, where + "/ageAfterMs", std::to_string(urgencyClass.ageAfter.count()), "0 or more");
+                reserved += urgencyClass.reservedShare;
+            }
+            require(reserved <= maxReservedShare, manifestFaults::outOfRange, "/urgencyClasses", "reserved shares that add up to " + std::to_string(reserved), "at most 0.9 in all");
+        }
+
+        void checkServices()
+        {
+            for (std::size_t index = 0; index < m_manifest.services.size(); ++index) {
+                const Service& service = m_manifest.services[index];
+                const std::string where = "/services/" + std::to_string(index);
+                require(service.slots >= 1, manifestFaults::outOfRange, where + "/slots", "0", "at least 1");
+                require(service.connections >= service.slots, manifestFaults::outOfRange, where + "/connections", std::to_string(service.connections), "at least as many as slots");
+            }
+        }
+
+        void checkKinds()
+        {
+            require(!m_manifest.kinds.empty(), manifestFaults::outOfRange, "/kinds", "an empty list", "at least one entry");
+            std::set<std::string> seen;
+            for (std::size_t index = 0; index < m_manifest.kinds.size(); ++index) {
+                const Kind& kind = m_manifest.kinds[index];
+                const std::string where = "/kinds/" + std::to_string(index);
+                require(!kind.name.empty(), manifestFaults::outOfRange, where + "/name", "\"\"", "a name");
+                require(seen.insert(kind.service + '\n' + kind.name).second, manifestFaults::duplicateName, where + "/name", '"' + kind.name + '"', "a name used once in its service");
+                require(findService(m_manifest, kind.service), manifestFaults::unknownName, where + "/service", '"' + kind.service + '"', "a name of /services");
+                require(findUrgencyClass(m_manifest, kind.urgencyClass), manifestFaults::unknownName, where + "/urgencyClass", '"' + kind.urgencyClass + '"', "a name of /urgencyClasses");
+                require(kind.expectedRunTime.count() >= 1, manifestFaults::outOfRange, where + "/expectedRunTimeMs", std::to_string(kind.expectedRunTime.count()), "at least 1");
+                require(kind.sizeLimitBytes >= 1 && kind.sizeLimitBytes <= largestTaskBytes, manifestFaults::outOfRange, where + "/sizeLimitBytes",
+                    std::to_string(kind.sizeLimitBytes), "1 to " + std::to_string(largestTaskBytes));
+            }
+        }
+
+        void checkCallers()
+        {
+            for (std::size_t index = 0; index < m_manifest.callers.size(); ++index) {
+                const CallerRule& caller = m_manifest.callers[index];
+                const std::string where = "/callers/" + std::to_string(index);
+                require(caller.homeDataCentre.empty() || findByName(m_manifest.dataCentres, caller.homeDataCentre), manifestFaults::unknownName,
+                    where + "/homeDataCentre", '"' + caller.homeDataCentre + '"', "a name of /dataCentres");
+                require(caller.maxTasksInFlight >= 1, manifestFaults::outOfRange, where + "/maxTasksInFlight", "0", "at least 1");
+                require(caller.startsPerSecond > 0, manifestFaults::outOfRange, where + "/startsPerSecond", std::to_string(caller.startsPerSecond), "more than 0");
+            }
+        }
+
+        const Manifest& m_manifest;
+        std::vector<Fault> m_faults;
+    };
+
+}
+
+const Kind* findKind(const Manifest& manifest, const std::string& service, const std::string& kind)
+{
+    for (const Kind& candidate : manifest.kinds) {
+        if (candidate.service == service && candidate.name == kind)
+            return &candidate;
+    }
+    return nullptr;
+}
+
+const Service* findService(const Manifest& manifest, const std::string& name)
+{
+    return findByName(manifest.services, name);
+}
+
+const UrgencyClass* findUrgencyClass(const Manifest& manifest, const std::string& name)
+{
+    return findByName(manifest.urgencyClasses, name);
+}
+
+const CallerRule* findCaller(const Manifest& manifest, const std::string& caller)
+{
+    const CallerRule* best = nullptr;
+    for (const CallerRule& rule : manifest.callers) {
+        if (rule.name == caller)
+            return &rule;
+        const bool isPrefix = !rule.name.empty() && rule.name.back() == '*' && caller.compare(0, rule.name.size() - 1, rule.name, 0, rule.name.size() - 1) == 0;
+        if (isPrefix && (!best || rule.name.size() > best->name.size()))
+            best = &rule;
+    }
+    return best;
+}
+
+std::vector<Fault> checkManifest(const Manifest& manifest)
+{
+    return Checker(manifest).run();
+}
+
+DataCentreId homeDataCentre(const Manifest& manifest, const DataCentreId& named, const std::string& caller, const SubmissionKey& key)
+{
+    if (!named.empty())
+        return findByName(manifest.dataCentres, named) ? named : DataCentreId();
+    const CallerRule* rule = findCaller(manifest, caller);
+    if (rule && !rule->homeDataCentre.empty())
+        return rule->homeDataCentre;
+    DataCentreId home;
+    std::uint64_t best = 0;
+    for (const DataCentre& dataCentre : manifest.dataCentres) {
+        const std::uint64_t weight = rendezvousWeight(dataCentre.name, key.low);
+        if (home.empty() || weight > best) {
+            home = dataCentre.name;
+            best = weight;
+        }
+    }
+    return home;
+}
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/decision/src/task_scheduler.cpp
@@ -0,0 +1,289 @@
+#include <egrettrestle/decision/task_scheduler.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace egrettrestle {
+
+namespace {
+
+    bool contains(const std::vector<UpstreamId>& ids, const UpstreamId& id)
+    {
+        return std::find(ids.begin(), ids.end(), id) != ids.end();
+    }
+
+}
+
+TaskScheduler::TaskScheduler(HealthPolicy policy)
+    : m_health(policy)
+{
+}
+
+void TaskScheduler::setClasses(std::vector<ClassRule> classes)
+{
+    std::sort(classes.begin(), classes.end(), [](const ClassRule& left, const ClassRule& right) { return left.rank < right.rank; });
+    m_classes = std::move(classes);
+}
+
+void TaskScheduler::setUpstreams(const std::vector<UpstreamShare>& upstreams)
+{
+    for (auto& entry : m_upstreams)
+        entry.second.listed = false;
+    for (const UpstreamShare& share : upstreams) {
+        Upstream& upstream = m_upstreams[share.id];
+        upstream.share = share;
+        upstream.listed = true;
+    }
+    for (auto entry = m_upstreams.begin(); entry != m_upstreams.end();) {
+        const bool gone = !entry->second.listed && entry->second.busy == 0;
+        if (gone)
+            m_health.forget(entry->first);
+        entry = gone ? m_upstreams.erase(entry) : std::next(entry);
+    }
+    for (auto& entry : m_pools)
+        entry.second.upstreams.clear();
+    for (const auto& entry : m_upstreams) {
+        if (entry.second.listed)
+            m_pools[entry.second.share.service].upstreams.push_back(entry.first);
+    }
+}
+
+void TaskScheduler::add(QueuedTask task)
+{
+    Pool& pool = m_pools[task.service];
+    std::deque<QueuedTask>& queue = pool.queues[task.rank];
+    // A task that comes back after a refusal keeps its place by age.
+    const auto place = std::upper_bound(queue.begin(), queue.end(), task, [](const QueuedTask& left, const QueuedTask& right) { return left.queuedAt < right.queuedAt; });
+    queue.insert(place, std::move(task));
+}
+
+std::vector<TaskNumber> TaskScheduler::drop(JobNumber job)
+{
+    std::vector<TaskNumber> dropped;
+    for (auto& pool : m_pools) {
+        for (auto& entry : pool.second.queues) {
+            std::deque<QueuedTask>& queue = entry.second;
+            for (const QueuedTask& task : queue) {
+                if (task.job == job)
+                    dropped.push_back(task.task);
+            }
+            queue.erase(std::remove_if(queue.begin(), queue.end(), [job](const QueuedTask& task) { return task.job == job; }), queue.end());
+        }
+    }
+    return dropped;
+}
+
+std::optional<Assignment> TaskScheduler::next(TimePoint now)
+{
+    for (auto& entry : m_pools) {
+        Pool& pool = entry.second;
+        for (auto& queue : pool.queues) {
+            if (queue.second.empty() || queue.second.front().deadline > now)
+                continue;
+            Assignment expired { std::move(queue.second.front()), {}, {} };
+            queue.second.pop_front();
+            return expired;
+        }
+        std::deque<QueuedTask>* queue = nextQueue(pool, now);
+        if (!queue)
+            continue;
+        Upstream* upstream = chooseUpstream(pool, queue->front(), now);
+        if (!upstream)
+            continue;
+        Assignment assignment { std::move(queue->front()), upstream->share.id, upstream->share.address };
+        queue->pop_front();
+        ++upstream->busy;
+        ++upstream->busyByRank[assignment.task.rank];
+        ++pool.busyByRank[assignment.task.rank];
+        return assignment;
+    }
+    return std::nullopt;
+}
+
+void TaskScheduler::release(const UpstreamId& id, int rank)
+{
+    const auto found = m_upstreams.find(id);
+    if (found == m_upstreams.end())
+        return;
+    Upstream& upstream = found->second;
+    Pool& pool = m_pools[upstream.share.service];
+    --upstream.busy;
+    --upstream.busyByRank[rank];
+    --pool.busyByRank[rank];
+    if (!upstream.listed && upstream.busy == 0) {
+        m_health.forget(id);
+        m_upstreams.erase(found);
+    }
+}
+
+const ClassRule* TaskScheduler::rule(int rank) const
+{
+    for (const ClassRule& candidate : m_classes) {
+        if (candidate.rank == rank)
+            return &candidate;
+    }
+    return nullptr;
+}
+
+std::deque<QueuedTask>* TaskScheduler::nextQueue(Pool& pool, TimePoint now)
+{
+    const std::size_t slots = usableSlots(pool, now);
+    std::deque<QueuedTask>* first = nullptr;
+    std::deque<QueuedTask>* aged = nullptr;
+    for (auto& entry : pool.queues) {
+        if (entry.second.empty() || !mayUseSlot(pool, entry.first, slots))
+            continue;
+        if (!first)
+            first = &entry.second;
+        const ClassRule* classRule = rule(entry.first);
+        const QueuedTask& head = entry.second.front();
+        const bool isAged = classRule && classRule->ageAfter > Duration::zero() && now - head.queuedAt >= classRule->ageAfter;
+        if (isAged && (!aged || head.queuedAt < aged->front().queuedAt))
+            aged = &entry.second;
+    }
+    const bool agedIsOlder = first && aged && aged->front().queuedAt < first->front().queuedAt;
+    return agedIsOlder ? aged : first;
+}
+
+bool TaskScheduler::mayUseSlot(const Pool& pool, int rank, std::size_t slots) const
+{
+    // Each more urgent class keeps its reserved slots free of this rank and of all ranks behind it.
+    double reserved = 0;
+    for (const ClassRule& classRule : m_classes) {
+        if (classRule.rank < rank)
+            reserved += classRule.reservedShare;
+    }
+    if (reserved <= 0)
+        return true;
+    std::size_t busy = 0;
+    for (const auto& entry : pool.busyByRank) {
+        if (entry.first >= rank)
+            busy += entry.second;
+    }
+    const std::size_t reservedSlots = static_cast<std::size_t>(std::ceil(reserved * static_cast<double>(slots)));
+    // A VM with a single slot has to let everybody use it.
+    const std::size_t allowed = slots > reservedSlots ? slots - reservedSlots : 1;
+    return busy < allowed;
+}
+
+bool TaskScheduler::floorReached(const Pool& pool, TimePoint now) const
+{
+    std::size_t listed = 0;
+    std::size_t live = 0;
+    for (const UpstreamId& id : pool.upstreams) {
+        const Upstream& upstream = m_upstreams.at(id);
+        if (upstream.share.leaving)
+            continue;
+        ++listed;
+        if (m_health.state(id, now) == UpstreamState::Live)
+            ++live;
+    }
+    return static_cast<double>(live) < m_health.policy().floorShare * static_cast<double>(listed);
+}
+
+std::size_t TaskScheduler::slotsOpen(const Upstream& upstream, bool floor, TimePoint now) const
+{
+    if (upstream.share.leaving || !upstream.listed)
+        return 0;
+    const UpstreamState state = m_health.state(upstream.share.id, now);
+    // Slow upstreams are used again when too few others are left; refusing ones would only cost messages.
+    if (state == UpstreamState::Live || (floor && m_health.isSlow(upstream.share.id)))
+        return upstream.share.slots;
+    return state == UpstreamState::Probe ? std::min<std::size_t>(1, upstream.share.slots) : 0;
+}
+
+std::size_t TaskScheduler::usableSlots(const Pool& pool, TimePoint now) const
+{
+    const bool floor = floorReached(pool, now);
+    std::size_t slots = 0;
+    for (const UpstreamId& id : pool.upstreams)
+        slots += slotsOpen(m_upstreams.at(id), floor, now);
+    return slots;
+}
+
+TaskScheduler::Upstream* TaskScheduler::chooseUpstream(const Pool& pool, const QueuedTask& task, TimePoint now)
+{
+    const bool floor = floorReached(pool, now);
+    Upstream* best = nullptr;
+    double bestScore = 0;
+    for (const UpstreamId& id : pool.upstreams) {
+        Upstream& upstream = m_upstreams.at(id);
+        const std::size_t open = slotsOpen(upstream, floor, now);
+        if (upstream.busy >= open || contains(task.avoid, id))
+            continue;
+        const double fill = static_cast<double>(upstream.busy) / static_cast<double>(open);
+        const double score = m_health.slowness(id) * (1 + fill);
+        if (!best || score < bestScore) {
+            best = &upstream;
+            bestScore = score;
+        }
+    }
+    return best;
+}
+
+ServiceLoad TaskScheduler::load(const std::string& service, TimePoint now) const
+{
+    ServiceLoad load;
+    const auto found = m_pools.find(service);
+    if (found == m_pools.end())
+        return load;
+    load.slots = usableSlots(found->second, now);
+    for (const auto& entry : found->second.busyByRank)
+        load.busy += entry.second;
+    for (const auto& entry : found->second.queues)
+        load.queued += entry.second.size();
+    for (const UpstreamId& id : found->second.upstreams) {
+        if (m_health.state(id, now) != UpstreamState::Live)
+            ++load.upstreamsAside;
+    }
+    return load;
+}
+
+std::size_t TaskScheduler::queued() const
+{
+    std::size_t count = 0;
+    for (const auto& pool : m_pools) {
+        for (const auto& entry : pool.second.queues)
+            count += entry.second.size();
+    }
+    return count;
+}
+
+Duration TaskScheduler::expectedWait(const std::string& service, int rank, std::size_t tasks, Duration runTime, TimePoint now) const
+{
+    const auto found = m_pools.find(service);
+    if (found == m_pools.end())
+        return Duration::zero();
+    const Pool& pool = found->second;
+    double reserved = 0;
+    for (const ClassRule& classRule : m_classes) {
+        if (classRule.rank < rank)
+            reserved += classRule.reservedShare;
+    }
+    const double slots = std::max(1.0, std::floor((1 - reserved) * static_cast<double>(usableSlots(pool, now))));
+    double busy = 0;
+    for (const auto& entry : pool.busyByRank) {
+        if (reserved <= 0 || entry.first >= rank)
+            busy += static_cast<double>(entry.second);
+    }
+    double aheadSeconds = 0;
+    double ahead = 0;
+    for (const auto& entry : pool.queues) {
+        if (entry.first > rank || entry.second.empty())
+            continue;
+        const Duration each = m_health.expectedRunTime(entry.second.front().kind, runTime);
+        aheadSeconds += static_cast<double>(entry.second.size()) * toSeconds(each);
+        ahead += static_cast<double>(entry.second.size());
+    }
+    const double free = std::max(0.0, slots - busy);
+    // The last of the job's tasks starts once all that is ahead, and its own siblings, have found slots.
+    const double waiting = ahead + static_cast<double>(tasks) - free;
+    if (waiting <= 0)
+        return Duration::zero();
+    const double siblingSeconds = std::max(0.0, static_cast<double>(tasks) - 1) * toSeconds(runTime);
+    const double residualSeconds = std::min(busy, slots) * toSeconds(runTime) / 2;
+    const double seconds = (aheadSeconds + siblingSeconds + residualSeconds) / slots;
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(seconds));
+}
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/decision/src/upstream_health.cpp
@@ -0,0 +1,106 @@
+#include <egrettrestle/decision/upstream_health.hpp>
+
+#include <algorithm>
+
+namespace egrettrestle {
+
+namespace {
+
+    constexpr double upstreamWeight = 0.2;
+    constexpr double kindWeight = 0.05;
+    constexpr int kindSamples = 8;
+    // One very long task must not make an upstream look slow by itself.
+    constexpr double largestRatio = 20;
+
+    double blend(double average, double sample, double weight, int samples)
+    {
+        return samples == 0 ? sample : average + std::max(weight, 1.0 / (samples + 1)) * (sample - average);
+    }
+
+}
+
+UpstreamHealth::UpstreamHealth(HealthPolicy policy)
+    : m_policy(policy)
+{
+}
+
+void UpstreamHealth::noteSuccess(const UpstreamId& upstream, const std::string& kind, Duration runTime, TimePoint now)
+{
+    Record& record = m_records[upstream];
+    record.failures = 0;
+    Learned& learned = m_kinds[kind];
+    const double seconds = toSeconds(runTime);
+    if (learned.samples >= kindSamples && learned.seconds > 0) {
+        const double ratio = std::min(seconds / learned.seconds, largestRatio);
+        record.slowness = blend(record.slowness, ratio, upstreamWeight, record.samples);
+        ++record.samples;
+    }
+    // Samples of a slow upstream would raise the very average it is compared with.
+    if (!isSlow(upstream)) {
+        learned.seconds = blend(learned.seconds, seconds, kindWeight, learned.samples);
+        ++learned.samples;
+    }
+    if (isSlow(upstream)) {
+        if (!record.aside || now >= record.asideUntil)
+            putAside(record, now);
+        return;
+    }
+    record.aside = false;
+    record.pauses = 0;
+}
+
+bool UpstreamHealth::noteFailure(const UpstreamId& upstream, bool atOnce, TimePoint now)
+{
+    Record& record = m_records[upstream];
+    ++record.failures;
+    const bool failedProbe = record.aside && now >= record.asideUntil;
+    const bool due = atOnce || failedProbe || record.failures >= m_policy.failuresInRow;
+    if (!due || (record.aside && !failedProbe))
+        return false;
+    putAside(record, now);
+    return true;
+}
+
+void UpstreamHealth::putAside(Record& record, TimePoint now) const
+{
+    constexpr int mostDoublings = 20;
+    const Milliseconds pause = std::min(m_policy.longestPause, m_policy.firstPause * (1 << std::min(record.pauses, mostDoublings)));
+    record.aside = true;
+    record.asideUntil = now + pause;
+    ++record.pauses;
+}
+
+void UpstreamHealth::forget(const UpstreamId& upstream)
+{
+    m_records.erase(upstream);
+}
+
+UpstreamState UpstreamHealth::state(const UpstreamId& upstream, TimePoint now) const
+{
+    const auto found = m_records.find(upstream);
+    if (found == m_records.end() || !found->second.aside)
+        return UpstreamState::Live;
+    return now >= found->second.asideUntil ? UpstreamState::Probe : UpstreamState::Aside;
+}
+
+double UpstreamHealth::slowness(const UpstreamId& upstream) const
+{
+    const auto found = m_records.find(upstream);
+    return found == m_records.end() || found->second.samples == 0 ? 1 : found->second.slowness;
+}
+
+bool UpstreamHealth::isSlow(const UpstreamId& upstream) const
+{
+    const auto found = m_records.find(upstream);
+    return found != m_records.end() && found->second.samples >= m_policy.slowSamples && found->second.slowness > m_policy.slowFactor;
+}
+
+Duration UpstreamHealth::expectedRunTime(const std::string& kind, Duration fallback) const
+{
+    const auto found = m_kinds.find(kind);
+    if (found == m_kinds.end() || found->second.samples < kindSamples)
+        return fallback;
+    return std::chrono::duration_cast<Duration>(std::chrono::duration<double>(found->second.seconds));
+}
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/http/src/server.cpp
@@ -0,0 +1,257 @@
+#include <egrettrestle/http/server.hpp>
+
+#include <atomic>
+
+#include <Poco/Net/HTTPServerParams.h>
+#include <Poco/Net/HTTPServerRequestImpl.h>
+#include <Poco/Net/HTTPServerResponseImpl.h>
+#include <Poco/Net/HTTPServerSession.h>
+#include <Poco/Net/NetException.h>
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/TCPServer.h>
+#include <Poco/Net/TCPServerConnection.h>
+#include <Poco/Net/TCPServerConnectionFactory.h>
+#include <Poco/ThreadPool.h>
+
+#include <egrettrestle/base/fault.hpp>
+
+namespace egrettrestle {
+
+namespace {
+
+    constexpr Milliseconds stopPollInterval { 100 };
+    constexpr int listenBacklog = 512;
+    constexpr int cannotListen = 901;
+
+    Poco::Timespan timespan(Duration duration)
+    {
+        return Poco::Timespan(std::chrono::duration_cast<std::chrono::microseconds>(duration).count());
+    }
+
+    HttpResponse plainFault(const HttpRequestFault& fault)
+    {
+        HttpResponse response;
+        response.status = fault.status;
+        response.contentType = "text/plain";
+        response.body = fault.field + ": " + fault.detail + "\n";
+        return response;
+    }
+
+    /// What all connections of a server share.
+    struct Shared {
+        HttpServerLimits limits;
+        HttpHandler handler;
+        HttpFaultHandler faultHandler;
+        std::atomic<bool> stopping { false };
+    };
+
+    /// Serves the requests of one connection, one after another.
+    class Connection : public Poco::Net::TCPServerConnection {
+    public:
+        Connection(const Poco::Net::StreamSocket& socket, std::shared_ptr<Shared> shared)
+            : Poco::Net::TCPServerConnection(socket)
+            , m_shared(std::move(shared))
+        {
+        }
+
+        void run() override
+        {
+            Poco::Net::HTTPServerParams::Ptr params = new Poco::Net::HTTPServerParams;
+            params->setKeepAlive(true);
+            params->setTimeout(timespan(m_shared->limits.receiveTimeout));
+            params->setMaxKeepAliveRequests(0);
+            socket().setNoDelay(true);
+            Poco::Net::HTTPServerSession session(socket(), params);
+            session.setTimeout(timespan(m_shared->limits.receiveTimeout));
+            bool open = true;
+            while (open && waitForRequest(session))
+                open = serveOne(session, params);
+        }
+
+    private:
+        bool waitForRequest(Poco::Net::HTTPServerSession& session) const
+        {
+            const TimePoint idleEnd = SteadyClock::now() + m_shared->limits.idleTimeout;
+            while (!m_shared->stopping && SteadyClock::now() < idleEnd) {
+                if (session.socket().poll(timespan(stopPollInterval), Poco::Net::Socket::SELECT_READ))
+                    return true;
+            }
+            return false;
+        }
+
+        bool serveOne(Poco::Net::HTTPServerSession& session, Poco::Net::HTTPServerParams::Ptr& params)
+        {
+            Poco::Net::HTTPServerResponseImpl response(session);
+            try {
+                Poco::Net::HTTPServerRequestImpl request(response, session, params);
+                response.setVersion(request.getVersion());
+                HttpRequest plain;
+                const HttpRequestFault fault = read(request, plain);
+                if (fault.status != 0)
+                    return sendFault(response, fault);
+                const bool keepAlive = request.getKeepAlive() && !m_shared->stopping;
+                response.setKeepAlive(keepAlive);
+                return send(response, m_shared->handler(plain)) && keepAlive;
+            } catch (const Poco::Net::NoMessageException&) {
+                return false;
+            } catch (const Poco::TimeoutException&) {
+                return sendFault(response, { httpStatus::requestTimeout, "header", "the request did not arrive whole in time" });
+            } catch (const Poco::Net::MessageException& error) {
+                return sendFault(response, { httpStatus::headerFieldsTooLarge, "header", error.message().empty() ? "malformed request line or header" : error.message() });
+            } catch (const Poco::Exception&) {
+                return false;
+            } catch (const std::exception&) {
+                return false;
+            }
+        }
+
+        HttpRequestFault read(Poco::Net::HTTPServerRequestImpl& request, HttpRequest& plain)
+        {
+            plain.method = request.getMethod();
+            const std::string& uri = request.getURI();
+            const std::size_t mark = uri.find('?');
+            plain.path = uri.substr(0, mark);
+            plain.query = mark == std::string::npos ? std::string() : uri.substr(mark + 1);
+            for (const auto& header : request)
+                plain.headers.push_back({ header.first, header.second });
+            const HttpRequestFault tooLarge { httpStatus::payloadTooLarge, "body", "more than " + std::to_string(m_shared->limits.maxBodyBytes) + " bytes" };
+            const bool lengthKnown = request.hasContentLength();
+            if (lengthKnown && request.getContentLength64() > static_cast<Poco::Int64>(m_shared->limits.maxBodyBytes))
+                return tooLarge;
+            char buffer[16 * 1024];
+            std::istream& stream = request.stream();
+            while (stream.read(buffer, sizeof(buffer)) || stream.gcount() > 0) {
+                plain.body.append(buffer, static_cast<std::size_t>(stream.gcount()));
+                if (plain.body.size() > m_shared->limits.maxBodyBytes)
+                    return tooLarge;
+            }
+            // A body that broke off must not pass for a whole one.
+            if (lengthKnown && plain.body.size() != static_cast<std::size_t>(request.getContentLength64()))
+                return { httpStatus::badRequest, "body", "fewer bytes than Content-Length says" };
+            return { 0, {}, {} };
+        }
+
+        bool sendFault(Poco::Net::HTTPServerResponseImpl& response, const HttpRequestFault& fault)
+        {
+            try {
+                response.setKeepAlive(false);
+                send(response, m_shared->faultHandler ? m_shared->faultHandler(fault) : plainFault(fault));
+                closeGently();
+            } catch (const Poco::Exception&) {
+                // The client is gone already.
+            }
+            return false;
+        }
+
+        /// Lets the client read the reply: closing with unread input would reset the connection under it.
+        void closeGently()
+        {
+            constexpr int mostReads = 64;
+            constexpr Milliseconds drainWait { 50 };
+            socket().shutdownSend();
+            char buffer[16 * 1024];
+            for (int reads = 0; reads < mostReads; ++reads) {
+                if (!socket().poll(timespan(drainWait), Poco::Net::Socket::SELECT_READ) || socket().receiveBytes(buffer, sizeof(buffer)) <= 0)
+                    return;
+            }
+        }
+
+        bool send(Poco::Net::HTTPServerResponseImpl& response, const HttpResponse& plain)
+        {
+            if (plain.dropConnection)
+                return false;
+            response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(plain.status));
+            response.setReason(Poco::Net::HTTPResponse::getReasonForStatus(response.getStatus()));
+            response.setContentType(plain.contentType);
+            for (const HttpHeader& header : plain.headers)
+                response.set(header.name, header.value);
+            if (plain.stream) {
+                response.setChunkedTransferEncoding(true);
+                plain.stream(response.send(), m_shared->stopping);
+                return false;
+            }
+            response.sendBuffer(plain.body.data(), plain.body.size());
+            return true;
+        }
+
+        std::shared_ptr<Shared> m_shared;
+    };
+
+    class ConnectionFactory : public Poco::Net::TCPServerConnectionFactory {
+    public:
+        explicit ConnectionFactory(std::shared_ptr<Shared> shared)
+            : m_shared(std::move(shared))
+        {
+        }
+
+        Poco::Net::TCPServerConnection* createConnection(const Poco::Net::StreamSocket& socket) override
+        {
+            return new Connection(socket, m_shared);
+        }
+
+    private:
+        std::shared_ptr<Shared> m_shared;
+    };
+
+}
+
+struct HttpServer::State {
+    std::string address;
+    std::shared_ptr<Shared> shared = std::make_shared<Shared>();
+    std::unique_ptr<Poco::ThreadPool> threads;
+    std::unique_ptr<Poco::Net::ServerSocket> socket;
+    std::unique_ptr<Poco::Net::TCPServer> server;
+};
+
+HttpServer::HttpServer(std::string address, HttpServerLimits limits, HttpHandler handler, HttpFaultHandler faultHandler)
+    : m_state(std::make_unique<State>())
+{
+    m_state->address = std::move(address);
+    m_state->shared->limits = limits;
+    m_state->shared->handler = std::move(handler);
+    m_state->shared->faultHandler = std::move(faultHandler);
+}
+
+HttpServer::~HttpServer()
+{
+    stop();
+}
+
+absl::Status HttpServer::start()
+{
+    const int connections = m_state->shared->limits.maxConnections;
+    try {
+        m_state->socket = std::make_unique<Poco::Net::ServerSocket>();
+        m_state->socket->bind(Poco::Net::SocketAddress(m_state->address), true);
+        m_state->socket->listen(listenBacklog);
+        constexpr int keptThreads = 2;
+        m_state->threads = std::make_unique<Poco::ThreadPool>(keptThreads, connections + keptThreads);
+        Poco::Net::TCPServerParams::Ptr params = new Poco::Net::TCPServerParams;
+        params->setMaxThreads(connections);
+        params->setMaxQueued(connections);
+        m_state->server = std::make_unique<Poco::Net::TCPServer>(new ConnectionFactory(m_state->shared), *m_state->threads, *m_state->socket, params);
+        m_state->server->start();
+    } catch (const Poco::Exception& error) {
+        return makeStatus(absl::StatusCode::kUnavailable, { cannotListen, m_state->address, error.displayText(), "an address that can be bound" });
+    }
+    return absl::OkStatus();
+}
+
+void HttpServer::stop()
+{
+    if (!m_state->server)
+        return;
+    m_state->shared->stopping = true;
+    m_state->server->stop();
+    m_state->threads->joinAll();
+    m_state->server.reset();
+    m_state->socket->close();
+    m_state->threads.reset();
+}
+
+std::uint16_t HttpServer::port() const
+{
+    return m_state->socket->address().port();
+}
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/kernel/src/kernel.cpp
@@ -0,0 +1,43 @@
+#include <egrettrestle/kernel/kernel.hpp>
+
+#include <glog/logging.h>
+
+namespace egrettrestle {
+
+void Kernel::add(std::unique_ptr<KernelService> service)
+{
+    CHECK(m_byName.emplace(service->name(), service.get()).second) << "two services are named " << service->name();
+    m_services.push_back(std::move(service));
+}
+
+absl::Status Kernel::start()
+{
+    for (; m_started < m_services.size(); ++m_started) {
+        absl::Status status = m_services[m_started]->start();
+        if (!status.ok()) {
+            stop();
+            return status;
+        }
+    }
+    return absl::OkStatus();
+}
+
+void Kernel::stop()
+{
+    while (m_started > 0)
+        m_services[--m_started]->stop();
+}
+
+KernelService& Kernel::lookUp(const std::string& name) const
+{
+    const auto found = m_byName.find(name);
+    CHECK(found != m_byName.end()) << "no service is named " << name;
+    return *found->second;
+}
+
+void Kernel::wrongType(const std::string& name)
+{
+    LOG(FATAL) << "service " << name << " is of another type";
+}
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/platform/include/egrettrestle/platform/detail/conversions/etcd_json.hpp
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include <egrettrestle/platform/store.hpp>
+
+namespace egrettrestle::detail {
+
+/// `/v3/kv/range` on one key or, with `isPrefix`, on all keys under it.
+struct RangeRequest {
+    std::string key;
+    bool isPrefix = false;
+};
+
+struct RangeReply {
+    std::uint64_t revision = 0;
+    std::vector<StoreEntry> entries;
+};
+
+/// `/v3/kv/txn` with one comparison of MOD revisions and one put.
+struct SwapRequest {
+    std::string key;
+    std::uint64_t expectedModRevision = 0;
+    std::string value;
+};
+
+/// `/v3/watch` on all keys under a prefix.
+struct WatchRequest {
+    std::string prefix;
+    std::uint64_t fromRevision = 0;
+};
+
+/// @name conversions
+/// Keys and values travel in base64, 64-bit numbers as strings. Reading gives nothing for a malformed text.
+/// @{
+std::string toText(const RangeRequest& request);
+std::string toText(const RangeReply& reply);
+std::string toText(const SwapRequest& request);
+std::string swapReplyText(std::uint64_t revision, bool succeeded);
+std::string toText(const WatchRequest& request);
+std::string watchCreatedText(std::uint64_t revision);
+std::string watchEventsText(std::uint64_t revision, const std::vector<StoreEntry>& entries);
+
+std::optional<RangeRequest> parseRangeRequest(std::string_view text);
+std::optional<RangeReply> parseRangeReply(std::string_view text);
+std::optional<SwapRequest> parseSwapRequest(std::string_view text);
+std::optional<bool> parseSwapReply(std::string_view text);
+std::optional<WatchRequest> parseWatchRequest(std::string_view text);
+std::optional<std::vector<StoreEntry>> parseWatchEvents(std::string_view line);
+/// @}
+
+} // namespace egrettrestle::detail
--- /dev/null
+++ b/packages/platform/include/egrettrestle/platform/etcd_store.hpp
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <atomic>
+#include <memory>
+
+#include <egrettrestle/http/client.hpp>
+#include <egrettrestle/platform/store.hpp>
+
+namespace egrettrestle {
+
+/// Called after each call to the platform with its name and the bytes of both bodies, so that calls can be counted.
+using PlatformCallObserver = std::function<void(const char* call, std::size_t bytes)>;
+
+/// Client of the etcd v3 JSON gateway: `/v3/kv/range`, `/v3/kv/txn` and `/v3/watch`, as published with etcd 3.5.
+class EtcdStore : public Store {
+public:
+    EtcdStore(std::string address, HttpCallTimes times, PlatformCallObserver observer = {});
+
+    absl::StatusOr<StoreEntry> read(const std::string& key) override;
+    absl::StatusOr<StoreSnapshot> readPrefix(const std::string& prefix) override;
+    absl::StatusOr<bool> compareAndSwap(const std::string& key, std::uint64_t expectedModRevision, const std::string& value) override;
+    absl::Status watch(const std::string& prefix, std::uint64_t fromRevision, Milliseconds length, const std::atomic<bool>& stop,
+        const std::function<void(const StoreEntry&)>& onChange) override;
+
+private:
+    HttpResult post(const char* path, const std::string& body);
+
+    std::string m_address;
+    HttpCallTimes m_times;
+    PlatformCallObserver m_observer;
+    HttpClient m_client;
+};
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/services/include/egrettrestle/services/settings.hpp
@@ -0,0 +1,77 @@
+#pragma once
+
+#include <iosfwd>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <egrettrestle/base/clock.hpp>
+#include <egrettrestle/base/fault.hpp>
+#include <egrettrestle/base/ids.hpp>
+
+namespace egrettrestle {
+
+/// Where the platform's store and VM list are.
+enum class PlatformKind {
+    /// In this process: for one VM that stands alone.
+    Embedded,
+    /// The etcd v3 JSON gateway and the VM list of docs/PLATFORM.md.
+    Etcd,
+};
+
+/// The settings of one daemon. docs/SETTINGS.md lists sections, keys, units and defaults.
+struct Settings {
+    VmId id;
+    DataCentreId dataCentre;
+    std::string callerAddress;
+    std::string peerAddress;
+    std::string adminAddress;
+    std::string advertisedCallerAddress;
+    std::string advertisedPeerAddress;
+    PlatformKind platform = PlatformKind::Embedded;
+    std::string storeAddress;
+    std::string vmListAddress;
+    std::string vmListFile;
+    std::string manifestFile;
+    Milliseconds storeTimeout { 0 };
+    std::vector<std::string> seeds;
+    Milliseconds heartbeatInterval { 0 };
+    int missedHeartbeats = 0;
+    int taskThreads = 0;
+    std::size_t answerMemoryBytes = 0;
+    int maxConnections = 0;
+    std::size_t maxBodyBytes = 0;
+    std::string traceFile;
+    std::string logDirectory;
+};
+
+/// The numbers of settings faults.
+namespace settingsFaults {
+
+    inline constexpr int unreadable = 101;
+    inline constexpr int notKeyAndValue = 102;
+    inline constexpr int repeatedKey = 103;
+    inline constexpr int unknownSection = 104;
+    inline constexpr int unknownKey = 105;
+    inline constexpr int missingKey = 106;
+    inline constexpr int badValue = 107;
+
+}
+
+/// Settings, or every fault that keeps a text from being them.
+struct SettingsParse {
+    std::optional<Settings> settings;
+    std::vector<Fault> faults;
+};
+
+/// Reads settings from INI text and checks them whole. Either the settings are there, or at least one fault that names
+/// its section and key. Opens nothing.
+SettingsParse parseSettings(std::istream& text);
+
+/// Reads settings from a file.
+SettingsParse readSettings(const std::string& path);
+
+/// The reference of all settings as the Markdown table of docs/SETTINGS.md.
+std::string settingsTable();
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/services/src/admin_port.cpp
@@ -0,0 +1,81 @@
+#include <nlohmann/json.hpp>
+
+#include <egrettrestle/platform/store_gateway.hpp>
+#include <egrettrestle/services/claims_service.hpp>
+#include <egrettrestle/services/detail/output/routes.hpp>
+#include <egrettrestle/services/jobs_service.hpp>
+#include <egrettrestle/services/manifest_service.hpp>
+#include <egrettrestle/services/platform_service.hpp>
+#include <egrettrestle/services/ports.hpp>
+
+namespace egrettrestle {
+
+namespace {
+
+    constexpr int adminConnections = 32;
+
+    HttpServerLimits adminLimits()
+    {
+        HttpServerLimits limits;
+        limits.maxConnections = adminConnections;
+        return limits;
+    }
+
+}
+
+AdminPort::AdminPort(Node& node)
+    : PortService(node, node.settings.adminAddress, adminLimits())
+{
+}
+
+HttpResponse AdminPort::handle(const HttpRequest& request)
+{
+    static const std::vector<detail::Route<AdminPort>> routes {
+        { "GET", "/metrics", &AdminPort::metrics },
+        { "GET", "/v1/status", &AdminPort::status },
+        { "POST", "/v1/drain", &AdminPort::drain },
+    };
+    EmbeddedStore* store = m_node.kernel.find<PlatformService>(serviceNames::platform).embeddedStore();
+    if (store && request.path.compare(0, 4, "/v3/") == 0)
+        return serveStoreGateway(*store, request);
+    return detail::dispatch(*this, routes, request);
+}
+
+HttpResponse AdminPort::metrics(const HttpRequest&)
+{
+    HttpResponse response = detail::jsonResponse(httpStatus::ok, m_node.metrics.render());
+    response.contentType = "text/plain; version=0.0.4";
+    return response;
+}
+
+HttpResponse AdminPort::status(const HttpRequest&)
+{
+    ClaimsService& claims = m_node.kernel.find<ClaimsService>(serviceNames::claims);
+    const std::shared_ptr<const Manifest> manifest = m_node.kernel.find<ManifestService>(serviceNames::manifest).current();
+    JobsService& jobs = m_node.kernel.find<JobsService>(serviceNames::jobs);
+    const View view = claims.view();
+    nlohmann::json members = nlohmann::json::array();
+    for (const Member& member : view.members)
+        members.push_back({ { "id", member.id }, { "incarnation", member.incarnation.value }, { "peerAddress", member.peerAddress } });
+    const nlohmann::json body {
+        { "id", m_node.settings.id },
+        { "dataCentre", m_node.settings.dataCentre },
+        { "incarnation", claims.incarnation().value },
+        { "epoch", view.epoch.value },
+        { "members", members },
+        { "manifestRevision", manifest ? manifest->revision : 0 },
+        { "manifestChange", manifest ? manifest->changeId : "" },
+        { "ready", jobs.ready() },
+        { "draining", jobs.draining() },
+        { "jobsInFlight", jobs.jobsInFlight() },
+    };
+    return detail::jsonResponse(httpStatus::ok, body.dump());
+}
+
+HttpResponse AdminPort::drain(const HttpRequest&)
+{
+    m_node.kernel.find<JobsService>(serviceNames::jobs).drain();
+    return detail::jsonResponse(httpStatus::accepted, R"({"draining":true})");
+}
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/services/src/daemon.cpp
@@ -0,0 +1,87 @@
+#include <egrettrestle/services/daemon.hpp>
+
+#include <thread>
+
+#include <egrettrestle/base/event.hpp>
+#include <egrettrestle/services/claims_service.hpp>
+#include <egrettrestle/services/executor_service.hpp>
+#include <egrettrestle/services/jobs_service.hpp>
+#include <egrettrestle/services/manifest_service.hpp>
+#include <egrettrestle/services/membership_service.hpp>
+#include <egrettrestle/services/node.hpp>
+#include <egrettrestle/services/platform_service.hpp>
+#include <egrettrestle/services/ports.hpp>
+#include <egrettrestle/services/store_watch_service.hpp>
+#include <egrettrestle/services/upstreams_service.hpp>
+
+namespace egrettrestle {
+
+namespace {
+
+    constexpr Milliseconds stopPollInterval { 50 };
+    // The balancer needs a moment to see that /healthz has turned.
+    constexpr Milliseconds balancerNotice { 300 };
+    constexpr Milliseconds releasePatience { 2'000 };
+
+    void addServices(Node& node)
+    {
+        Kernel& kernel = node.kernel;
+        kernel.add(std::make_unique<PlatformService>(node));
+        kernel.add(std::make_unique<ManifestService>(node));
+        kernel.add(std::make_unique<ClaimsService>(node));
+        kernel.add(std::make_unique<ExecutorService>(node));
+        kernel.add(std::make_unique<UpstreamsService>(node));
+        kernel.add(std::make_unique<JobsService>(node));
+        kernel.add(std::make_unique<PeerPort>(node));
+        kernel.add(std::make_unique<MembershipService>(node));
+        kernel.add(std::make_unique<StoreWatchService>(node));
+        kernel.add(std::make_unique<CallerPort>(node));
+        kernel.add(std::make_unique<AdminPort>(node));
+    }
+
+    void connectListeners(Kernel& kernel)
+    {
+        ClaimsService& claims = kernel.find<ClaimsService>(serviceNames::claims);
+        ExecutorService& executor = kernel.find<ExecutorService>(serviceNames::executor);
+        UpstreamsService& upstreams = kernel.find<UpstreamsService>(serviceNames::upstreams);
+        kernel.find<ManifestService>(serviceNames::manifest).onChange([&claims, &executor](const Manifest& manifest) {
+            claims.setWindow(manifest.claimWindow);
+            executor.setManifest(manifest);
+        });
+        claims.onViewChange([&upstreams](const View& view) { upstreams.setView(view); });
+    }
+
+    void waitForJobs(const JobsService& jobs)
+    {
+        while (jobs.jobsInFlight() > 0)
+            std::this_thread::sleep_for(stopPollInterval);
+    }
+
+}
+
+absl::Status runDaemon(const Settings& settings, const std::atomic<bool>& stop)
+{
+    Kernel kernel;
+    Metrics metrics;
+    SpanWriter spans(settings.traceFile, settings.dataCentre + '/' + settings.id);
+    HttpClient peers;
+    Node node { settings, kernel, metrics, spans, peers };
+    addServices(node);
+    connectListeners(kernel);
+    const absl::Status started = kernel.start();
+    if (!started.ok())
+        return started;
+    logEvent(events::started, "id=" + settings.id + " data_centre=" + settings.dataCentre + " caller=" + settings.callerAddress + " peer=" + settings.peerAddress + " admin=" + settings.adminAddress);
+    while (!stop)
+        std::this_thread::sleep_for(stopPollInterval);
+    JobsService& jobs = kernel.find<JobsService>(serviceNames::jobs);
+    jobs.drain();
+    std::this_thread::sleep_for(balancerNotice);
+    waitForJobs(jobs);
+    jobs.releaseUnused(SteadyClock::now() + releasePatience);
+    kernel.stop();
+    logEvent(events::stopped, "id=" + settings.id);
+    return absl::OkStatus();
+}
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/services/src/jobs_service.cpp
@@ -0,0 +1,352 @@
+#include <egrettrestle/services/jobs_service.hpp>
+
+#include <algorithm>
+#include <thread>
+
+#include <egrettrestle/base/event.hpp>
+
+namespace egrettrestle {
+
+namespace {
+
+    constexpr Milliseconds connectTimeout { 250 };
+    constexpr Milliseconds claimPatience { 3'000 };
+    constexpr Milliseconds lookUpPatience { 1'000 };
+    constexpr Milliseconds retryAfterUnavailable { 500 };
+    // The reply has to travel back before the caller's own deadline.
+    constexpr Milliseconds replyMargin { 2 };
+    constexpr Milliseconds stopPollInterval { 10 };
+
+    bool isOurs(const ClaimAnswer& answer, const ClaimsService& claims)
+    {
+        if (answer.verdict == ClaimVerdict::Granted)
+            return true;
+        return answer.verdict == ClaimVerdict::Known && answer.state == ClaimState::Acknowledged && claims.isOwn(answer.holder);
+    }
+
+    JobReply withRetry(JobReply reply, Milliseconds after)
+    {
+        reply.retryAfter = after;
+        return reply;
+    }
+
+    JobReply unknownOutcome(std::string detail)
+    {
+        return failure(httpStatus::badGateway, events::outcomeUnknown, Ran::MayHaveRun, std::move(detail));
+    }
+
+}
+
+JobsService::JobsService(Node& node)
+    : m_node(node)
+    , m_table(node.settings.answerMemoryBytes)
+{
+}
+
+absl::Status JobsService::start()
+{
+    m_claims = &m_node.kernel.find<ClaimsService>(serviceNames::claims);
+    m_manifest = &m_node.kernel.find<ManifestService>(serviceNames::manifest);
+    m_executor = &m_node.kernel.find<ExecutorService>(serviceNames::executor);
+    return absl::OkStatus();
+}
+
+void JobsService::stop()
+{
+    while (m_inFlight > 0)
+        std::this_thread::sleep_for(stopPollInterval);
+}
+
+void JobsService::drain()
+{
+    if (!m_draining.exchange(true))
+        logEvent(events::draining, "jobs_in_flight=" + std::to_string(m_inFlight));
+}
+
+bool JobsService::ready() const
+{
+    return !m_draining && m_manifest->current() && m_claims->incarnation().value != 0;
+}
+
+void JobsService::noteOtherView(const DataCentreId& dataCentre, const View& view)
+{
+    const std::lock_guard<std::mutex> lock(m_otherMutex);
+    View& known = m_otherViews[dataCentre];
+    if (view.epoch > known.epoch)
+        known = view;
+}
+
+void JobsService::stamp(JobReply& reply) const
+{
+    if (reply.epochStamp.empty())
+        reply.epochStamp = epochStamp(m_node.settings.dataCentre, m_claims->epoch());
+}
+
+JobReply JobsService::submit(const JobRequest& job, JobSource source, const TraceContext& trace)
+{
+    ++m_inFlight;
+    JobReply reply = submitCounted(job, source, trace);
+    --m_inFlight;
+    return reply;
+}
+
+JobReply JobsService::submitCounted(const JobRequest& job, JobSource source, const TraceContext& trace)
+{
+    const TimePoint begin = SteadyClock::now();
+    const TimePoint deadline = begin + job.deadline - replyMargin;
+    const std::shared_ptr<const Manifest> manifest = m_manifest->current();
+    if (!manifest)
+        return failure(httpStatus::unavailable, events::noManifest, Ran::MayHaveRun, "this VM knows no manifest yet");
+    if (manifest->claimWindow.count() > 0)
+        m_table.setWindow(manifest->claimWindow);
+    const DataCentreId home = homeDataCentre(*manifest, job.dataCentre, job.caller, job.key);
+    if (home.empty()) {
+        JobReply reply = refusal(httpStatus::badRequest, events::badRequest, "data centre " + job.dataCentre + " is not in the manifest");
+        reply.field = "/dataCentre";
+        return reply;
+    }
+    if (home != m_node.settings.dataCentre) {
+        if (source != JobSource::Caller)
+            return unknownOutcome("the VMs do not agree on the home of this submission");
+        return forwardHome(job, home, deadline, trace);
+    }
+    JobReply reply = submitHere(job, *manifest, source, deadline, trace);
+    stamp(reply);
+    if (source == JobSource::OtherVm)
+        return reply;
+    const Kind* kind = findKind(*manifest, job.service, job.tasks.front().kind);
+    const std::string urgencyClass = kind ? kind->urgencyClass : "none";
+    m_node.metrics.countJob(urgencyClass, outcomeName(reply.outcome), reply.reason);
+    m_node.metrics.observeResponse(urgencyClass, SteadyClock::now() - begin);
+    if (reply.outcome == Outcome::Failed)
+        logEvent(events::jobFailed, "caller=" + job.caller + " submission=" + job.submission + " reason=" + reply.reason + " event=" + std::to_string(reply.event) + " trace=" + trace.traceId + " detail=" + reply.detail);
+    return reply;
+}
+
+JobReply JobsService::submitHere(const JobRequest& job, const Manifest& manifest, JobSource source, TimePoint deadline, const TraceContext& trace)
+{
+    const bool joinOnly = source == JobSource::OtherVm;
+    EntryResult entry = m_table.enter(job.key, job.body, joinOnly, deadline);
+    switch (entry.verdict) {
+    case EntryVerdict::Answered:
+        return *std::move(entry.reply);
+    case EntryVerdict::AnswerDropped:
+        return failure(httpStatus::badGateway, events::answerDropped, Ran::Yes, "the answer is kept no longer");
+    case EntryVerdict::Conflict:
+        return conflictReply();
+    case EntryVerdict::StillActive:
+        return failure(httpStatus::gatewayTimeout, events::deadlinePassed, Ran::MayHaveRun, "the first request under this submission id goes on");
+    case EntryVerdict::NotKnown:
+        return unknownOutcome("the VM that holds this submission's claim knows nothing of it");
+    case EntryVerdict::Owner:
+        break;
+    }
+    return own(job, manifest, deadline, trace);
+}
+
+JobReply JobsService::own(const JobRequest& job, const Manifest& manifest, TimePoint deadline, const TraceContext& trace)
+{
+    if (m_draining)
+        return refuseIfNew(job, withRetry(refusal(httpStatus::unavailable, events::drainingRefusal, "this VM is leaving"), Milliseconds(0)), deadline, trace);
+    std::optional<JobReply> refused = m_executor->admission(job, manifest, deadline);
+    if (refused)
+        return refuseIfNew(job, *refused, deadline, trace);
+    ClaimAnswer answer;
+    {
+        Span span(m_node.spans, "claim", trace);
+        answer = m_claims->ask(claimRequest(job, ClaimRequestKind::Claim), std::min(deadline, SteadyClock::now() + claimPatience));
+        span.setAttribute("verdict", std::to_string(static_cast<int>(answer.verdict)));
+    }
+    if (isOurs(answer, *m_claims))
+        return runClaimed(job, manifest, deadline, trace);
+    return notGranted(job, answer, deadline, trace);
+}
+
+JobReply JobsService::refuseIfNew(const JobRequest& job, const JobReply& refused, TimePoint deadline, const TraceContext& trace)
+{
+    // "Not run" has to be true of an earlier request under this submission id too.
+    const TimePoint patience = std::max(deadline, SteadyClock::now() + lookUpPatience);
+    ClaimAnswer known;
+    {
+        Span span(m_node.spans, "lookup", trace);
+        known = m_claims->lookUp(claimRequest(job, ClaimRequestKind::Lookup), patience);
+    }
+    const bool neverRan = known.verdict == ClaimVerdict::Absent
+        || (known.verdict == ClaimVerdict::Known && known.state == ClaimState::Released);
+    if (neverRan)
+        return leaveForgotten(job, refused);
+    // Only this VM could have started a submission that it holds, and it has not.
+    if (known.verdict == ClaimVerdict::Known && m_claims->isOwn(known.holder))
+        return leaveNotStarted(job, refused);
+    if (known.verdict == ClaimVerdict::Unavailable || known.verdict == ClaimVerdict::Stale)
+        return leaveForgotten(job, unknownOutcome("would be refused (" + refused.reason + "), but no holder of its claim can be asked whether it ran before"));
+    return notGranted(job, known, deadline, trace);
+}
+
+JobReply JobsService::runClaimed(const JobRequest& job, const Manifest& manifest, TimePoint deadline, const TraceContext& trace)
+{
+    JobReply reply = m_executor->run(job, manifest, deadline, trace);
+    stamp(reply);
+    m_table.leave(job.key, reply.outcome == Outcome::Refused ? SubmissionState::NotStarted : SubmissionState::Ended, reply);
+    return reply;
+}
+
+JobReply JobsService::notGranted(const JobRequest& job, const ClaimAnswer& answer, TimePoint deadline, const TraceContext& trace)
+{
+    switch (answer.verdict) {
+    case ClaimVerdict::Conflict:
+        return leaveForgotten(job, conflictReply());
+    case ClaimVerdict::Known:
+        if (answer.state == ClaimState::Released)
+            return leaveForgotten(job, withRetry(refusal(httpStatus::unavailable, events::claimUnavailable, "given back twice without a start; use a new submission id"), retryAfterUnavailable));
+        if (m_claims->isOwn(answer.holder))
+            return leaveNotStarted(job, withRetry(refusal(httpStatus::unavailable, events::claimUnavailable, "the claim was not confirmed in time"), retryAfterUnavailable));
+        return joinHolder(job, answer.holder, deadline, trace);
+    case ClaimVerdict::Unavailable:
+    case ClaimVerdict::Stale:
+        break;
+    default:
+        return leaveForgotten(job, unknownOutcome("claims of that time were lost with the VMs that held them"));
+    }
+    if (answer.neverRan)
+        return leaveNotStarted(job, withRetry(refusal(httpStatus::unavailable, events::claimUnavailable, "the mirror of this claim cannot be reached; a new submission id may find another"), retryAfterUnavailable));
+    // The registrar is silent; its mirror may still tell that nothing ran.
+    const ClaimAnswer known = m_claims->lookUp(claimRequest(job, ClaimRequestKind::Lookup), std::max(deadline, SteadyClock::now() + lookUpPatience));
+    const bool onlyOurs = known.verdict == ClaimVerdict::Absent || (known.verdict == ClaimVerdict::Known && m_claims->isOwn(known.holder));
+    if (onlyOurs)
+        return leaveNotStarted(job, withRetry(refusal(httpStatus::unavailable, events::claimUnavailable, "the registrar of this claim cannot be reached; a new submission id may find another"), retryAfterUnavailable));
+    if (known.verdict == ClaimVerdict::Known || known.verdict == ClaimVerdict::Conflict)
+        return notGranted(job, known, deadline, trace);
+    return leaveNotStarted(job, unknownOutcome("neither holder of this submission's claim can be asked"));
+}
+
+JobReply JobsService::joinHolder(const JobRequest& job, Incarnation holder, TimePoint deadline, const TraceContext& trace)
+{
+    const View view = m_claims->view();
+    const Member* member = findMember(view, holder);
+    if (!member)
+        return leaveForgotten(job, failure(httpStatus::badGateway, events::holderGone, Ran::MayHaveRun, "the VM that held this submission is gone"));
+    Span span(m_node.spans, "join", trace);
+    std::optional<JobReply> reply = send(member->peerAddress, peerPaths::jobs, job, deadline, span.context());
+    if (!reply)
+        return leaveForgotten(job, failure(httpStatus::badGateway, events::holderGone, Ran::MayHaveRun, "VM " + member->id + " holds this submission and does not answer"));
+    return leaveForgotten(job, *std::move(reply));
+}
+
+JobReply JobsService::leaveNotStarted(const JobRequest& job, JobReply reply)
+{
+    stamp(reply);
+    m_table.leave(job.key, SubmissionState::NotStarted, reply);
+    return reply;
+}
+
+JobReply JobsService::leaveForgotten(const JobRequest& job, JobReply reply)
+{
+    m_table.forget(job.key);
+    return reply;
+}
+
+ClaimRequest JobsService::claimRequest(const JobRequest& job, ClaimRequestKind kind) const
+{
+    ClaimRequest request;
+    request.kind = kind;
+    request.key = job.key;
+    request.body = job.body;
+    request.firstSent = stampedEpoch(job.epochStamp, m_node.settings.dataCentre);
+    return request;
+}
+
+std::optional<JobReply> JobsService::send(const std::string& address, const std::string& path, const JobRequest& job, TimePoint deadline, const TraceContext& trace)
+{
+    const Milliseconds left = toMilliseconds(deadline - SteadyClock::now());
+    if (left.count() <= 0)
+        return std::nullopt;
+    JobRequest onward = job;
+    onward.deadline = left;
+    HttpRequest request;
+    request.method = "POST";
+    request.path = path;
+    request.headers.push_back({ "traceparent", traceParent(trace) });
+    request.headers.push_back({ "X-Egrettrestle-Forwarded", m_node.settings.dataCentre });
+    request.body = jobText(onward);
+    // The holder answers at the deadline at the latest; a little more lets that answer arrive.
+    constexpr Milliseconds grace { 100 };
+    const HttpResult result = m_node.peers.call(address, request, { connectTimeout, left + grace });
+    m_node.metrics.countMessage("forward", !result.ok(), static_cast<double>(request.body.size() + result.response.body.size()));
+    return result.ok() ? parseReply(result.response.body, result.response.status) : std::nullopt;
+}
+
+JobReply JobsService::forwardHome(const JobRequest& job, const DataCentreId& home, TimePoint deadline, const TraceContext& trace)
+{
+    View view;
+    {
+        const std::lock_guard<std::mutex> lock(m_otherMutex);
+        const auto found = m_otherViews.find(home);
+        if (found != m_otherViews.end())
+            view = found->second;
+    }
+    Span span(m_node.spans, "forward", trace);
+    span.setAttribute("dataCentre", home);
+    // Any VM of the home will do, and asking another after a lost reply is safe: its claim decides.
+    std::rotate(view.members.begin(), view.members.begin() + static_cast<std::ptrdiff_t>(view.members.empty() ? 0 : job.key.low % view.members.size()), view.members.end());
+    for (const Member& member : view.members) {
+        std::optional<JobReply> reply = send(member.callerAddress, "/v1/jobs", job, deadline, span.context());
+        const bool tryNext = !reply || (reply->event == events::drainingRefusal.number);
+        if (!tryNext)
+            return *std::move(reply);
+    }
+    return failure(httpStatus::badGateway, events::homeUnreachable, Ran::MayHaveRun, "home data centre " + home + " cannot be reached");
+}
+
+void JobsService::releaseUnused(TimePoint deadline)
+{
+    for (const SubmissionKey& key : m_table.notStarted()) {
+        ClaimRequest request;
+        request.kind = ClaimRequestKind::Release;
+        request.key = key;
+        request.body = m_table.body(key);
+        // Forgotten first: what is released must never start here.
+        m_table.forget(key);
+        m_claims->ask(request, deadline);
+    }
+}
+
+bool JobsService::cancel(const std::string& caller, const std::string& submission, bool forwarded)
+{
+    const SubmissionKey key = submissionKey(caller, submission);
+    if (m_executor->cancel(key))
+        return true;
+    if (forwarded || m_table.state(key))
+        return false;
+    ClaimRequest request;
+    request.key = key;
+    const ClaimAnswer known = m_claims->lookUp(request, SteadyClock::now() + lookUpPatience);
+    const View view = m_claims->view();
+    const Member* holder = known.holder.value != 0 ? findMember(view, known.holder) : nullptr;
+    if (!holder || m_claims->isOwn(known.holder))
+        return false;
+    HttpRequest onward;
+    onward.method = "POST";
+    onward.path = peerPaths::cancel;
+    onward.query = "caller=" + encodeQuery(caller) + "&submission=" + encodeQuery(submission);
+    const HttpResult result = m_node.peers.call(holder->peerAddress, onward, { connectTimeout, lookUpPatience });
+    m_node.metrics.countMessage("forward", !result.ok(), 0);
+    return result.ok() && result.response.status == httpStatus::accepted;
+}
+
+std::string JobsService::status(const std::string& caller, const std::string& submission)
+{
+    const SubmissionKey key = submissionKey(caller, submission);
+    const std::optional<SubmissionState> here = m_table.state(key);
+    if (here)
+        return *here == SubmissionState::Active ? "active" : *here == SubmissionState::Ended ? "ended"
+                                                                                             : "not-started";
+    ClaimRequest request;
+    request.key = key;
+    const ClaimAnswer known = m_claims->lookUp(request, SteadyClock::now() + lookUpPatience);
+    if (known.verdict == ClaimVerdict::Absent)
+        return "not-known";
+    return known.verdict == ClaimVerdict::Known || known.verdict == ClaimVerdict::Conflict ? "claimed-elsewhere" : "unknown";
+}
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/services/src/platform_service.cpp
@@ -0,0 +1,59 @@
+#include <egrettrestle/services/platform_service.hpp>
+
+#include <fstream>
+#include <sstream>
+
+#include <egrettrestle/platform/etcd_store.hpp>
+#include <egrettrestle/wire/manifest_json.hpp>
+
+namespace egrettrestle {
+
+namespace {
+
+    constexpr Milliseconds connectTimeout { 300 };
+
+    absl::StatusOr<std::string> initialManifest(const std::string& path)
+    {
+        std::ifstream file(path);
+        std::stringstream text;
+        text << file.rdbuf();
+        if (!file)
+            return makeStatus(absl::StatusCode::kNotFound, { settingsFaults::unreadable, "[platform] manifestFile", path, "a readable file" });
+        ManifestParse parse = parseManifest(text.str());
+        if (!parse.manifest)
+            return absl::InvalidArgumentError(path + ":\n" + toString(parse.faults));
+        if (parse.manifest->revision == 0)
+            parse.manifest->revision = 1;
+        return manifestText(*parse.manifest);
+    }
+
+}
+
+PlatformService::PlatformService(Node& node)
+    : m_node(node)
+{
+    const Settings& settings = node.settings;
+    const HttpCallTimes times { connectTimeout, settings.storeTimeout };
+    Metrics& metrics = node.metrics;
+    if (settings.platform == PlatformKind::Embedded) {
+        std::unique_ptr<EmbeddedStore> store = std::make_unique<EmbeddedStore>();
+        m_embedded = store.get();
+        m_store = std::move(store);
+        m_vmList = std::make_unique<FileVmList>(settings.vmListFile);
+        return;
+    }
+    m_store = std::make_unique<EtcdStore>(settings.storeAddress, times, [&metrics](const char*, std::size_t bytes) { metrics.countMessage("store", false, static_cast<double>(bytes)); });
+    m_vmList = std::make_unique<HttpVmList>(settings.vmListAddress, settings.dataCentre, times, [&metrics](const char*, std::size_t bytes) { metrics.countMessage("vm-list", false, static_cast<double>(bytes)); });
+}
+
+absl::Status PlatformService::start()
+{
+    if (!m_embedded)
+        return absl::OkStatus();
+    const absl::StatusOr<std::string> manifest = initialManifest(m_node.settings.manifestFile);
+    if (!manifest.ok())
+        return manifest.status();
+    return m_embedded->compareAndSwap(storeKeys::manifest, 0, *manifest).status();
+}
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/services/src/port_service.cpp
@@ -0,0 +1,14 @@
+#include <egrettrestle/services/detail/output/routes.hpp>
+#include <egrettrestle/services/ports.hpp>
+
+namespace egrettrestle {
+
+PortService::PortService(Node& node, const std::string& address, HttpServerLimits limits)
+    : m_node(node)
+    , m_server(
+          address, limits, [this](const HttpRequest& request) { return handle(request); },
+          [](const HttpRequestFault& fault) { return detail::malformedResponse(fault.status, fault.field, fault.detail); })
+{
+}
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/tools/src/load_profile.cpp
@@ -0,0 +1,64 @@
+#include <egrettrestle/tools/load.hpp>
+
+#include <egrettrestle/wire/detail/input/object_reader.hpp>
+
+namespace egrettrestle {
+
+namespace {
+
+    constexpr detail::FaultFamily loadFamily { 800 };
+
+    LoadStream readStream(detail::ObjectReader& reader)
+    {
+        LoadStream stream;
+        stream.name = reader.text("name");
+        stream.caller = reader.text("caller");
+        stream.service = reader.text("service");
+        stream.kind = reader.text("kind");
+        stream.jobsPerSecond = reader.real("jobsPerSecond");
+        stream.tasksPerJob = reader.numberOr("tasksPerJob", 1);
+        stream.shortestRun = reader.milliseconds("shortestRunMs");
+        stream.longestRun = reader.milliseconds("longestRunMs");
+        stream.deadline = reader.milliseconds("deadlineMs");
+        stream.burst = reader.numberOr("burst", 1);
+        stream.resubmissions = static_cast<int>(reader.numberOr("resubmissions", 0));
+        return stream;
+    }
+
+    void checkStream(const LoadStream& stream, const std::string& pointer, std::vector<Fault>& faults)
+    {
+        if (stream.jobsPerSecond <= 0)
+            faults.push_back({ loadFamily.outOfRange(), pointer + "/jobsPerSecond", std::to_string(stream.jobsPerSecond), "more than 0" });
+        if (stream.tasksPerJob < 1 || stream.burst < 1)
+            faults.push_back({ loadFamily.outOfRange(), pointer, "0 tasks or 0 jobs at a time", "at least 1" });
+        if (stream.shortestRun > stream.longestRun || stream.longestRun.count() < 1)
+            faults.push_back({ loadFamily.outOfRange(), pointer + "/longestRunMs", std::to_string(stream.longestRun.count()), "at least 1 and at least shortestRunMs" });
+    }
+
+}
+
+LoadProfileParse parseLoadProfile(const std::string& text)
+{
+    LoadProfileParse result;
+    const std::optional<nlohmann::json> value = detail::parseJson(text, loadFamily, result.faults);
+    if (!value)
+        return result;
+    detail::ObjectReader reader(*value, "", loadFamily, result.faults);
+    LoadProfile profile;
+    profile.seed = reader.numberOr("seed", 1);
+    profile.length = Seconds(reader.number("seconds"));
+    for (const nlohmann::json& element : reader.array("streams")) {
+        const std::string pointer = reader.pointer("streams", profile.streams.size());
+        detail::ObjectReader streamReader(element, pointer, loadFamily, result.faults);
+        profile.streams.push_back(readStream(streamReader));
+        streamReader.rejectUnknown();
+        if (result.faults.empty())
+            checkStream(profile.streams.back(), pointer, result.faults);
+    }
+    reader.rejectUnknown();
+    if (result.faults.empty())
+        result.profile = std::move(profile);
+    return result;
+}
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/wire/src/job.cpp
@@ -0,0 +1,250 @@
+#include <egrettrestle/wire/job.hpp>
+
+#include <charconv>
+
+#include <egrettrestle/wire/detail/input/object_reader.hpp>
+
+namespace egrettrestle {
+
+namespace {
+
+    using nlohmann::json;
+
+    constexpr detail::FaultFamily jobFamily { 300 };
+    constexpr std::size_t longestName = 200;
+    constexpr int statusBadRequest = 400;
+    constexpr int statusConflict = 409;
+
+    struct OutcomeName {
+        Outcome outcome;
+        const char* name;
+    };
+
+    constexpr OutcomeName outcomeNames[] = {
+        { Outcome::Complete, "complete" },
+        { Outcome::Failed, "failed" },
+        { Outcome::Refused, "refused" },
+        { Outcome::Conflict, "conflict" },
+    };
+
+    void checkName(const std::string& name, const std::string& pointer, std::vector<Fault>& faults)
+    {
+        if (name.empty() || name.size() > longestName)
+            faults.push_back({ jobFamily.outOfRange(), pointer, std::to_string(name.size()) + " bytes", "1 to " + std::to_string(longestName) + " bytes" });
+    }
+
+    TaskRequest readTask(const json& value, const std::string& pointer, std::vector<Fault>& faults)
+    {
+        detail::ObjectReader reader(value, pointer, jobFamily, faults);
+        TaskRequest task;
+        task.kind = reader.text("kind");
+        const json* payload = reader.has("payload") ? reader.any("payload") : nullptr;
+        task.payload = payload ? payload->dump() : "null";
+        if (!payload)
+            reader.textOr("payload", "");
+        reader.rejectUnknown();
+        return task;
+    }
+
+    const char* ranName(Ran ran)
+    {
+        switch (ran) {
+        case Ran::No:
+            return "no";
+        case Ran::MayHaveRun:
+            return "may-have-run";
+        case Ran::Yes:
+            break;
+        }
+        return "ran";
+    }
+
+    Ran ranFrom(const std::string& name)
+    {
+        if (name == "no")
+            return Ran::No;
+        return name == "ran" ? Ran::Yes : Ran::MayHaveRun;
+    }
+
+    JobReply eventReply(Outcome outcome, int httpStatus, const Event& event, std::string detail)
+    {
+        JobReply reply;
+        reply.outcome = outcome;
+        reply.httpStatus = httpStatus;
+        reply.reason = event.name;
+        reply.event = event.number;
+        reply.detail = std::move(detail);
+        return reply;
+    }
+
+}
+
+JobParse parseJob(std::string_view text)
+{
+    JobParse result;
+    const std::optional<json> value = detail::parseJson(text, jobFamily, result.faults);
+    if (!value)
+        return result;
+    detail::ObjectReader reader(*value, "", jobFamily, result.faults);
+    JobRequest job;
+    job.caller = reader.text("caller");
+    job.submission = reader.text("submission");
+    job.service = reader.text("service");
+    job.dataCentre = reader.textOr("dataCentre", "");
+    job.deadline = reader.milliseconds("deadlineMs");
+    job.epochStamp = reader.textOr("epoch", "");
+    for (const json& element : reader.array("tasks"))
+        job.tasks.push_back(readTask(element, reader.pointer("tasks", job.tasks.size()), result.faults));
+    reader.rejectUnknown();
+    if (result.faults.empty()) {
+        checkName(job.caller, "/caller", result.faults);
+        checkName(job.submission, "/submission", result.faults);
+        if (job.tasks.empty())
+            result.faults.push_back({ jobFamily.outOfRange(), "/tasks", "no tasks", "at least one task" });
+        if (job.deadline.count() < 1)
+            result.faults.push_back({ jobFamily.outOfRange(), "/deadlineMs", "0", "at least 1" });
+    }
+    if (!result.faults.empty())
+        return result;
+    deriveDigests(job);
+    result.job = std::move(job);
+    return result;
+}
+
+void deriveDigests(JobRequest& job)
+{
+    job.key = submissionKey(job.caller, job.submission);
+    // Deadline and epoch may differ between two sends of the same job.
+    std::string text = job.service;
+    for (const TaskRequest& task : job.tasks)
+        text += '\n' + task.kind + '\n' + task.payload;
+    job.body = bodyDigest(text);
+}
+
+std::string jobText(const JobRequest& job)
+{
+    json value {
+        { "caller", job.caller },
+        { "submission", job.submission },
+        { "service", job.service },
+        { "deadlineMs", job.deadline.count() },
+        { "tasks", json::array() },
+    };
+    if (!job.dataCentre.empty())
+        value["dataCentre"] = job.dataCentre;
+    if (!job.epochStamp.empty())
+        value["epoch"] = job.epochStamp;
+    for (const TaskRequest& task : job.tasks)
+        value["tasks"].push_back({ { "kind", task.kind }, { "payload", json::parse(task.payload) } });
+    return value.dump();
+}
+
+std::string replyText(const JobReply& reply)
+{
+    json value { { "outcome", outcomeName(reply.outcome) } };
+    if (!reply.epochStamp.empty())
+        value["epoch"] = reply.epochStamp;
+    if (reply.outcome == Outcome::Complete) {
+        // The answers are JSON texts already.
+        std::string text = value.dump();
+        text.back() = ',';
+        text += "\"answers\":[";
+        for (std::size_t index = 0; index < reply.answers.size(); ++index)
+            text += (index == 0 ? "" : ",") + reply.answers[index];
+        return text + "]}";
+    }
+    value["reason"] = reply.reason;
+    value["event"] = reply.event;
+    if (!reply.detail.empty())
+        value["detail"] = reply.detail;
+    if (!reply.field.empty())
+        value["field"] = reply.field;
+    if (reply.outcome == Outcome::Failed)
+        value["ran"] = ranName(reply.ran);
+    if (reply.retryAfter)
+        value["retryAfterMs"] = reply.retryAfter->count();
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::optional<JobReply> parseReply(std::string_view text, int httpStatus)
+{
+    std::vector<Fault> faults;
+    const std::optional<json> value = detail::parseJson(text, jobFamily, faults);
+    if (!value)
+        return std::nullopt;
+    detail::ObjectReader reader(*value, "", jobFamily, faults);
+    const std::string name = reader.text("outcome");
+    JobReply reply;
+    reply.httpStatus = httpStatus;
+    bool known = false;
+    for (const OutcomeName& entry : outcomeNames) {
+        if (name == entry.name) {
+            reply.outcome = entry.outcome;
+            known = true;
+        }
+    }
+    for (const json& answer : reader.arrayOrEmpty("answers"))
+        reply.answers.push_back(answer.dump());
+    reply.ran = ranFrom(reader.textOr("ran", "no"));
+    reply.reason = reader.textOr("reason", "");
+    reply.event = static_cast<int>(reader.numberOr("event", 0));
+    reply.field = reader.textOr("field", "");
+    reply.detail = reader.textOr("detail", "");
+    reply.epochStamp = reader.textOr("epoch", "");
+    if (reader.has("retryAfterMs"))
+        reply.retryAfter = reader.milliseconds("retryAfterMs");
+    if (!known || !faults.empty())
+        return std::nullopt;
+    return reply;
+}
+
+const char* outcomeName(Outcome outcome)
+{
+    for (const OutcomeName& entry : outcomeNames) {
+        if (entry.outcome == outcome)
+            return entry.name;
+    }
+    return "";
+}
+
+std::string epochStamp(const DataCentreId& dataCentre, Epoch epoch)
+{
+    return dataCentre + ':' + std::to_string(epoch.value);
+}
+
+Epoch stampedEpoch(const std::string& stamp, const DataCentreId& dataCentre)
+{
+    const std::size_t colon = stamp.rfind(':');
+    if (colon == std::string::npos || stamp.compare(0, colon, dataCentre) != 0)
+        return {};
+    Epoch epoch;
+    const char* end = stamp.data() + stamp.size();
+    const std::from_chars_result result = std::from_chars(stamp.data() + colon + 1, end, epoch.value);
+    return result.ec == std::errc() && result.ptr == end ? epoch : Epoch {};
+}
+
+JobReply refusal(int httpStatus, const Event& event, std::string detail)
+{
+    return eventReply(Outcome::Refused, httpStatus, event, std::move(detail));
+}
+
+JobReply failure(int httpStatus, const Event& event, Ran ran, std::string detail)
+{
+    JobReply reply = eventReply(Outcome::Failed, httpStatus, event, std::move(detail));
+    reply.ran = ran;
+    return reply;
+}
+
+JobReply conflictReply()
+{
+    return eventReply(Outcome::Conflict, statusConflict, events::conflict, "this body was not run; the first one under this submission id may have been");
+}
+
+JobReply malformed(const std::vector<Fault>& faults)
+{
+    JobReply reply = refusal(statusBadRequest, events::badRequest, toString(faults.front()));
+    reply.field = faults.front().where;
+    return reply;
+}
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/wire/src/object_reader.cpp
@@ -0,0 +1,188 @@
+#include <egrettrestle/wire/detail/input/object_reader.hpp>
+
+#include <algorithm>
+
+namespace egrettrestle::detail {
+
+namespace {
+
+    constexpr int deepestLevel = 64;
+    constexpr std::uint64_t longestMilliseconds = 1'000'000'000'000;
+    constexpr std::size_t longestExcerpt = 60;
+
+    struct TooDeep {
+    };
+
+    std::string excerpt(const nlohmann::json& value)
+    {
+        std::string text = value.is_structured() ? value.type_name() : value.dump();
+        if (text.size() > longestExcerpt)
+            text = text.substr(0, longestExcerpt) + "...";
+        return text;
+    }
+
+    const nlohmann::json::array_t& emptyArray()
+    {
+        static const nlohmann::json::array_t empty;
+        return empty;
+    }
+
+}
+
+std::optional<nlohmann::json> parseJson(std::string_view text, FaultFamily family, std::vector<Fault>& faults)
+{
+    const nlohmann::json::parser_callback_t limitDepth = [](int depth, nlohmann::json::parse_event_t, nlohmann::json&) {
+        if (depth > deepestLevel)
+            throw TooDeep {};
+        return true;
+    };
+    try {
+        return nlohmann::json::parse(text, limitDepth);
+    } catch (const nlohmann::json::parse_error& error) {
+        faults.push_back({ family.notJson(), "byte " + std::to_string(error.byte), "a text that is not JSON", "one JSON object" });
+    } catch (const nlohmann::json::exception&) {
+        faults.push_back({ family.notJson(), "/", "a number out of range", "numbers that fit 64 bits" });
+    } catch (const TooDeep&) {
+        faults.push_back({ family.notJson(), "/", "values nested more than " + std::to_string(deepestLevel) + " levels deep", "fewer levels" });
+    }
+    return std::nullopt;
+}
+
+ObjectReader::ObjectReader(const nlohmann::json& value, std::string pointer, FaultFamily family, std::vector<Fault>& faults)
+    : m_value(value)
+    , m_pointer(std::move(pointer))
+    , m_family(family)
+    , m_faults(faults)
+{
+    if (!m_value.is_object())
+        m_faults.push_back({ m_family.wrongType(), m_pointer.empty() ? "/" : m_pointer, excerpt(m_value), "an object" });
+}
+
+const nlohmann::json* ObjectReader::find(const char* key, bool required)
+{
+    m_known.emplace_back(key);
+    if (!m_value.is_object())
+        return nullptr;
+    const auto found = m_value.find(key);
+    if (found != m_value.end())
+        return &*found;
+    if (required)
+        m_faults.push_back({ m_family.missingField(), pointer(key), "", "this field" });
+    return nullptr;
+}
+
+void ObjectReader::wrongType(const char* key, const nlohmann::json& found, const char* expected)
+{
+    m_faults.push_back({ m_family.wrongType(), pointer(key), excerpt(found), expected });
+}
+
+std::string ObjectReader::text(const char* key)
+{
+    const nlohmann::json* found = find(key, true);
+    if (!found)
+        return {};
+    if (found->is_string())
+        return found->get<std::string>();
+    wrongType(key, *found, "a string");
+    return {};
+}
+
+std::string ObjectReader::textOr(const char* key, const std::string& fallback)
+{
+    return has(key) ? text(key) : (find(key, false), fallback);
+}
+
+std::uint64_t ObjectReader::number(const char* key)
+{
+    const nlohmann::json* found = find(key, true);
+    if (!found)
+        return 0;
+    if (found->is_number_unsigned())
+        return found->get<std::uint64_t>();
+    wrongType(key, *found, "a whole number, 0 or more");
+    return 0;
+}
+
+std::uint64_t ObjectReader::numberOr(const char* key, std::uint64_t fallback)
+{
+    return has(key) ? number(key) : (find(key, false), fallback);
+}
+
+double ObjectReader::real(const char* key)
+{
+    const nlohmann::json* found = find(key, true);
+    if (!found)
+        return 0;
+    if (found->is_number())
+        return found->get<double>();
+    wrongType(key, *found, "a number");
+    return 0;
+}
+
+double ObjectReader::realOr(const char* key, double fallback)
+{
+    return has(key) ? real(key) : (find(key, false), fallback);
+}
+
+bool ObjectReader::flag(const char* key)
+{
+    const nlohmann::json* found = find(key, true);
+    if (!found)
+        return false;
+    if (found->is_boolean())
+        return found->get<bool>();
+    wrongType(key, *found, "true or false");
+    return false;
+}
+
+Milliseconds ObjectReader::milliseconds(const char* key)
+{
+    const std::uint64_t value = number(key);
+    if (value <= longestMilliseconds)
+        return Milliseconds(static_cast<Milliseconds::rep>(value));
+    m_faults.push_back({ m_family.outOfRange(), pointer(key), std::to_string(value), "milliseconds, at most " + std::to_string(longestMilliseconds) });
+    return Milliseconds(0);
+}
+
+Milliseconds ObjectReader::millisecondsOr(const char* key, Milliseconds fallback)
+{
+    return has(key) ? milliseconds(key) : (find(key, false), fallback);
+}
+
+const nlohmann::json::array_t& ObjectReader::array(const char* key)
+{
+    const nlohmann::json* found = find(key, true);
+    if (!found)
+        return emptyArray();
+    if (found->is_array())
+        return found->get_ref<const nlohmann::json::array_t&>();
+    wrongType(key, *found, "an array");
+    return emptyArray();
+}
+
+const nlohmann::json::array_t& ObjectReader::arrayOrEmpty(const char* key)
+{
+    return has(key) ? array(key) : (find(key, false), emptyArray());
+}
+
+const nlohmann::json* ObjectReader::any(const char* key)
+{
+    return find(key, true);
+}
+
+bool ObjectReader::has(const char* key) const
+{
+    return m_value.is_object() && m_value.contains(key);
+}
+
+void ObjectReader::rejectUnknown()
+{
+    if (!m_value.is_object())
+        return;
+    for (const auto& item : m_value.items()) {
+        if (std::find(m_known.begin(), m_known.end(), item.key()) == m_known.end())
+            m_faults.push_back({ m_family.unknownField(), m_pointer + '/' + item.key(), "an unknown field", "only the fields of the schema" });
+    }
+}
+
+} // namespace egrettrestle::detail
--- /dev/null
+++ b/packages/wire/src/peer_messages.cpp
@@ -0,0 +1,332 @@
+#include <egrettrestle/wire/peer_messages.hpp>
+
+#include <egrettrestle/wire/detail/input/object_reader.hpp>
+
+namespace egrettrestle {
+
+namespace {
+
+    using nlohmann::json;
+
+    constexpr detail::FaultFamily peerFamily { 500 };
+
+    json headerJson(const PeerHeader& header)
+    {
+        return { { "epoch", header.epoch.value }, { "from", header.sender.value }, { "to", header.addressee.value } };
+    }
+
+    PeerHeader readHeader(detail::ObjectReader& reader)
+    {
+        return { { reader.number("epoch") }, { reader.number("from") }, { reader.number("to") } };
+    }
+
+    json claimJson(const Claim& claim, TimePoint now)
+    {
+        return {
+            { "key", toHex(claim.key) },
+            { "body", claim.body },
+            { "holder", claim.holder.value },
+            { "leftMs", toMilliseconds(claim.expiry - now).count() },
+            { "generation", claim.generation },
+            { "state", static_cast<int>(claim.state) },
+        };
+    }
+
+    SubmissionKey readKey(detail::ObjectReader& reader, std::vector<Fault>& faults)
+    {
+        SubmissionKey key;
+        const std::string text = reader.text("key");
+        if (!fromHex(text, key))
+            faults.push_back({ peerFamily.outOfRange(), reader.pointer("key"), text, "32 hexadecimal digits" });
+        return key;
+    }
+
+    /// Reads a number that stands for an enumerator, up to the last one.
+    template <typename Enum>
+    Enum readEnum(detail::ObjectReader& reader, const char* key, Enum last, std::vector<Fault>& faults)
+    {
+        const std::uint64_t value = reader.number(key);
+        if (value <= static_cast<std::uint64_t>(last))
+            return static_cast<Enum>(value);
+        faults.push_back({ peerFamily.outOfRange(), reader.pointer(key), std::to_string(value), "a known value" });
+        return last;
+    }
+
+    Claim readClaim(const json& value, const std::string& pointer, TimePoint now, std::vector<Fault>& faults)
+    {
+        detail::ObjectReader reader(value, pointer, peerFamily, faults);
+        Claim claim;
+        claim.key = readKey(reader, faults);
+        claim.body = reader.number("body");
+        claim.holder.value = reader.number("holder");
+        claim.expiry = now + reader.milliseconds("leftMs");
+        claim.generation = static_cast<std::uint8_t>(reader.number("generation"));
+        claim.state = readEnum(reader, "state", ClaimState::Released, faults);
+        return claim;
+    }
+
+    json claimsJson(const std::vector<Claim>& claims, TimePoint now)
+    {
+        json list = json::array();
+        for (const Claim& claim : claims) {
+            if (claim.expiry > now)
+                list.push_back(claimJson(claim, now));
+        }
+        return list;
+    }
+
+    std::vector<Claim> readClaims(detail::ObjectReader& reader, TimePoint now, std::vector<Fault>& faults)
+    {
+        std::vector<Claim> claims;
+        for (const json& element : reader.array("claims"))
+            claims.push_back(readClaim(element, reader.pointer("claims", claims.size()), now, faults));
+        return claims;
+    }
+
+    /// Parses a text and reads it with a function, which gets the reader and the list of faults.
+    template <typename Message, typename Read>
+    std::optional<Message> parseMessage(std::string_view text, Read read)
+    {
+        std::vector<Fault> faults;
+        const std::optional<json> value = detail::parseJson(text, peerFamily, faults);
+        if (!value)
+            return std::nullopt;
+        detail::ObjectReader reader(*value, "", peerFamily, faults);
+        Message message = read(reader, faults);
+        if (!faults.empty())
+            return std::nullopt;
+        return message;
+    }
+
+}
+
+std::string toText(const ClaimBatch& batch)
+{
+    json value = headerJson(batch.header);
+    json& requests = value["requests"] = json::array();
+    for (const ClaimRequest& request : batch.requests)
+        requests.push_back({ { "kind", static_cast<int>(request.kind) }, { "key", toHex(request.key) }, { "body", request.body }, { "executor", request.executor.value }, { "firstSent", request.firstSent.value } });
+    return value.dump();
+}
+
+std::optional<ClaimBatch> parseClaimBatch(std::string_view text)
+{
+    return parseMessage<ClaimBatch>(text, [](detail::ObjectReader& reader, std::vector<Fault>& faults) {
+        ClaimBatch batch;
+        batch.header = readHeader(reader);
+        for (const json& element : reader.array("requests")) {
+            detail::ObjectReader item(element, reader.pointer("requests", batch.requests.size()), peerFamily, faults);
+            ClaimRequest request;
+            request.kind = readEnum(item, "kind", ClaimRequestKind::Release, faults);
+            request.key = readKey(item, faults);
+            request.body = item.number("body");
+            request.executor.value = item.number("executor");
+            request.firstSent.value = item.number("firstSent");
+            batch.requests.push_back(request);
+        }
+        return batch;
+    });
+}
+
+std::string toText(const ClaimBatchReply& reply)
+{
+    json value { { "epoch", reply.epoch.value } };
+    json& answers = value["answers"] = json::array();
+    for (const ClaimAnswer& answer : reply.answers)
+        answers.push_back({ { "verdict", static_cast<int>(answer.verdict) }, { "holder", answer.holder.value }, { "state", static_cast<int>(answer.state) }, { "neverRan", answer.neverRan } });
+    return value.dump();
+}
+
+std::optional<ClaimBatchReply> parseClaimBatchReply(std::string_view text)
+{
+    return parseMessage<ClaimBatchReply>(text, [](detail::ObjectReader& reader, std::vector<Fault>& faults) {
+        ClaimBatchReply reply;
+        reply.epoch.value = reader.number("epoch");
+        for (const json& element : reader.array("answers")) {
+            detail::ObjectReader item(element, reader.pointer("answers", reply.answers.size()), peerFamily, faults);
+            ClaimAnswer answer;
+            answer.verdict = readEnum(item, "verdict", ClaimVerdict::Unavailable, faults);
+            answer.holder.value = item.number("holder");
+            answer.state = readEnum(item, "state", ClaimState::Released, faults);
+            answer.neverRan = item.flag("neverRan");
+            reply.answers.push_back(answer);
+        }
+        return reply;
+    });
+}
+
+std::string toText(const RecordBatch& batch, TimePoint now)
+{
+    json value = headerJson(batch.header);
+    json& requests = value["requests"] = json::array();
+    for (const RecordRequest& request : batch.requests) {
+        json item = claimJson(request.claim, now);
+        item["firstSent"] = request.firstSent.value;
+        item["wholeFrom"] = request.registrarWholeFrom.value;
+        requests.push_back(std::move(item));
+    }
+    return value.dump();
+}
+
+std::optional<RecordBatch> parseRecordBatch(std::string_view text, TimePoint now)
+{
+    return parseMessage<RecordBatch>(text, [now](detail::ObjectReader& reader, std::vector<Fault>& faults) {
+        RecordBatch batch;
+        batch.header = readHeader(reader);
+        for (const json& element : reader.array("requests")) {
+            const std::string pointer = reader.pointer("requests", batch.requests.size());
+            detail::ObjectReader item(element, pointer, peerFamily, faults);
+            RecordRequest request;
+            request.claim = readClaim(element, pointer, now, faults);
+            request.firstSent.value = item.number("firstSent");
+            request.registrarWholeFrom.value = item.number("wholeFrom");
+            batch.requests.push_back(request);
+        }
+        return batch;
+    });
+}
+
+std::string toText(const RecordBatchReply& reply, TimePoint now)
+{
+    json value { { "epoch", reply.epoch.value } };
+    json& answers = value["answers"] = json::array();
+    for (const RecordAnswer& answer : reply.answers) {
+        json item { { "verdict", static_cast<int>(answer.verdict) } };
+        if (answer.verdict == RecordVerdict::Existing)
+            item["existing"] = claimJson(answer.existing, now);
+        answers.push_back(std::move(item));
+    }
+    return value.dump();
+}
+
+std::optional<RecordBatchReply> parseRecordBatchReply(std::string_view text, TimePoint now)
+{
+    return parseMessage<RecordBatchReply>(text, [now](detail::ObjectReader& reader, std::vector<Fault>& faults) {
+        RecordBatchReply reply;
+        reply.epoch.value = reader.number("epoch");
+        for (const json& element : reader.array("answers")) {
+            const std::string pointer = reader.pointer("answers", reply.answers.size());
+            detail::ObjectReader item(element, pointer, peerFamily, faults);
+            RecordAnswer answer;
+            answer.verdict = readEnum(item, "verdict", RecordVerdict::NoReply, faults);
+            if (answer.verdict == RecordVerdict::Existing) {
+                const json* existing = item.any("existing");
+                if (existing)
+                    answer.existing = readClaim(*existing, pointer + "/existing", now, faults);
+            }
+            reply.answers.push_back(answer);
+        }
+        return reply;
+    });
+}
+
+std::string toText(const HandoverBatch& batch, TimePoint now)
+{
+    json value = headerJson(batch.header);
+    json& handovers = value["handovers"] = json::array();
+    for (const Handover& handover : batch.handovers)
+        handovers.push_back({ { "epoch", handover.epoch.value }, { "bucket", handover.bucket }, { "wholeFrom", handover.wholeFrom.value }, { "claims", claimsJson(handover.claims, now) } });
+    return value.dump();
+}
+
+std::optional<HandoverBatch> parseHandoverBatch(std::string_view text, TimePoint now)
+{
+    return parseMessage<HandoverBatch>(text, [now](detail::ObjectReader& reader, std::vector<Fault>& faults) {
+        HandoverBatch batch;
+        batch.header = readHeader(reader);
+        for (const json& element : reader.array("handovers")) {
+            detail::ObjectReader item(element, reader.pointer("handovers", batch.handovers.size()), peerFamily, faults);
+            Handover handover;
+            handover.epoch.value = item.number("epoch");
+            handover.bucket = item.number("bucket");
+            handover.wholeFrom.value = item.number("wholeFrom");
+            handover.claims = readClaims(item, now, faults);
+            batch.handovers.push_back(std::move(handover));
+        }
+        return batch;
+    });
+}
+
+std::string toText(const Resignation& resignation, TimePoint now)
+{
+    const json value { { "epoch", resignation.epoch.value }, { "resigner", resignation.resigner.value }, { "claims", claimsJson(resignation.claims, now) } };
+    return value.dump();
+}
+
+std::optional<Resignation> parseResignation(std::string_view text, TimePoint now)
+{
+    return parseMessage<Resignation>(text, [now](detail::ObjectReader& reader, std::vector<Fault>& faults) {
+        Resignation resignation;
+        resignation.epoch.value = reader.number("epoch");
+        resignation.resigner.value = reader.number("resigner");
+        resignation.claims = readClaims(reader, now, faults);
+        return resignation;
+    });
+}
+
+std::string toText(const Heartbeat& heartbeat)
+{
+    json value = headerJson(heartbeat.header);
+    value["manifest"] = heartbeat.manifestRevision;
+    return value.dump();
+}
+
+std::optional<Heartbeat> parseHeartbeat(std::string_view text)
+{
+    return parseMessage<Heartbeat>(text, [](detail::ObjectReader& reader, std::vector<Fault>&) {
+        Heartbeat heartbeat;
+        heartbeat.header = readHeader(reader);
+        heartbeat.manifestRevision = reader.number("manifest");
+        return heartbeat;
+    });
+}
+
+std::string toText(const HeartbeatReply& reply)
+{
+    const json value { { "epoch", reply.epoch.value }, { "incarnation", reply.incarnation.value }, { "manifest", reply.manifestRevision } };
+    return value.dump();
+}
+
+std::optional<HeartbeatReply> parseHeartbeatReply(std::string_view text)
+{
+    return parseMessage<HeartbeatReply>(text, [](detail::ObjectReader& reader, std::vector<Fault>&) {
+        HeartbeatReply reply;
+        reply.epoch.value = reader.number("epoch");
+        reply.incarnation.value = reader.number("incarnation");
+        reply.manifestRevision = reader.number("manifest");
+        return reply;
+    });
+}
+
+std::string toText(const View& view)
+{
+    json value { { "epoch", view.epoch.value }, { "members", json::array() }, { "past", json::array() } };
+    for (const Member& member : view.members)
+        value["members"].push_back({ { "id", member.id }, { "peerAddress", member.peerAddress }, { "callerAddress", member.callerAddress }, { "incarnation", member.incarnation.value } });
+    for (const PastView& past : view.past)
+        value["past"].push_back({ { "epoch", past.epoch.value }, { "members", past.members } });
+    return value.dump();
+}
+
+std::optional<View> parseView(std::string_view text)
+{
+    return parseMessage<View>(text, [](detail::ObjectReader& reader, std::vector<Fault>& faults) {
+        View view;
+        view.epoch.value = reader.number("epoch");
+        for (const json& element : reader.array("members")) {
+            detail::ObjectReader item(element, reader.pointer("members", view.members.size()), peerFamily, faults);
+            view.members.push_back({ item.text("id"), item.text("peerAddress"), item.text("callerAddress"), { item.number("incarnation") } });
+        }
+        for (const json& element : reader.array("past")) {
+            detail::ObjectReader item(element, reader.pointer("past", view.past.size()), peerFamily, faults);
+            PastView past;
+            past.epoch.value = item.number("epoch");
+            for (const json& id : item.array("members"))
+                past.members.push_back(id.is_string() ? id.get<std::string>() : std::string());
+            view.past.push_back(std::move(past));
+        }
+        return view;
+    });
+}
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/wire/src/upstream_messages.cpp
@@ -0,0 +1,98 @@
+#include <egrettrestle/wire/upstream_messages.hpp>
+
+#include <egrettrestle/wire/detail/input/object_reader.hpp>
+
+namespace egrettrestle {
+
+namespace {
+
+    using nlohmann::json;
+
+    constexpr detail::FaultFamily upstreamFamily { 600 };
+    constexpr detail::FaultFamily platformFamily { 400 };
+
+    std::string quoted(const std::string& text) { return json(text).dump(-1, ' ', false, json::error_handler_t::replace); }
+
+}
+
+std::string toText(const UpstreamTask& task)
+{
+    // The payload is JSON text already.
+    return "{\"kind\":" + quoted(task.kind) + ",\"timeLeftMs\":" + std::to_string(task.timeLeft.count()) + ",\"payload\":" + task.payload + '}';
+}
+
+std::optional<UpstreamTask> parseUpstreamTask(std::string_view taskId, std::string_view text)
+{
+    std::vector<Fault> faults;
+    const std::optional<json> value = detail::parseJson(text, upstreamFamily, faults);
+    if (!value)
+        return std::nullopt;
+    detail::ObjectReader reader(*value, "", upstreamFamily, faults);
+    UpstreamTask task;
+    task.taskId = taskId;
+    task.kind = reader.text("kind");
+    task.timeLeft = reader.milliseconds("timeLeftMs");
+    const json* payload = reader.any("payload");
+    task.payload = payload ? payload->dump() : "null";
+    if (!faults.empty())
+        return std::nullopt;
+    return task;
+}
+
+std::string toText(const UpstreamAnswer& answer)
+{
+    return "{\"taskId\":" + quoted(answer.taskId) + ",\"answer\":" + answer.answer + '}';
+}
+
+std::optional<UpstreamAnswer> parseUpstreamAnswer(std::string_view text)
+{
+    std::vector<Fault> faults;
+    const std::optional<json> value = detail::parseJson(text, upstreamFamily, faults);
+    if (!value)
+        return std::nullopt;
+    detail::ObjectReader reader(*value, "", upstreamFamily, faults);
+    UpstreamAnswer answer;
+    answer.taskId = reader.text("taskId");
+    const json* found = reader.any("answer");
+    answer.answer = found ? found->dump() : "null";
+    if (!faults.empty())
+        return std::nullopt;
+    return answer;
+}
+
+std::string toText(const InstanceList& list)
+{
+    json value { { "version", list.version }, { "vms", json::array() } };
+    for (const Instance& instance : list.instances) {
+        value["vms"].push_back({ { "id", instance.id }, { "service", instance.service }, { "dataCentre", instance.dataCentre }, { "address", instance.address },
+            { "slots", instance.slots }, { "state", instance.state == InstanceState::Live ? "live" : "leaving" } });
+    }
+    return value.dump();
+}
+
+std::optional<InstanceList> parseInstanceList(std::string_view text)
+{
+    std::vector<Fault> faults;
+    const std::optional<json> value = detail::parseJson(text, platformFamily, faults);
+    if (!value)
+        return std::nullopt;
+    detail::ObjectReader reader(*value, "", platformFamily, faults);
+    InstanceList list;
+    list.version = reader.numberOr("version", 0);
+    for (const json& element : reader.array("vms")) {
+        detail::ObjectReader item(element, reader.pointer("vms", list.instances.size()), platformFamily, faults);
+        Instance instance;
+        instance.id = item.text("id");
+        instance.service = item.text("service");
+        instance.dataCentre = item.textOr("dataCentre", "");
+        instance.address = item.text("address");
+        instance.slots = item.number("slots");
+        instance.state = item.textOr("state", "live") == "leaving" ? InstanceState::Leaving : InstanceState::Live;
+        list.instances.push_back(std::move(instance));
+    }
+    if (!faults.empty())
+        return std::nullopt;
+    return list;
+}
+
+} // namespace egrettrestle
--- /dev/null
+++ b/tests/integration/cluster.cpp
@@ -0,0 +1,334 @@
+#include "cluster.hpp"
+
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+#include <thread>
+
+#include <Poco/Net/ServerSocket.h>
+#include <nlohmann/json.hpp>
+
+#include <egrettrestle/platform/etcd_store.hpp>
+#include <egrettrestle/tools/shipping.hpp>
+#include <egrettrestle/wire/manifest_json.hpp>
+
+namespace egrettrestle::testing {
+
+namespace {
+
+    constexpr HttpCallTimes controlTimes { Milliseconds(2'000), Milliseconds(10'000) };
+    constexpr Milliseconds pollInterval { 20 };
+    constexpr Milliseconds replyGrace { 5'000 };
+
+    std::string program(const char* name) { return std::string(BINARY_DIR) + '/' + name; }
+
+    nlohmann::json testManifest(const ClusterShape& shape)
+    {
+        nlohmann::json dataCentres = nlohmann::json::array();
+        for (const DataCentreId& id : shape.dataCentres)
+            dataCentres.push_back({ { "name", id }, { "region", "test" } });
+        return {
+            { "changeId", "test-initial" },
+            { "author", "test" },
+            { "claimWindowMs", shape.claimWindow.count() },
+            { "limits", { { "maxTasksPerJob", 1000 }, { "maxDeadlineMs", shape.claimWindow.count() / 2 } } },
+            { "dataCentres", dataCentres },
+            { "urgencyClasses", { { { "name", "urgent" }, { "rank", 0 }, { "reservedShare", 0.25 } }, { { "name", "routine" }, { "rank", 1 }, { "ageAfterMs", 5000 } } } },
+            { "services", { { { "name", "print" }, { "slots", shape.slots }, { "connections", 60 } } } },
+            { "kinds",
+                { { { "name", "proof" }, { "service", "print" }, { "urgencyClass", "urgent" }, { "idempotent", true }, { "expectedRunTimeMs", 20 }, { "sizeLimitBytes", 4096 } },
+                    { { "name", "charge" }, { "service", "print" }, { "urgencyClass", "urgent" }, { "idempotent", false }, { "expectedRunTimeMs", 20 }, { "sizeLimitBytes", 4096 } },
+                    { { "name", "quote" }, { "service", "print" }, { "urgencyClass", "routine" }, { "idempotent", true }, { "expectedRunTimeMs", 20 }, { "sizeLimitBytes", 4096 } } } },
+            { "callers", { { { "name", "press-*" }, { "maxTasksInFlight", 10000 }, { "startsPerSecond", 100000 } }, { { "name", "small" }, { "maxTasksInFlight", 4 }, { "startsPerSecond", 4 } } } },
+        };
+    }
+
+}
+
+Cluster::Cluster(const ClusterShape& shape)
+    : m_shape(shape)
+{
+    std::string pattern = (std::filesystem::temp_directory_path() / "egrettrestle-XXXXXX").string();
+    m_directory = mkdtemp(pattern.data());
+    m_platformAddress = newAddress();
+    m_proxyAddress = newAddress();
+    writeManifest();
+    for (const DataCentreId& dataCentre : shape.dataCentres) {
+        for (std::size_t index = 0; index < shape.upstreamsPerDataCentre; ++index) {
+            UpstreamProcess upstream;
+            const std::string id = dataCentre + "-u" + std::to_string(index);
+            upstream.ownAddress = newAddress();
+            upstream.instance = { id, "print", dataCentre, link("up-" + id, upstream.ownAddress), shape.slots, InstanceState::Live };
+            upstream.startsFile = m_directory + "/starts-" + id;
+            m_upstreams.push_back(std::move(upstream));
+        }
+        for (std::size_t index = 0; index < shape.vmsPerDataCentre; ++index) {
+            Vm vm;
+            vm.id = dataCentre + "-vm" + std::to_string(index);
+            vm.dataCentre = dataCentre;
+            vm.callerAddress = newAddress();
+            vm.peerAddress = newAddress();
+            vm.adminAddress = newAddress();
+            vm.settingsFile = m_directory + '/' + vm.id + ".ini";
+            m_vms.push_back(std::move(vm));
+        }
+    }
+    for (Vm& vm : m_vms)
+        writeSettings(vm);
+}
+
+Cluster::~Cluster()
+{
+    m_vms.clear();
+    m_upstreams.clear();
+    m_proxy.reset();
+    m_platform.reset();
+    if (!std::getenv("EGRETTRESTLE_KEEP_LOGS"))
+        std::filesystem::remove_all(m_directory);
+}
+
+std::string Cluster::newAddress()
+{
+    // Asked of the system, so that tests may run side by side.
+    const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1:0"));
+    return socket.address().toString();
+}
+
+std::string Cluster::link(const std::string& name, const std::string& target)
+{
+    const std::string address = newAddress();
+    m_links.push_back(name + '=' + address + '>' + target);
+    return address;
+}
+
+void Cluster::writeManifest()
+{
+    std::ofstream(manifestFile()) << testManifest(m_shape).dump(2);
+}
+
+void Cluster::writeSettings(Vm& vm)
+{
+    std::string seeds;
+    std::ofstream file(vm.settingsFile);
+    file << "[vm]\nid = " << vm.id << "\ndataCentre = " << vm.dataCentre << "\n[listen]\ncaller = " << vm.callerAddress << "\npeer = " << vm.peerAddress << "\nadmin = " << vm.adminAddress
+         << "\n[advertise]\ncaller = " << link("caller-" + vm.id, vm.callerAddress) << "\npeer = " << link("peer-" + vm.id, vm.peerAddress)
+         << "\n[platform]\nkind = etcd\nstore = " << link("store-" + vm.id, m_platformAddress) << "\nvmList = " << m_platformAddress << "\nstoreTimeoutMs = 500\n"
+         << "[cluster]\nheartbeatMs = " << m_shape.heartbeat.count() << "\nseeds = ";
+    for (const Vm& other : m_vms) {
+        if (other.id != vm.id && other.dataCentre == vm.dataCentre) {
+            file << seeds << other.peerAddress;
+            seeds = ", ";
+        }
+    }
+    file << "\n[executor]\ntaskThreads = 64\n[tracing]\nfile = " << m_directory << "/spans-" << vm.id << ".jsonl\n"
+         << m_shape.extraSettings;
+}
+
+void Cluster::start()
+{
+    m_platform = std::make_unique<Process>(program("standin-platform"), std::vector<std::string> { "--listen", m_platformAddress }, m_directory + "/platform.log");
+    std::vector<std::string> proxyArguments { "--control", m_proxyAddress };
+    for (const std::string& definition : m_links) {
+        proxyArguments.emplace_back("--link");
+        proxyArguments.push_back(definition);
+    }
+    m_proxy = std::make_unique<Process>(program("standin-fault-proxy"), proxyArguments, m_directory + "/proxy.log");
+    for (std::size_t index = 0; index < m_upstreams.size(); ++index)
+        startUpstream(index);
+    if (!eventually([this] { return get(m_platformAddress, "/calls").ok() && get(m_proxyAddress, "/").ok(); }))
+        throw std::runtime_error("the stand-ins did not start");
+    setInstances(instances());
+    EtcdStore store(m_platformAddress, controlTimes);
+    std::ifstream file(manifestFile());
+    const std::string text { std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>() };
+    const ManifestParse parse = parseManifest(text);
+    if (!parse.manifest || shipManifest(store, *parse.manifest, std::nullopt, Milliseconds(5'000)).verdict != ShipVerdict::Shipped)
+        throw std::runtime_error("the manifest was not shipped: " + toString(parse.faults));
+    for (std::size_t index = 0; index < m_vms.size(); ++index)
+        startVm(index);
+    for (std::size_t index = 0; index < m_vms.size(); ++index) {
+        if (!waitReady(index) || !waitMembers(index, m_shape.vmsPerDataCentre))
+            throw std::runtime_error(m_vms[index].id + " is not ready; logs in " + m_directory);
+    }
+    if (m_shape.dataCentres.size() > 1)
+        std::this_thread::sleep_for(Milliseconds(300));
+}
+
+void Cluster::startVm(std::size_t index)
+{
+    Vm& vm = m_vms[index];
+    vm.process = std::make_unique<Process>(program("egrettrestled"), std::vector<std::string> { "--settings", vm.settingsFile }, m_directory + '/' + vm.id + ".log");
+}
+
+void Cluster::startUpstream(std::size_t index)
+{
+    UpstreamProcess& upstream = m_upstreams[index];
+    upstream.process = std::make_unique<Process>(program("standin-upstream"),
+        std::vector<std::string> { "--listen", upstream.ownAddress, "--id", upstream.instance.id, "--slots", std::to_string(m_shape.slots), "--starts", upstream.startsFile }, m_directory + "/upstreams.log");
+}
+
+bool Cluster::waitReady(std::size_t index)
+{
+    return eventually([this, index] { return get(m_vms[index].callerAddress, "/healthz").response.status == httpStatus::ok; });
+}
+
+bool Cluster::waitMembers(std::size_t index, std::size_t members)
+{
+    return eventually([this, index, members] {
+        const nlohmann::json value = nlohmann::json::parse(status(index), nullptr, false);
+        return value.is_object() && value["members"].size() == members;
+    });
+}
+
+std::size_t Cluster::indexOf(const VmId& id) const
+{
+    for (std::size_t index = 0; index < m_vms.size(); ++index) {
+        if (m_vms[index].id == id)
+            return index;
+    }
+    throw std::runtime_error("no VM " + id);
+}
+
+HttpResult Cluster::get(const std::string& address, const std::string& path)
+{
+    HttpRequest request;
+    request.path = path;
+    return m_client.call(address, request, controlTimes);
+}
+
+void Cluster::setLink(const std::string& name, const std::string& mode, int value)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/link";
+    request.query = "name=" + name;
+    request.body = nlohmann::json { { "mode", mode }, { "delayMs", value }, { "count", value } }.dump();
+    if (m_client.call(m_proxyAddress, request, controlTimes).response.status != httpStatus::ok)
+        throw std::runtime_error("no link " + name);
+}
+
+void Cluster::setPlatform(const std::string& json)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/control";
+    request.body = json;
+    m_client.call(m_platformAddress, request, controlTimes);
+}
+
+void Cluster::setUpstream(std::size_t index, const std::string& json)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/control";
+    request.body = json;
+    eventually([&] { return m_client.call(m_upstreams[index].ownAddress, request, controlTimes).ok(); });
+}
+
+void Cluster::setInstances(const std::vector<Instance>& instances)
+{
+    HttpRequest request;
+    request.method = "PUT";
+    request.path = "/vms";
+    request.body = toText(InstanceList { 0, instances });
+    m_client.call(m_platformAddress, request, controlTimes);
+}
+
+std::vector<Instance> Cluster::instances() const
+{
+    std::vector<Instance> list;
+    for (const UpstreamProcess& upstream : m_upstreams)
+        list.push_back(upstream.instance);
+    return list;
+}
+
+std::string Cluster::platformCalls()
+{
+    return get(m_platformAddress, "/calls").response.body;
+}
+
+JobRequest Cluster::job(const std::string& submission, std::size_t tasks, Milliseconds run, Milliseconds deadline) const
+{
+    JobRequest job;
+    job.caller = "press-1";
+    job.submission = submission;
+    job.service = "print";
+    job.dataCentre = m_shape.dataCentres.front();
+    job.deadline = deadline;
+    for (std::size_t index = 0; index < tasks; ++index)
+        job.tasks.push_back({ "proof", nlohmann::json { { "runMs", run.count() }, { "token", submission + '-' + std::to_string(index) } }.dump() });
+    deriveDigests(job);
+    return job;
+}
+
+std::optional<JobReply> Cluster::submit(std::size_t vm, const JobRequest& job)
+{
+    HttpRequest request;
+    request.method = "POST";
+    request.path = "/v1/jobs";
+    request.body = jobText(job);
+    HttpClient client;
+    const HttpResult result = client.call(m_vms[vm].callerAddress, request, { Milliseconds(1'000), job.deadline + replyGrace });
+    return result.ok() ? parseReply(result.response.body, result.response.status) : std::nullopt;
+}
+
+std::string Cluster::status(std::size_t vm) { return get(m_vms[vm].adminAddress, "/v1/status").response.body; }
+
+std::string Cluster::metrics(std::size_t vm) { return get(m_vms[vm].adminAddress, "/metrics").response.body; }
+
+std::map<std::string, int> Cluster::starts() const
+{
+    std::map<std::string, int> counts;
+    for (const UpstreamProcess& upstream : m_upstreams) {
+        std::ifstream file(upstream.startsFile);
+        std::string line;
+        while (std::getline(file, line))
+            ++counts[line];
+    }
+    return counts;
+}
+
+int Cluster::startsOf(const JobRequest& job) const
+{
+    const std::string prefix = toHex(submissionKey(job.caller, job.submission)) + '-';
+    int sum = 0;
+    for (const auto& entry : starts()) {
+        if (entry.first.rfind(prefix, 0) == 0)
+            sum += entry.second;
+    }
+    return sum;
+}
+
+int mostStarts(const std::map<std::string, int>& starts)
+{
+    int most = 0;
+    for (const auto& entry : starts)
+        most = std::max(most, entry.second);
+    return most;
+}
+
+bool answersAreOwn(const JobRequest& job, const JobReply& reply)
+{
+    if (reply.answers.size() != job.tasks.size())
+        return false;
+    for (std::size_t index = 0; index < job.tasks.size(); ++index) {
+        const nlohmann::json answer = nlohmann::json::parse(reply.answers[index]);
+        if (answer["echo"] != nlohmann::json::parse(job.tasks[index].payload))
+            return false;
+    }
+    return true;
+}
+
+bool eventually(const std::function<bool()>& condition, Milliseconds patience)
+{
+    const TimePoint end = SteadyClock::now() + patience;
+    while (SteadyClock::now() < end) {
+        if (condition())
+            return true;
+        std::this_thread::sleep_for(pollInterval);
+    }
+    return condition();
+}
+
+} // namespace egrettrestle::testing
--- /dev/null
+++ b/tests/integration/process.cpp
@@ -0,0 +1,88 @@
+#include "process.hpp"
+
+#include <csignal>
+#include <stdexcept>
+#include <thread>
+
+#include <fcntl.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <egrettrestle/base/clock.hpp>
+
+namespace egrettrestle::testing {
+
+namespace {
+
+    constexpr Seconds longestStop { 60 };
+    constexpr Milliseconds pollInterval { 10 };
+
+}
+
+Process::Process(const std::string& program, const std::vector<std::string>& arguments, const std::string& logFile)
+    : m_id(-1)
+{
+    std::vector<char*> words { const_cast<char*>(program.c_str()) };
+    for (const std::string& argument : arguments)
+        words.push_back(const_cast<char*>(argument.c_str()));
+    words.push_back(nullptr);
+    m_id = fork();
+    if (m_id < 0)
+        throw std::runtime_error("fork failed");
+    if (m_id > 0)
+        return;
+    const int log = open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
+    dup2(log, STDOUT_FILENO);
+    dup2(log, STDERR_FILENO);
+    execv(program.c_str(), words.data());
+    _exit(127);
+}
+
+Process::~Process()
+{
+    kill();
+}
+
+void Process::signal(int number) const
+{
+    if (!m_ended)
+        ::kill(m_id, number);
+}
+
+void Process::kill()
+{
+    signal(SIGKILL);
+    reap(true);
+}
+
+void Process::freeze() const { signal(SIGSTOP); }
+
+void Process::thaw() const { signal(SIGCONT); }
+
+int Process::terminate()
+{
+    signal(SIGTERM);
+    return wait();
+}
+
+int Process::wait()
+{
+    const TimePoint end = SteadyClock::now() + longestStop;
+    while (!reap(false) && SteadyClock::now() < end)
+        std::this_thread::sleep_for(pollInterval);
+    return m_ended && WIFEXITED(m_status) ? WEXITSTATUS(m_status) : -1;
+}
+
+bool Process::running()
+{
+    return !reap(false);
+}
+
+bool Process::reap(bool block)
+{
+    if (!m_ended && waitpid(m_id, &m_status, block ? 0 : WNOHANG) == m_id)
+        m_ended = true;
+    return m_ended;
+}
+
+} // namespace egrettrestle::testing
