Hand claims over again when a view change overtook the hand-over; answer malformed HTTP

Cause 1: right after start 50 of 1,000 jobs were answered failed, outcome unknown. A third VM joined while the hand-over of the view before was under way; the new view cleared what was pending, and VMs that had been in the pair before counted as informed though they were not. Ruled out: a lost message (no claim-peer-lost event), the window (60 s). Mended: each VM keeps which incarnations know what it knows of a bucket, and hands over to all holders that do not; an executor asks again while a view is younger than the hand-over grace.

Cause 2: replies to malformed requests never arrived: POCO writes a reply out when its response object ends, and the sending side had been shut down before.

Cause 3: a second daemon on the same ports started: POCO's bind(address, true) sets SO_REUSEPORT too. Two processes at one port would break the rule that a newer incarnation at an address proves the older one gone.

--- a/packages/decision/include/egrettrestle/decision/claim_ledger.hpp
+++ b/packages/decision/include/egrettrestle/decision/claim_ledger.hpp
@@ -92,11 +92,14 @@
     /// @name hand-over
     /// @{
 
-    /// What goes to VMs that hold a bucket now and did not in the view before. Call after adoptView.
-    std::vector<HandoverTo> handovers(const View& before, TimePoint now) const;
+    /// What goes to VMs that hold a bucket now and may not know what this VM knows of it. Call after adoptView.
+    std::vector<HandoverTo> handovers(TimePoint now) const;
+
+    /// Notes that a VM has taken a hand-over, so that it need not get it again.
+    void noteDelivered(const Handover& handover, Incarnation receiver);
 
     /// Takes a hand-over. False, and nothing but the claims taken, unless its epoch is the present one.
-    bool acceptHandover(const Handover& handover, TimePoint now);
+    bool acceptHandover(const Handover& handover, Incarnation sender, TimePoint now);
 
     /// Every claim this VM knows, for a resignation.
     std::vector<Claim> allClaims() const;
@@ -125,6 +128,10 @@
     struct Knowledge {
         Epoch wholeFrom;
         TimePoint doubtEnds;
+        /// Was this VM a holder of the bucket in every epoch up to the present one?
+        bool heldBefore = false;
+        /// Incarnations that know all that this VM knows of the bucket.
+        std::set<Incarnation> informed;
     };
 
     bool isWhole(Epoch wholeFrom, const ClaimRequest& request) const;
@@ -137,6 +144,7 @@
     ClaimStep recordAtMirror(const ClaimRequest& request, const Claim& claim, TimePoint now);
     ClaimAnswer adoptExisting(const ClaimRequest& request, const Claim& existing, TimePoint now);
     bool wasHolderThrough(const View& next, Bucket bucket) const;
+    void carryOver(const View& next, Bucket bucket, TimePoint now);
     void refreshPairs();
 
     VmId m_self;
--- a/packages/decision/src/claim_ledger.cpp
+++ b/packages/decision/src/claim_ledger.cpp
@@ -38,7 +38,7 @@
     , m_ownPairs(bucketCount)
     , m_pairs(bucketCount)
 {
-    m_knowledge.fill({ nothingKnown, TimePoint::max() });
+    m_knowledge.fill({ nothingKnown, TimePoint::max(), false, {} });
 }
 
 bool ClaimLedger::adoptView(const View& view, TimePoint now)
@@ -47,16 +47,8 @@
         return false;
     const Member* own = findMember(view, m_self);
     const Incarnation incarnation = own ? own->incarnation : Incarnation {};
-    // The first view of a data centre has no earlier grants to miss.
-    const bool firstView = view.epoch.value == 1;
-    for (Bucket bucket = 0; bucket < bucketCount; ++bucket) {
-        Knowledge& knowledge = m_knowledge[bucket];
-        knowledge.wholeFrom = wholeFrom(bucket, now);
-        if (firstView)
-            knowledge = { Epoch {}, now };
-        else if (m_resigned || !wasHolderThrough(view, bucket))
-            knowledge = { m_rules.wholeness ? view.epoch : Epoch {}, now + m_window };
-    }
+    for (Bucket bucket = 0; bucket < bucketCount; ++bucket)
+        carryOver(view, bucket, now);
     m_view = view;
     m_incarnation = incarnation;
     m_resignations.clear();
@@ -64,6 +56,28 @@
     return true;
 }
 
+void ClaimLedger::carryOver(const View& next, Bucket bucket, TimePoint now)
+{
+    Knowledge& knowledge = m_knowledge[bucket];
+    // The first view of a data centre has no earlier grants to miss.
+    if (next.epoch.value == 1) {
+        knowledge = { Epoch {}, now, false, {} };
+        return;
+    }
+    if (m_resigned || !wasHolderThrough(next, bucket)) {
+        knowledge = { m_rules.wholeness ? next.epoch : Epoch {}, now + m_window, false, {} };
+        return;
+    }
+    knowledge.wholeFrom = wholeFrom(bucket, now);
+    knowledge.heldBefore = true;
+    // Only a fellow holder has learned of the grants of the epochs that end now.
+    for (auto incarnation = knowledge.informed.begin(); incarnation != knowledge.informed.end();) {
+        const Member* member = findMember(m_view, *incarnation);
+        const bool fellow = member && next.epoch.value == m_view.epoch.value + 1 && m_ownPairs[bucket].contains(member->id);
+        incarnation = fellow ? std::next(incarnation) : knowledge.informed.erase(incarnation);
+    }
+}
+
 bool ClaimLedger::wasHolderThrough(const View& next, Bucket bucket) const
 {
     for (Epoch epoch = m_view.epoch; epoch < next.epoch; ++epoch.value) {
@@ -309,7 +323,7 @@
     return askAgain ? verdictOnly(ClaimVerdict::Stale) : knownAnswer(*known, request);
 }
 
-std::vector<HandoverTo> ClaimLedger::handovers(const View& before, TimePoint now) const
+std::vector<HandoverTo> ClaimLedger::handovers(TimePoint now) const
 {
     std::vector<HandoverTo> result;
     std::array<std::vector<Claim>, bucketCount> claims;
@@ -317,31 +331,33 @@
         if (entry.second.expiry > now)
             claims[bucketOf(entry.first)].push_back(entry.second);
     }
-    const std::vector<VmId> membersBefore = memberIds(before);
     for (Bucket bucket = 0; bucket < bucketCount; ++bucket) {
-        const HolderPair pairBefore = holdersOf(membersBefore, bucket);
-        const HolderPair& pairNow = m_ownPairs[bucket];
-        if (!pairBefore.contains(m_self))
+        const Knowledge& knowledge = m_knowledge[bucket];
+        const bool knowsSomething = knowledge.wholeFrom < m_view.epoch || now >= knowledge.doubtEnds;
+        const bool firstView = m_view.epoch.value == 1;
+        if (firstView || !knowledge.heldBefore || !knowsSomething)
             continue;
         Handover handover;
         handover.epoch = m_view.epoch;
         handover.bucket = bucket;
-        const Knowledge& knowledge = m_knowledge[bucket];
         handover.wholeFrom = now >= knowledge.doubtEnds ? Epoch {} : knowledge.wholeFrom;
         handover.claims = claims[bucket];
-        for (const std::optional<VmId>& holder : { pairNow.registrar, pairNow.mirror }) {
-            // A VM that came back under its old id has an empty memory, so incarnations are compared.
-            const Member* then = holder ? findMember(before, *holder) : nullptr;
-            const Member* today = holder ? findMember(m_view, *holder) : nullptr;
-            const bool kept = then && today && then->incarnation == today->incarnation && pairBefore.contains(*holder);
-            if (today && *holder != m_self && !kept)
+        for (const std::optional<VmId>& holder : { m_ownPairs[bucket].registrar, m_ownPairs[bucket].mirror }) {
+            const Member* member = holder && *holder != m_self ? findMember(m_view, *holder) : nullptr;
+            if (member && knowledge.informed.count(member->incarnation) == 0)
                 result.push_back({ *holder, handover });
         }
     }
     return result;
 }
 
-bool ClaimLedger::acceptHandover(const Handover& handover, TimePoint now)
+void ClaimLedger::noteDelivered(const Handover& handover, Incarnation receiver)
+{
+    if (handover.epoch == m_view.epoch)
+        m_knowledge[handover.bucket].informed.insert(receiver);
+}
+
+bool ClaimLedger::acceptHandover(const Handover& handover, Incarnation sender, TimePoint now)
 {
     for (const Claim& claim : handover.claims)
         merge(claim, now);
@@ -349,6 +365,7 @@
         return false;
     Knowledge& knowledge = m_knowledge[handover.bucket];
     knowledge.wholeFrom = std::min(knowledge.wholeFrom, handover.wholeFrom);
+    knowledge.informed.insert(sender);
     return true;
 }
 
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -66,6 +66,9 @@
             bool open = true;
             while (open && waitForRequest(session))
                 open = serveOne(session, params);
+            // POCO writes a reply out when its response ends, so this comes after.
+            if (m_closeGently)
+                closeGently();
         }
 
     private:
@@ -135,8 +138,11 @@
         {
             try {
                 response.setKeepAlive(false);
-                send(response, m_shared->faultHandler ? m_shared->faultHandler(fault) : plainFault(fault));
-                closeGently();
+                const HttpResponse plain = m_shared->faultHandler ? m_shared->faultHandler(fault) : plainFault(fault);
+                setHead(response, plain);
+                response.setContentLength64(static_cast<Poco::Int64>(plain.body.size()));
+                response.send() << plain.body;
+                m_closeGently = true;
             } catch (const Poco::Exception&) {
                 // The client is gone already.
             }
@@ -146,25 +152,31 @@
         /// Lets the client read the reply: closing with unread input would reset the connection under it.
         void closeGently()
         {
-            constexpr int mostReads = 64;
             constexpr Milliseconds drainWait { 50 };
+            constexpr Milliseconds longestDrain { 2'000 };
             socket().shutdownSend();
             char buffer[16 * 1024];
-            for (int reads = 0; reads < mostReads; ++reads) {
+            const TimePoint end = SteadyClock::now() + longestDrain;
+            while (SteadyClock::now() < end) {
                 if (!socket().poll(timespan(drainWait), Poco::Net::Socket::SELECT_READ) || socket().receiveBytes(buffer, sizeof(buffer)) <= 0)
                     return;
             }
         }
 
-        bool send(Poco::Net::HTTPServerResponseImpl& response, const HttpResponse& plain)
+        static void setHead(Poco::Net::HTTPServerResponseImpl& response, const HttpResponse& plain)
         {
-            if (plain.dropConnection)
-                return false;
             response.setStatus(static_cast<Poco::Net::HTTPResponse::HTTPStatus>(plain.status));
             response.setReason(Poco::Net::HTTPResponse::getReasonForStatus(response.getStatus()));
             response.setContentType(plain.contentType);
             for (const HttpHeader& header : plain.headers)
                 response.set(header.name, header.value);
+        }
+
+        bool send(Poco::Net::HTTPServerResponseImpl& response, const HttpResponse& plain)
+        {
+            if (plain.dropConnection)
+                return false;
+            setHead(response, plain);
             if (plain.stream) {
                 response.setChunkedTransferEncoding(true);
                 plain.stream(response.send(), m_shared->stopping);
@@ -175,6 +187,7 @@
         }
 
         std::shared_ptr<Shared> m_shared;
+        bool m_closeGently = false;
     };
 
     class ConnectionFactory : public Poco::Net::TCPServerConnectionFactory {
@@ -222,7 +235,8 @@
     const int connections = m_state->shared->limits.maxConnections;
     try {
         m_state->socket = std::make_unique<Poco::Net::ServerSocket>();
-        m_state->socket->bind(Poco::Net::SocketAddress(m_state->address), true);
+        // Without SO_REUSEPORT, which POCO would set too: a port belongs to one process.
+        m_state->socket->bind(Poco::Net::SocketAddress(m_state->address), true, false);
         m_state->socket->listen(listenBacklog);
         constexpr int keptThreads = 2;
         m_state->threads = std::make_unique<Poco::ThreadPool>(keptThreads, connections + keptThreads);
--- a/packages/services/include/egrettrestle/services/claims_service.hpp
+++ b/packages/services/include/egrettrestle/services/claims_service.hpp
@@ -90,6 +90,7 @@
     mutable std::mutex m_mutex;
     ClaimLedger m_ledger;
     std::set<Incarnation> m_ownIncarnations;
+    TimePoint m_viewAdopted {};
     std::map<VmId, std::shared_ptr<Channels>> m_channels;
     std::function<void(const View&)> m_listener;
     std::mutex m_adoptMutex;
--- a/packages/services/src/claims_service.cpp
+++ b/packages/services/src/claims_service.cpp
@@ -16,6 +16,8 @@
     constexpr Milliseconds longestBackoff { 100 };
     constexpr Milliseconds handoverRetryPause { 100 };
     constexpr int handoverAttempts = 30;
+    // So long after a view change a holder that does not know enough may be about to learn it.
+    constexpr Milliseconds handoverGrace { 2'000 };
     constexpr std::size_t handoverBatchClaims = 2'000;
     constexpr Seconds expiryInterval { 1 };
     // Until a manifest says otherwise.
@@ -109,12 +111,12 @@
     std::size_t notWhole = 0;
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
-        const View before = m_ledger.view();
         const TimePoint now = SteadyClock::now();
         if (!m_ledger.adoptView(view, now))
             return false;
-        handovers = m_ledger.handovers(before, now);
+        handovers = m_ledger.handovers(now);
         m_channels.clear();
+        m_viewAdopted = now;
         if (m_ledger.incarnation().value != 0)
             m_ownIncarnations.insert(m_ledger.incarnation());
         notWhole = m_ledger.bucketsNotWhole(now);
@@ -265,6 +267,7 @@
     while (true) {
         HolderPair holders;
         Epoch epoch;
+        TimePoint viewAdopted;
         {
             const std::lock_guard<std::mutex> lock(m_mutex);
             epoch = m_ledger.epoch();
@@ -272,10 +275,12 @@
             if (request.executor.value == 0)
                 request.executor = m_ledger.incarnation();
             holders = m_ledger.holders(bucketOf(request.key));
+            viewAdopted = m_viewAdopted;
         }
         if (holders.registrar && request.executor.value != 0)
             answer = askHolder(*holders.registrar, epoch, request);
-        if (isFinal(answer.verdict) || SteadyClock::now() + backoff >= deadline)
+        const bool mayLearn = answer.verdict == ClaimVerdict::Unknown && SteadyClock::now() < viewAdopted + handoverGrace;
+        if ((isFinal(answer.verdict) && !mayLearn) || SteadyClock::now() + backoff >= deadline)
             break;
         std::this_thread::sleep_for(backoff);
         backoff = std::min(longestBackoff, backoff * 2);
@@ -291,11 +296,13 @@
     while (true) {
         HolderPair holders;
         Epoch epoch;
+        TimePoint viewAdopted;
         {
             const std::lock_guard<std::mutex> lock(m_mutex);
             epoch = m_ledger.epoch();
             request.executor = m_ledger.incarnation();
             holders = m_ledger.holders(bucketOf(request.key));
+            viewAdopted = m_viewAdopted;
         }
         for (const std::optional<VmId>& holder : { holders.registrar, holders.mirror }) {
             if (!holder)
@@ -304,7 +311,8 @@
             if (isFinal(answer.verdict) && answer.verdict != ClaimVerdict::Unknown)
                 return answer;
         }
-        if (answer.verdict == ClaimVerdict::Unknown || SteadyClock::now() + backoff >= deadline)
+        const bool mayLearn = SteadyClock::now() < viewAdopted + handoverGrace;
+        if ((answer.verdict == ClaimVerdict::Unknown && !mayLearn) || SteadyClock::now() + backoff >= deadline)
             return answer;
         std::this_thread::sleep_for(backoff);
         backoff = std::min(longestBackoff, backoff * 2);
@@ -337,7 +345,7 @@
         return false;
     bool accepted = true;
     for (const Handover& handover : batch.handovers)
-        accepted = m_ledger.acceptHandover(handover, SteadyClock::now()) && accepted;
+        accepted = m_ledger.acceptHandover(handover, batch.header.sender, SteadyClock::now()) && accepted;
     return accepted;
 }
 
@@ -430,6 +438,11 @@
         }
         if (!delivered)
             return false;
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            for (const Handover& handover : batch.handovers)
+                m_ledger.noteDelivered(handover, member->incarnation);
+        }
         next = end;
     }
     return true;
--- /dev/null
+++ b/tests/unit/unit-manifest.cpp
@@ -0,0 +1,118 @@
+#include <fstream>
+#include <iterator>
+
+#include <catch2/catch.hpp>
+#include <nlohmann/json.hpp>
+
+#include <egrettrestle/wire/manifest_json.hpp>
+
+using namespace egrettrestle;
+using nlohmann::json;
+
+namespace {
+
+json sample(const std::string& name = "oyu-print")
+{
+    std::ifstream file(std::string(SOURCE_DIR) + "/samples/" + name + ".manifest.json");
+    return json::parse(file);
+}
+
+struct FaultCase {
+    const char* pointer;
+    json value;
+    int number;
+    std::string where;
+};
+
+}
+
+TEST_CASE("manifest")
+{
+    SECTION("the samples are sound and survive a round trip")
+    {
+        for (const char* name : { "oyu-print", "spookpad-booking" }) {
+            const ManifestParse first = parseManifest(sample(name).dump());
+            INFO(toString(first.faults));
+            REQUIRE(first.manifest);
+            const ManifestParse second = parseManifest(manifestText(*first.manifest));
+            REQUIRE(second.manifest);
+            CHECK(manifestText(*second.manifest) == manifestText(*first.manifest));
+        }
+    }
+
+    SECTION("each fault is named with its JSON pointer")
+    {
+        const std::vector<FaultCase> cases {
+            { "/changeId", "", manifestFaults::outOfRange, "/changeId" },
+            { "/changeId", 7, manifestFaults::wrongType, "/changeId" },
+            { "/claimWindowMs", 1, manifestFaults::outOfRange, "/claimWindowMs" },
+            { "/claimWindowMs", "soon", manifestFaults::wrongType, "/claimWindowMs" },
+            { "/limits/maxTasksPerJob", 1001, manifestFaults::outOfRange, "/limits/maxTasksPerJob" },
+            { "/limits/maxTasks", 1, manifestFaults::unknownField, "/limits/maxTasks" },
+            { "/surprise", 1, manifestFaults::unknownField, "/surprise" },
+            { "/dataCentres", json::array(), manifestFaults::outOfRange, "/dataCentres" },
+            { "/dataCentres/1/name", "almaty", manifestFaults::duplicateName, "/dataCentres/1/name" },
+            { "/kinds/0/service", "ghost", manifestFaults::unknownName, "/kinds/0/service" },
+            { "/kinds/0/urgencyClass", "ghost", manifestFaults::unknownName, "/kinds/0/urgencyClass" },
+            { "/kinds/0/idempotent", "yes", manifestFaults::wrongType, "/kinds/0/idempotent" },
+            { "/kinds/0/expectedRunTimeMs", 0, manifestFaults::outOfRange, "/kinds/0/expectedRunTimeMs" },
+            { "/kinds/1/name", "swatch-proof", manifestFaults::duplicateName, "/kinds/1/name" },
+            { "/services/0/connections", 1, manifestFaults::outOfRange, "/services/0/connections" },
+            { "/urgencyClasses/1/rank", 0, manifestFaults::duplicateName, "/urgencyClasses/1/rank" },
+            { "/urgencyClasses/0/reservedShare", 0.95, manifestFaults::outOfRange, "/urgencyClasses" },
+            { "/callers/0/homeDataCentre", "nowhere", manifestFaults::unknownName, "/callers/0/homeDataCentre" },
+            { "/callers/0/startsPerSecond", 0, manifestFaults::outOfRange, "/callers/0/startsPerSecond" },
+        };
+        for (const FaultCase& item : cases) {
+            json value = sample();
+            value[json::json_pointer(item.pointer)] = item.value;
+            const ManifestParse result = parseManifest(value.dump());
+            INFO(item.pointer << " = " << item.value.dump() << "\n"
+                              << toString(result.faults));
+            CHECK_FALSE(result.manifest);
+            REQUIRE_FALSE(result.faults.empty());
+            CHECK(result.faults.front().number == item.number);
+            CHECK(result.faults.front().where == item.where);
+        }
+    }
+
+    SECTION("a text that is not JSON, and a missing field")
+    {
+        CHECK(parseManifest("{").faults.front().number == manifestFaults::notJson);
+        json value = sample();
+        value.erase("kinds");
+        const ManifestParse result = parseManifest(value.dump());
+        REQUIRE_FALSE(result.faults.empty());
+        CHECK(result.faults.front().number == manifestFaults::missingField);
+        CHECK(result.faults.front().where == "/kinds");
+    }
+}
+
+TEST_CASE("home data centre")
+{
+    const Manifest manifest = *parseManifest(sample().dump()).manifest;
+
+    SECTION("a named one is taken, an unknown one gives none")
+    {
+        CHECK(homeDataCentre(manifest, "taraz", "press-1", {}) == "taraz");
+        CHECK(homeDataCentre(manifest, "nowhere", "press-1", {}).empty());
+    }
+
+    SECTION("without one the submission alone decides, and all data centres get some")
+    {
+        std::map<DataCentreId, int> counts;
+        for (int number = 0; number < 300; ++number) {
+            const SubmissionKey key = submissionKey("press-1", std::to_string(number));
+            const DataCentreId home = homeDataCentre(manifest, "", "press-1", key);
+            CHECK(home == homeDataCentre(manifest, "", "press-1", key));
+            ++counts[home];
+        }
+        CHECK(counts.size() == 3);
+    }
+
+    SECTION("a caller's rule is its own name before the longest prefix")
+    {
+        CHECK(findCaller(manifest, "press-9")->name == "press-*");
+        CHECK(findCaller(manifest, "stranger") == nullptr);
+    }
+}
--- /dev/null
+++ b/tests/unit/unit-store.cpp
@@ -0,0 +1,108 @@
+#include <thread>
+
+#include <catch2/catch.hpp>
+
+#include <egrettrestle/base/fault.hpp>
+#include <egrettrestle/http/server.hpp>
+#include <egrettrestle/platform/etcd_store.hpp>
+#include <egrettrestle/platform/store_gateway.hpp>
+
+using namespace egrettrestle;
+
+namespace {
+
+constexpr HttpCallTimes times { Milliseconds(1'000), Milliseconds(5'000) };
+
+/// The contract that every store has to keep.
+void checkContract(Store& store)
+{
+    CHECK(store.read("/t/a")->modRevision == 0);
+    CHECK(*store.compareAndSwap("/t/a", 0, "one"));
+    CHECK_FALSE(*store.compareAndSwap("/t/a", 0, "again"));
+    const StoreEntry first = *store.read("/t/a");
+    CHECK(first.value == "one");
+    CHECK(*store.compareAndSwap("/t/a", first.modRevision, std::string("two\0\n\xff", 6)));
+    CHECK(store.read("/t/a")->value == std::string("two\0\n\xff", 6));
+    CHECK_FALSE(*store.compareAndSwap("/t/a", first.modRevision, "late"));
+    CHECK(*store.compareAndSwap("/t/b", 0, ""));
+    CHECK(*store.compareAndSwap("/other", 0, "x"));
+    const StoreSnapshot snapshot = *store.readPrefix("/t/");
+    CHECK(snapshot.entries.size() == 2);
+
+    std::atomic<bool> stop { false };
+    std::vector<StoreEntry> seen;
+    std::thread writer([&store] { CHECK(*store.compareAndSwap("/t/c", 0, "three")); });
+    const absl::Status watched = store.watch("/t/", snapshot.revision + 1, Milliseconds(20'000), stop, [&](const StoreEntry& entry) {
+        seen.push_back(entry);
+        stop = true;
+    });
+    writer.join();
+    CHECK(watched.ok());
+    REQUIRE_FALSE(seen.empty());
+    CHECK(seen.front().key == "/t/c");
+    CHECK(seen.front().value == "three");
+}
+
+}
+
+TEST_CASE("stores keep one contract")
+{
+    EmbeddedStore embedded;
+
+    SECTION("the embedded store")
+    {
+        checkContract(embedded);
+    }
+
+    SECTION("the client of the etcd v3 JSON gateway")
+    {
+        HttpServer server("127.0.0.1:0", {}, [&embedded](const HttpRequest& request) { return serveStoreGateway(embedded, request); });
+        REQUIRE(server.start().ok());
+        {
+            EtcdStore store("127.0.0.1:" + std::to_string(server.port()), times);
+            checkContract(store);
+        }
+        server.stop();
+    }
+}
+
+TEST_CASE("a store that fails gives numbered errors")
+{
+    SECTION("nobody listens")
+    {
+        EtcdStore store("127.0.0.1:1", times);
+        CHECK(errorNumber(store.read("/a").status()) == platformErrors::storeUnreachable);
+    }
+
+    SECTION("the reply is lost, or is not the gateway's")
+    {
+        struct ReplyCase {
+            bool drop;
+            int status;
+            const char* body;
+            int number;
+        };
+        const std::vector<ReplyCase> cases {
+            { true, 200, "", platformErrors::storeOutcomeUnknown },
+            { false, 500, "{}", platformErrors::storeBadReply },
+            { false, 200, "nonsense", platformErrors::storeBadReply },
+            { false, 200, "[]", platformErrors::storeBadReply },
+        };
+        for (const ReplyCase& item : cases) {
+            HttpServer server("127.0.0.1:0", {}, [&item](const HttpRequest&) {
+                HttpResponse response;
+                response.dropConnection = item.drop;
+                response.status = item.status;
+                response.body = item.body;
+                return response;
+            });
+            REQUIRE(server.start().ok());
+            {
+                EtcdStore store("127.0.0.1:" + std::to_string(server.port()), times);
+                CHECK(errorNumber(store.read("/a").status()) == item.number);
+                CHECK(errorNumber(store.compareAndSwap("/a", 0, "b").status()) == item.number);
+            }
+            server.stop();
+        }
+    }
+}
