Explore the claim protocol; mend three faults that the exploration found

A seeded exploration of message orders, losses, repetitions, crashes, freezes, view changes, stale store reads, hand-overs and resignations runs on the decision code itself, with two checks: one start at most, and no 'never ran' after a start.

Fault 1, 14 of 30,000 schedules with two starts: a restarted VM found its predecessor's incarnation in the view and passed its empty memory off as a whole one. Mended: only an incarnation that this process announced counts as its own. Fault 2, 1 of 30,000: a VM that had been removed unawares answered a lookup 'absent' from its own memory. Ruled out: a mere delay of the answer. Mended: 'never ran' needs the answers of both holders at one epoch, or a read of the store's view afterwards. So a VM that reaches neither its peer nor the store now says failed, unknown, where the starting design had said refused. In its place callers may say firstTry, which makes refusals true without asking anybody.

After: 0 of 30,000 under all rules (2 to 4 VMs, 90 steps). Without rule 3, 4, 5 or 6 bad schedules are found (5, 9, 48 and 5 with two starts of 40,000 each); without 1, 2, 8 or 9 none in 40,000, so these are not shown to be needed yet.

Conclusion: the check can fail, and did.

--- a/packages/decision/include/egrettrestle/decision/claim.hpp
+++ b/packages/decision/include/egrettrestle/decision/claim.hpp
@@ -63,7 +63,8 @@
     Known,
     /// The submission is known with another body.
     Conflict,
-    /// A lookup found no record, and the memory asked is whole.
+    /// A lookup found no record, and the memory asked is whole for its epoch. That nothing ran is certain only once the
+    /// other holder, or the store's view, is seen at the same epoch afterwards: a VM may have been removed unawares.
     Absent,
     /// No record, but knowledge does not reach back far enough.
     Unknown,
@@ -78,7 +79,8 @@
     ClaimVerdict verdict = ClaimVerdict::Unavailable;
     Incarnation holder;
     ClaimState state = ClaimState::Tentative;
-    /// With `Unavailable`: the registrar is whole and holds nothing but this asker's own tentative record.
+    /// With `Unavailable`: the registrar is whole and holds nothing but this asker's own tentative record. As with
+    /// `Absent`, certain only once the view is confirmed.
     bool neverRan = false;
 };
 
--- a/packages/decision/include/egrettrestle/decision/claim_ledger.hpp
+++ b/packages/decision/include/egrettrestle/decision/claim_ledger.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
 #include <array>
+#include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -52,6 +54,10 @@
     /// @name views
     /// @{
 
+    /// Notes the member that this process is about to write into a view. Only such an incarnation counts as its own: one
+    /// that an earlier process of the same id left in a view had a memory that is gone (rule 4).
+    void announceJoin(const Member& self);
+
     /// Adopts a view with a higher epoch; a lower or equal one changes nothing and gives false. Wholeness follows
     /// rule 5. Linear in buckets times epochs passed over.
     bool adoptView(const View& view, TimePoint now);
@@ -136,6 +142,7 @@
 
     bool isWhole(Epoch wholeFrom, const ClaimRequest& request) const;
     bool isCurrent(Epoch epoch, Incarnation addressee) const;
+    bool isOwn(const Member& member) const;
     Claim* find(const SubmissionKey& key, TimePoint now);
     ClaimAnswer knownAnswer(const Claim& claim, const ClaimRequest& request) const;
     ClaimStep beginLookup(const ClaimRequest& request, TimePoint now);
@@ -152,6 +159,7 @@
     ClaimRules m_rules;
     View m_view;
     Incarnation m_incarnation;
+    std::map<Incarnation, std::string> m_announced;
     bool m_resigned = false;
     std::set<Incarnation> m_resignations;
     std::array<Knowledge, bucketCount> m_knowledge {};
--- a/packages/decision/src/claim_ledger.cpp
+++ b/packages/decision/src/claim_ledger.cpp
@@ -41,12 +41,25 @@
     m_knowledge.fill({ nothingKnown, TimePoint::max(), false, {} });
 }
 
+void ClaimLedger::announceJoin(const Member& self)
+{
+    m_announced[self.incarnation] = self.peerAddress;
+}
+
+bool ClaimLedger::isOwn(const Member& member) const
+{
+    if (!m_rules.addressedToIncarnation)
+        return true;
+    const auto announced = m_announced.find(member.incarnation);
+    return announced != m_announced.end() && announced->second == member.peerAddress;
+}
+
 bool ClaimLedger::adoptView(const View& view, TimePoint now)
 {
     if (view.epoch == m_view.epoch || (m_rules.epochsOnlyGrow && view.epoch < m_view.epoch))
         return false;
     const Member* own = findMember(view, m_self);
-    const Incarnation incarnation = own ? own->incarnation : Incarnation {};
+    const Incarnation incarnation = own && isOwn(*own) ? own->incarnation : Incarnation {};
     for (Bucket bucket = 0; bucket < bucketCount; ++bucket)
         carryOver(view, bucket, now);
     m_view = view;
@@ -126,6 +139,8 @@
 Epoch ClaimLedger::wholeFrom(Bucket bucket, TimePoint now) const
 {
     const Knowledge& knowledge = m_knowledge[bucket];
+    if (m_incarnation.value == 0)
+        return nothingKnown;
     if (m_rules.steppingInIsNotWhole && !m_ownPairs[bucket].contains(m_self))
         return nothingKnown;
     if (knowledge.wholeFrom != nothingKnown && now >= knowledge.doubtEnds)
--- a/packages/services/include/egrettrestle/services/claims_service.hpp
+++ b/packages/services/include/egrettrestle/services/claims_service.hpp
@@ -34,6 +34,8 @@
     Incarnation incarnation() const;
     /// Whether an incarnation is, or was, this process's.
     bool isOwn(Incarnation incarnation) const;
+    /// Notes the member that this process is about to write into a view.
+    void announceJoin(const Member& self);
     /// Adopts a view if its epoch is higher, and hands claims over as it asks. True if it was adopted.
     bool adoptView(const View& view);
     /// Called after each adopted view, without any lock held. Set before start.
@@ -47,8 +49,11 @@
 
     /// Asks for a claim until there is a verdict or the time is over; then the verdict is `Unavailable`.
     ClaimAnswer ask(ClaimRequest request, TimePoint deadline);
-    /// What the two holders know of a submission: the first of them that can tell.
+    /// What the two holders know of a submission. `Absent` is certain: either both of them answered at one epoch, or one
+    /// did and the store confirmed the epoch afterwards. `Unavailable` if neither could be had in time.
     ClaimAnswer lookUp(ClaimRequest request, TimePoint deadline);
+    /// Whether the store shows this VM's epoch as the present one, read after the call began.
+    bool epochIsCurrent(Epoch epoch);
     /// @}
     /// @name other VMs' side
     /// @{
@@ -79,6 +84,7 @@
     std::vector<ClaimAnswer> sendClaims(const Member& peer, Epoch epoch, const std::vector<ClaimRequest>& requests);
     std::vector<RecordAnswer> sendRecords(const Member& peer, Epoch epoch, const std::vector<RecordRequest>& requests);
     std::vector<ClaimAnswer> decideAsRegistrar(const std::vector<ClaimRequest>& requests, Epoch epoch, Incarnation addressee);
+    ClaimAnswer lookUpOnce(const HolderPair& holders, Epoch epoch, const ClaimRequest& request);
     ClaimAnswer askHolder(const VmId& holder, Epoch epoch, const ClaimRequest& request);
     PeerHeader header(Epoch epoch, Incarnation addressee) const;
     HttpResult post(const Member& peer, const std::string& path, const std::string& body, const char* use, Milliseconds timeout);
--- a/packages/services/src/claims_service.cpp
+++ b/packages/services/src/claims_service.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 
 #include <egrettrestle/base/event.hpp>
+#include <egrettrestle/services/platform_service.hpp>
 
 namespace egrettrestle {
 
@@ -103,6 +104,12 @@
     m_listener = std::move(listener);
 }
 
+void ClaimsService::announceJoin(const Member& self)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_ledger.announceJoin(self);
+}
+
 bool ClaimsService::adoptView(const View& view)
 {
     // Listeners must hear of views in the order of their epochs.
@@ -291,7 +298,6 @@
 ClaimAnswer ClaimsService::lookUp(ClaimRequest request, TimePoint deadline)
 {
     request.kind = ClaimRequestKind::Lookup;
-    ClaimAnswer answer = verdictOnly(ClaimVerdict::Unavailable);
     Milliseconds backoff = firstBackoff;
     while (true) {
         HolderPair holders;
@@ -304,21 +310,43 @@
             holders = m_ledger.holders(bucketOf(request.key));
             viewAdopted = m_viewAdopted;
         }
-        for (const std::optional<VmId>& holder : { holders.registrar, holders.mirror }) {
-            if (!holder)
-                continue;
-            answer = askHolder(*holder, epoch, request);
-            if (isFinal(answer.verdict) && answer.verdict != ClaimVerdict::Unknown)
-                return answer;
-        }
-        const bool mayLearn = SteadyClock::now() < viewAdopted + handoverGrace;
-        if ((answer.verdict == ClaimVerdict::Unknown && !mayLearn) || SteadyClock::now() + backoff >= deadline)
+        const ClaimAnswer answer = lookUpOnce(holders, epoch, request);
+        const bool mayLearn = answer.verdict == ClaimVerdict::Unknown && SteadyClock::now() < viewAdopted + handoverGrace;
+        if ((isFinal(answer.verdict) && !mayLearn) || SteadyClock::now() + backoff >= deadline)
             return answer;
         std::this_thread::sleep_for(backoff);
         backoff = std::min(longestBackoff, backoff * 2);
     }
 }
 
+ClaimAnswer ClaimsService::lookUpOnce(const HolderPair& holders, Epoch epoch, const ClaimRequest& request)
+{
+    bool absent = false;
+    bool unknown = false;
+    bool allAsked = true;
+    for (const std::optional<VmId>& holder : { holders.registrar, holders.mirror }) {
+        if (!holder)
+            continue;
+        const ClaimAnswer answer = askHolder(*holder, epoch, request);
+        if (answer.verdict == ClaimVerdict::Known || answer.verdict == ClaimVerdict::Conflict)
+            return answer;
+        absent = absent || answer.verdict == ClaimVerdict::Absent;
+        unknown = unknown || answer.verdict == ClaimVerdict::Unknown;
+        allAsked = allAsked && isFinal(answer.verdict);
+    }
+    if (absent && (allAsked || epochIsCurrent(epoch)))
+        return verdictOnly(ClaimVerdict::Absent);
+    return verdictOnly(unknown && allAsked ? ClaimVerdict::Unknown : ClaimVerdict::Unavailable);
+}
+
+bool ClaimsService::epochIsCurrent(Epoch epoch)
+{
+    Store& store = m_node.kernel.find<PlatformService>(serviceNames::platform).store();
+    const absl::StatusOr<StoreEntry> entry = store.read(storeKeys::viewPrefix + m_node.settings.dataCentre);
+    const std::optional<View> view = entry.ok() && entry->modRevision != 0 ? parseView(entry->value) : std::nullopt;
+    return view && view->epoch == epoch;
+}
+
 ClaimBatchReply ClaimsService::answerClaims(const ClaimBatch& batch)
 {
     ClaimBatchReply reply;
--- a/packages/services/src/jobs_service.cpp
+++ b/packages/services/src/jobs_service.cpp
@@ -164,6 +164,8 @@
 
 JobReply JobsService::refuseIfNew(const JobRequest& job, const JobReply& refused, TimePoint deadline, const TraceContext& trace)
 {
+    if (job.firstTry)
+        return leaveForgotten(job, refused);
     // "Not run" has to be true of an earlier request under this submission id too.
     const TimePoint patience = std::max(deadline, SteadyClock::now() + lookUpPatience);
     ClaimAnswer known;
@@ -178,7 +180,7 @@
     // Only this VM could have started a submission that it holds, and it has not.
     if (known.verdict == ClaimVerdict::Known && m_claims->isOwn(known.holder))
         return leaveNotStarted(job, refused);
-    if (known.verdict == ClaimVerdict::Unavailable || known.verdict == ClaimVerdict::Stale)
+    if (known.verdict == ClaimVerdict::Unavailable)
         return leaveForgotten(job, unknownOutcome("would be refused (" + refused.reason + "), but no holder of its claim can be asked whether it ran before"));
     return notGranted(job, known, deadline, trace);
 }
@@ -208,13 +210,19 @@
     default:
         return leaveForgotten(job, unknownOutcome("claims of that time were lost with the VMs that held them"));
     }
-    if (answer.neverRan)
-        return leaveNotStarted(job, withRetry(refusal(httpStatus::unavailable, events::claimUnavailable, "the mirror of this claim cannot be reached; a new submission id may find another"), retryAfterUnavailable));
-    // The registrar is silent; its mirror may still tell that nothing ran.
+    const JobReply unavailable = withRetry(refusal(httpStatus::unavailable, events::claimUnavailable, "a holder of this claim cannot be reached; a new submission id may find others"), retryAfterUnavailable);
+    if (job.firstTry)
+        return leaveNotStarted(job, unavailable);
+    // One of the holders may still tell that nothing ran.
     const ClaimAnswer known = m_claims->lookUp(claimRequest(job, ClaimRequestKind::Lookup), std::max(deadline, SteadyClock::now() + lookUpPatience));
-    const bool onlyOurs = known.verdict == ClaimVerdict::Absent || (known.verdict == ClaimVerdict::Known && m_claims->isOwn(known.holder));
-    if (onlyOurs)
-        return leaveNotStarted(job, withRetry(refusal(httpStatus::unavailable, events::claimUnavailable, "the registrar of this claim cannot be reached; a new submission id may find another"), retryAfterUnavailable));
+    if (known.verdict == ClaimVerdict::Absent)
+        return leaveNotStarted(job, unavailable);
+    // A record of this VM's own says so too, but only where its memory is confirmed to be the latest.
+    const bool ownRecord = known.verdict == ClaimVerdict::Known && m_claims->isOwn(known.holder);
+    if (ownRecord && (known.state == ClaimState::Acknowledged || m_claims->epochIsCurrent(m_claims->epoch())))
+        return leaveNotStarted(job, unavailable);
+    if (ownRecord)
+        return leaveNotStarted(job, unknownOutcome("only one holder of this submission's claim can be asked, and nobody confirms that it is one still"));
     if (known.verdict == ClaimVerdict::Known || known.verdict == ClaimVerdict::Conflict)
         return notGranted(job, known, deadline, trace);
     return leaveNotStarted(job, unknownOutcome("neither holder of this submission's claim can be asked"));
@@ -252,6 +260,7 @@
     request.kind = kind;
     request.key = job.key;
     request.body = job.body;
+    // Only the caller's own stamp counts: a resubmission that carries a lower one could be served in an older epoch.
     request.firstSent = stampedEpoch(job.epochStamp, m_node.settings.dataCentre);
     return request;
 }
@@ -263,6 +272,8 @@
         return std::nullopt;
     JobRequest onward = job;
     onward.deadline = left;
+    if (path == peerPaths::jobs)
+        onward.firstTry = false;
     HttpRequest request;
     request.method = "POST";
     request.path = path;
@@ -289,11 +300,13 @@
     span.setAttribute("dataCentre", home);
     // Any VM of the home will do, and asking another after a lost reply is safe: its claim decides.
     std::rotate(view.members.begin(), view.members.begin() + static_cast<std::ptrdiff_t>(view.members.empty() ? 0 : job.key.low % view.members.size()), view.members.end());
+    JobRequest onward = job;
     for (const Member& member : view.members) {
-        std::optional<JobReply> reply = send(member.callerAddress, "/v1/jobs", job, deadline, span.context());
+        std::optional<JobReply> reply = send(member.callerAddress, "/v1/jobs", onward, deadline, span.context());
         const bool tryNext = !reply || (reply->event == events::drainingRefusal.number);
         if (!tryNext)
             return *std::move(reply);
+        onward.firstTry = false;
     }
     return failure(httpStatus::badGateway, events::homeUnreachable, Ran::MayHaveRun, "home data centre " + home + " cannot be reached");
 }
--- a/packages/services/src/membership_service.cpp
+++ b/packages/services/src/membership_service.cpp
@@ -176,15 +176,14 @@
         m_nextStoreTry = now + firstRejoinPause;
         return;
     }
-    Epoch attempted;
-    changeView([&settings, &attempted](const View& view) {
-        // After a lost reply the stored view may hold this process already. An incarnation that this process has not
-        // tried to write belongs to an earlier one under the same id, whose memory is gone.
-        const Member* own = findMember(view, settings.id);
-        if (own && attempted.value != 0 && own->incarnation.value == attempted.value)
+    ClaimsService& claims = *m_claims;
+    changeView([&settings, &claims](const View& view) {
+        // After a lost reply the stored view may hold this process already; adopting it tells.
+        claims.adoptView(view);
+        if (claims.incarnation().value != 0)
             return view;
         const View next = withJoined(view, settings.id, settings.advertisedPeerAddress, settings.advertisedCallerAddress);
-        attempted = next.epoch;
+        claims.announceJoin(*findMember(next, settings.id));
         return next;
     });
     if (m_claims->incarnation().value == 0) {
--- a/packages/tools/src/load.cpp
+++ b/packages/tools/src/load.cpp
@@ -137,14 +137,15 @@
         JobResult sendJob(const Arrival& arrival, std::size_t position)
         {
             const LoadStream& stream = m_profile.streams[arrival.stream];
-            const JobRequest job = jobOf(stream, arrival, m_runId);
+            JobRequest job = jobOf(stream, arrival, m_runId);
             HttpRequest request;
             request.method = "POST";
             request.path = "/v1/jobs";
-            request.body = jobText(job);
             JobResult result { arrival.stream, arrival.runs.size(), Outcome::Failed, false, false, 0, "no-reply", {}, 0 };
             std::optional<JobReply> reply;
             for (int attempt = 0; attempt <= stream.resubmissions; ++attempt) {
+                job.firstTry = attempt == 0;
+                request.body = jobText(job);
                 const std::string& target = m_targets.callerAddresses[(position + static_cast<std::size_t>(attempt)) % m_targets.callerAddresses.size()];
                 const HttpResult sent = m_client.call(target, request, { connectTimeout, stream.deadline + replyGrace });
                 reply = sent.ok() ? parseReply(sent.response.body, sent.response.status) : std::nullopt;
--- a/packages/wire/include/egrettrestle/wire/detail/input/object_reader.hpp
+++ b/packages/wire/include/egrettrestle/wire/detail/input/object_reader.hpp
@@ -43,6 +43,7 @@
     double real(const char* key);
     double realOr(const char* key, double fallback);
     bool flag(const char* key);
+    bool flagOr(const char* key, bool fallback);
     Milliseconds milliseconds(const char* key);
     Milliseconds millisecondsOr(const char* key, Milliseconds fallback);
     /// The elements of an array; none if it is missing or something else.
--- a/packages/wire/include/egrettrestle/wire/job.hpp
+++ b/packages/wire/include/egrettrestle/wire/job.hpp
@@ -27,6 +27,8 @@
     Milliseconds deadline { 0 };
     /// `<data centre>:<epoch>` from an earlier reply, or empty.
     std::string epochStamp;
+    /// The caller's word that it has never sent this submission before, so nothing of it can have run.
+    bool firstTry = false;
     std::vector<TaskRequest> tasks;
 
     /// Derived from the above.
--- a/packages/wire/src/job.cpp
+++ b/packages/wire/src/job.cpp
@@ -93,6 +93,7 @@
     job.dataCentre = reader.textOr("dataCentre", "");
     job.deadline = reader.milliseconds("deadlineMs");
     job.epochStamp = reader.textOr("epoch", "");
+    job.firstTry = reader.flagOr("firstTry", false);
     for (const json& element : reader.array("tasks"))
         job.tasks.push_back(readTask(element, reader.pointer("tasks", job.tasks.size()), result.faults));
     reader.rejectUnknown();
@@ -134,6 +135,8 @@
         value["dataCentre"] = job.dataCentre;
     if (!job.epochStamp.empty())
         value["epoch"] = job.epochStamp;
+    if (job.firstTry)
+        value["firstTry"] = true;
     for (const TaskRequest& task : job.tasks)
         value["tasks"].push_back({ { "kind", task.kind }, { "payload", json::parse(task.payload) } });
     return value.dump();
--- a/packages/wire/src/object_reader.cpp
+++ b/packages/wire/src/object_reader.cpp
@@ -135,6 +135,11 @@
     return false;
 }
 
+bool ObjectReader::flagOr(const char* key, bool fallback)
+{
+    return has(key) ? flag(key) : (find(key, false), fallback);
+}
+
 Milliseconds ObjectReader::milliseconds(const char* key)
 {
     const std::uint64_t value = number(key);
--- /dev/null
+++ b/tests/model/claim_world.cpp
@@ -0,0 +1,455 @@
+#include "claim_world.hpp"
+
+namespace egrettrestle::model {
+
+namespace {
+
+    constexpr Seconds window { 10 };
+    // Resubmissions and deadlines lie well within the window, as the manifest check demands.
+    constexpr Milliseconds resubmitFor { 4'000 };
+    constexpr Milliseconds requestDeadline { 2'500 };
+    constexpr std::uint64_t body = 42;
+
+}
+
+ClaimWorld::ClaimWorld(const Exploration& exploration, std::uint64_t seed)
+    : m_exploration(exploration)
+    , m_random(seed)
+    , m_now(Seconds(1'000))
+    , m_key(submissionKey("caller", std::to_string(seed)))
+{
+    for (std::size_t index = 0; index < exploration.vms; ++index) {
+        Vm vm;
+        vm.id = std::string(1, static_cast<char>('a' + index));
+        m_vms.push_back(std::move(vm));
+    }
+    const std::size_t first = 1 + pick(exploration.vms);
+    for (std::size_t index = 0; index < first; ++index) {
+        boot(index);
+        join(index);
+    }
+    // Settled clusters are the rule, those still joining the exception.
+    if (chance(70)) {
+        for (std::size_t index = 0; index < first; ++index)
+            adopt(index, m_store.back());
+        for (int round = 0; round < 50 && !m_messages.empty(); ++round) {
+            receive(m_messages.back());
+            m_messages.pop_back();
+        }
+    }
+}
+
+bool ClaimWorld::chance(int percent) { return static_cast<int>(m_random() % 100) < percent; }
+
+std::size_t ClaimWorld::pick(std::size_t count) { return m_random() % count; }
+
+std::optional<std::size_t> ClaimWorld::pickVm(bool member)
+{
+    const std::size_t index = pick(m_vms.size());
+    const Vm& vm = m_vms[index];
+    if (!vm.alive || vm.frozen || (member && vm.ledger->incarnation().value == 0))
+        return std::nullopt;
+    return index;
+}
+
+std::optional<std::size_t> ClaimWorld::indexOf(const VmId& id) const
+{
+    for (std::size_t index = 0; index < m_vms.size(); ++index) {
+        if (m_vms[index].id == id)
+            return index;
+    }
+    return std::nullopt;
+}
+
+ScheduleResult ClaimWorld::run()
+{
+    for (std::size_t count = 0; count < m_exploration.steps; ++count) {
+        m_now += Milliseconds(pick(static_cast<std::size_t>(m_exploration.longestPause) + 1));
+        step();
+    }
+    return m_result;
+}
+
+void ClaimWorld::step()
+{
+    const int roll = static_cast<int>(pick(100));
+    if (roll < 60) {
+        deliver();
+        return;
+    }
+    const std::size_t any = pick(m_vms.size());
+    Vm& vm = m_vms[any];
+    if (roll < 64) {
+        if (vm.alive)
+            vm.frozen = !vm.frozen;
+    } else if (roll < 66) {
+        if (vm.alive)
+            crash(vm);
+        else
+            boot(any);
+    } else if (!vm.alive || vm.frozen) {
+        return;
+    } else if (roll < 69) {
+        join(any);
+    } else if (roll < 71) {
+        removeMember(any);
+    } else if (roll < 76) {
+        const std::size_t shown = m_exploration.staleReads && chance(30) ? pick(m_store.size()) : m_store.size() - 1;
+        adopt(any, m_store[shown]);
+    } else if (roll < 77) {
+        if (m_exploration.resignations)
+            resign(any);
+    } else if (roll < 88) {
+        submit(any);
+    } else if (roll < 90) {
+        if (m_firstSent) {
+            vm.lookupHalfDone = false;
+            ask(any, ClaimRequestKind::Lookup);
+        }
+    } else if (roll < 92) {
+        if (m_exploration.releases)
+            release(any);
+    } else {
+        startIfGranted(any);
+    }
+}
+
+void ClaimWorld::boot(std::size_t index)
+{
+    Vm& vm = m_vms[index];
+    const VmId id = vm.id;
+    const int life = vm.life + 1;
+    vm = Vm();
+    vm.id = id;
+    vm.life = life;
+    vm.alive = true;
+    vm.ledger = std::make_unique<ClaimLedger>(id, window, m_exploration.rules);
+}
+
+void ClaimWorld::crash(Vm& vm)
+{
+    vm.alive = false;
+    vm.frozen = false;
+    vm.pending.clear();
+    vm.state = ExecutorState::Idle;
+}
+
+void ClaimWorld::adopt(std::size_t index, const View& view)
+{
+    Vm& vm = m_vms[index];
+    if (!vm.ledger->adoptView(view, m_now))
+        return;
+    if (vm.ledger->incarnation().value != 0)
+        vm.incarnations.insert(vm.ledger->incarnation());
+    for (HandoverTo& item : vm.ledger->handovers(m_now)) {
+        const std::optional<std::size_t> receiver = indexOf(item.receiver);
+        if (item.handover.bucket != bucketOf(m_key) || !receiver)
+            continue;
+        Message message;
+        message.kind = MessageKind::Handover;
+        message.from = index;
+        message.fromLife = vm.life;
+        message.to = *receiver;
+        message.sender = vm.ledger->incarnation();
+        message.addressee = findMember(view, item.receiver)->incarnation;
+        message.handover = std::move(item.handover);
+        m_messages.push_back(std::move(message));
+    }
+}
+
+void ClaimWorld::join(std::size_t index)
+{
+    const Vm& vm = m_vms[index];
+    const View base = m_store.empty() ? View() : m_store.back();
+    const Member* own = findMember(base, vm.id);
+    if (own && vm.ledger->incarnation() == own->incarnation)
+        return;
+    m_store.push_back(withJoined(base, vm.id, "", ""));
+    vm.ledger->announceJoin(*findMember(m_store.back(), vm.id));
+    adopt(index, m_store.back());
+}
+
+void ClaimWorld::removeMember(std::size_t index)
+{
+    const View& base = m_store.back();
+    if (base.members.size() < 2)
+        return;
+    const Member member = base.members[pick(base.members.size())];
+    m_store.push_back(withRemoved(base, member.incarnation));
+    adopt(index, m_store.back());
+}
+
+void ClaimWorld::resign(std::size_t index)
+{
+    Vm& vm = m_vms[index];
+    if (vm.ledger->incarnation().value == 0)
+        return;
+    vm.ledger->resign();
+    for (const Member& member : vm.ledger->view().members) {
+        const std::optional<std::size_t> receiver = indexOf(member.id);
+        if (!receiver || *receiver == index)
+            continue;
+        Message message;
+        message.kind = MessageKind::Resignation;
+        message.from = index;
+        message.fromLife = vm.life;
+        message.to = *receiver;
+        message.epoch = vm.ledger->epoch();
+        message.sender = vm.ledger->incarnation();
+        message.claims = vm.ledger->allClaims();
+        m_messages.push_back(std::move(message));
+    }
+    // It may still start what it was granted; its memory grants nothing more.
+}
+
+void ClaimWorld::submit(std::size_t index)
+{
+    Vm& vm = m_vms[index];
+    const bool free = vm.state == ExecutorState::Idle || vm.state == ExecutorState::Asking;
+    if (!free || vm.ledger->incarnation().value == 0)
+        return;
+    if (!m_firstSent) {
+        // The caller has seen an answer of this VM, or none yet.
+        m_firstSent = chance(50) ? Epoch {} : vm.ledger->epoch();
+        m_firstSentAt = m_now;
+    }
+    if (m_now > m_firstSentAt + resubmitFor)
+        return;
+    vm.state = ExecutorState::Asking;
+    vm.deadline = m_now + requestDeadline;
+    ask(index, ClaimRequestKind::Claim);
+}
+
+void ClaimWorld::ask(std::size_t index, ClaimRequestKind kind, bool ofMirror)
+{
+    Vm& vm = m_vms[index];
+    if (vm.ledger->incarnation().value == 0)
+        return;
+    const HolderPair holders = vm.ledger->holders(bucketOf(m_key));
+    const std::optional<VmId> holder = ofMirror ? holders.mirror : holders.registrar;
+    const Member* member = holder ? findMember(vm.ledger->view(), *holder) : nullptr;
+    if (!member)
+        return;
+    Message message;
+    message.kind = MessageKind::Claim;
+    message.from = index;
+    message.fromLife = vm.life;
+    message.to = *indexOf(*holder);
+    message.epoch = vm.ledger->epoch();
+    message.addressee = member->incarnation;
+    message.question = m_nextQuestion++;
+    message.request = { kind, m_key, body, vm.ledger->incarnation(), *m_firstSent };
+    if (kind == ClaimRequestKind::Claim)
+        vm.question = message.question;
+    if (kind == ClaimRequestKind::Lookup) {
+        vm.lookupQuestion = message.question;
+        vm.lookupEpoch = message.epoch;
+    }
+    if (message.to == index)
+        takeClaim(index, message);
+    else
+        m_messages.push_back(message);
+}
+
+void ClaimWorld::startIfGranted(std::size_t index)
+{
+    Vm& vm = m_vms[index];
+    if (vm.state != ExecutorState::Granted || m_now > vm.deadline)
+        return;
+    vm.state = ExecutorState::Started;
+    ++m_result.starts;
+}
+
+void ClaimWorld::release(std::size_t index)
+{
+    Vm& vm = m_vms[index];
+    if (vm.state != ExecutorState::Granted)
+        return;
+    // From here on this process never starts it, whatever answers still come.
+    vm.state = ExecutorState::Released;
+    ask(index, ClaimRequestKind::Release);
+}
+
+void ClaimWorld::deliver()
+{
+    if (m_messages.empty())
+        return;
+    const std::size_t position = pick(m_messages.size());
+    const Message message = m_messages[position];
+    const Vm& receiver = m_vms[message.to];
+    if (receiver.alive && receiver.frozen)
+        return;
+    const bool repeated = chance(10);
+    if (!repeated) {
+        m_messages[position] = m_messages.back();
+        m_messages.pop_back();
+    }
+    if (!chance(12))
+        receive(message);
+}
+
+void ClaimWorld::receive(const Message& message)
+{
+    Vm& vm = m_vms[message.to];
+    if (!vm.alive || (message.toLife && *message.toLife != vm.life))
+        return;
+    switch (message.kind) {
+    case MessageKind::Claim:
+        takeClaim(message.to, message);
+        return;
+    case MessageKind::ClaimAnswer:
+        takeAnswer(message.to, message);
+        return;
+    case MessageKind::Record: {
+        Message reply;
+        reply.kind = MessageKind::RecordAnswer;
+        reply.to = message.from;
+        reply.toLife = message.fromLife;
+        reply.question = message.question;
+        reply.recordAnswer = vm.ledger->record(message.record, message.epoch, message.addressee, m_now);
+        m_messages.push_back(std::move(reply));
+        return;
+    }
+    case MessageKind::RecordAnswer:
+        takeRecordAnswer(message.to, message);
+        return;
+    case MessageKind::Handover:
+        if (message.addressee == vm.ledger->incarnation() || !m_exploration.rules.addressedToIncarnation) {
+            const bool taken = vm.ledger->acceptHandover(message.handover, message.sender, m_now);
+            Vm& sender = m_vms[message.from];
+            if (taken && sender.alive && sender.life == message.fromLife)
+                sender.ledger->noteDelivered(message.handover, message.addressee);
+        }
+        return;
+    case MessageKind::Resignation:
+        for (const Claim& claim : message.claims)
+            vm.ledger->merge(claim, m_now);
+        vm.ledger->acceptResignation(message.epoch, message.sender);
+        return;
+    }
+}
+
+void ClaimWorld::takeClaim(std::size_t index, const Message& message)
+{
+    const ClaimStep step = m_vms[index].ledger->begin(message.request, message.epoch, message.addressee, m_now);
+    takeStep(index, message.request, step, message.epoch, message.from, message.fromLife, message.question);
+}
+
+void ClaimWorld::takeStep(std::size_t index, const ClaimRequest& request, const ClaimStep& step, Epoch epoch, std::size_t asker, int askerLife, int question)
+{
+    Vm& vm = m_vms[index];
+    PendingClaim claim;
+    claim.request = request;
+    claim.epoch = epoch;
+    claim.asker = asker;
+    claim.askerLife = askerLife;
+    claim.question = question;
+    if (step.answer) {
+        answerAsker(index, claim, *step.answer);
+        return;
+    }
+    claim.record = *step.record;
+    const Member* mirror = findMember(vm.ledger->view(), step.mirror);
+    Message message;
+    message.kind = MessageKind::Record;
+    message.from = index;
+    message.fromLife = vm.life;
+    message.to = *indexOf(step.mirror);
+    message.epoch = epoch;
+    message.addressee = mirror->incarnation;
+    message.question = m_nextQuestion++;
+    claim.question = question;
+    message.record = claim.record;
+    vm.pending.push_back(claim);
+    // The position in the list of pending claims is the record's own number.
+    message.question = static_cast<int>(vm.pending.size()) - 1;
+    m_messages.push_back(std::move(message));
+}
+
+void ClaimWorld::takeRecordAnswer(std::size_t index, const Message& message)
+{
+    Vm& vm = m_vms[index];
+    const PendingClaim claim = vm.pending[static_cast<std::size_t>(message.question)];
+    const ClaimAnswer answer = vm.ledger->finish(claim.request, claim.epoch, claim.record, message.recordAnswer, m_now);
+    answerAsker(index, claim, answer);
+}
+
+void ClaimWorld::refuse(int startsBefore)
+{
+    if (startsBefore > 0)
+        m_result.falseRefusal = true;
+}
+
+void ClaimWorld::takeLookupAnswer(Vm& vm, const Message& message)
+{
+    if (message.question != vm.lookupQuestion || message.answer.verdict != ClaimVerdict::Absent || vm.lookupEpoch != vm.ledger->epoch())
+        return;
+    const bool confirmedByStore = m_store.back().epoch == vm.lookupEpoch;
+    if (vm.lookupHalfDone) {
+        refuse(vm.startsAtFirstAnswer);
+    } else if (!vm.ledger->holders(bucketOf(m_key)).mirror || confirmedByStore) {
+        refuse(message.startsBefore);
+    } else {
+        vm.lookupHalfDone = true;
+        vm.startsAtFirstAnswer = message.startsBefore;
+        ask(static_cast<std::size_t>(&vm - m_vms.data()), ClaimRequestKind::Lookup, true);
+    }
+}
+
+void ClaimWorld::answerAsker(std::size_t index, const PendingClaim& claim, const ClaimAnswer& answer)
+{
+    // The asker may refuse on this once the store confirms the epoch.
+    if (answer.neverRan && m_store.back().epoch == m_vms[index].ledger->epoch())
+        refuse(m_result.starts);
+    Message reply;
+    reply.kind = MessageKind::ClaimAnswer;
+    reply.from = index;
+    reply.to = claim.asker;
+    reply.toLife = claim.askerLife;
+    reply.question = claim.question;
+    reply.request = claim.request;
+    reply.answer = answer;
+    reply.startsBefore = m_result.starts;
+    if (claim.asker == index)
+        takeAnswer(index, reply);
+    else
+        m_messages.push_back(std::move(reply));
+}
+
+void ClaimWorld::takeAnswer(std::size_t index, const Message& message)
+{
+    Vm& vm = m_vms[index];
+    if (message.request.kind == ClaimRequestKind::Lookup)
+        takeLookupAnswer(vm, message);
+    if (message.request.kind != ClaimRequestKind::Claim || vm.state != ExecutorState::Asking || message.question != vm.question)
+        return;
+    const ClaimAnswer& answer = message.answer;
+    const bool ours = answer.verdict == ClaimVerdict::Granted
+        || (answer.verdict == ClaimVerdict::Known && answer.state == ClaimState::Acknowledged && vm.incarnations.count(answer.holder) > 0);
+    if (ours)
+        vm.state = ExecutorState::Granted;
+    else if (answer.verdict != ClaimVerdict::Stale && answer.verdict != ClaimVerdict::Unavailable)
+        vm.state = ExecutorState::Idle;
+}
+
+ExplorationResult explore(const Exploration& exploration, std::uint64_t firstSeed, int count)
+{
+    ExplorationResult result;
+    for (int index = 0; index < count; ++index) {
+        const std::uint64_t seed = firstSeed + static_cast<std::uint64_t>(index);
+        const ScheduleResult schedule = ClaimWorld(exploration, seed).run();
+        ++result.schedules;
+        if (schedule.starts > 0)
+            ++result.withStart;
+        const bool bad = schedule.starts > 1 || schedule.falseRefusal;
+        if (bad && result.firstBadSeed == 0)
+            result.firstBadSeed = seed;
+        if (schedule.starts > 1)
+            ++result.doubleStarts;
+        if (schedule.falseRefusal)
+            ++result.falseRefusals;
+    }
+    return result;
+}
+
+} // namespace egrettrestle::model
--- /dev/null
+++ b/tests/model/explore.cpp
@@ -0,0 +1,27 @@
+// Explores schedules of the claim protocol: explore-claims --vms 3 --seed 1 --count 100000 [--without RULE] ...
+
+#include <iostream>
+
+#include <cxxopts.hpp>
+
+#include "claim_world.hpp"
+#include "rule_switch.hpp"
+
+int main(int argc, char** argv)
+{
+    using namespace egrettrestle::model;
+    cxxopts::Options options("explore-claims");
+    options.add_options()("vms", "VMs", cxxopts::value<std::size_t>()->default_value("3"))("seed", "first seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
+        "count", "schedules", cxxopts::value<int>()->default_value("10000"))("steps", "steps a schedule", cxxopts::value<std::size_t>()->default_value("90"))(
+        "pause", "longest time between steps, ms", cxxopts::value<int>()->default_value("20"))("without", "rule to switch off", cxxopts::value<int>()->default_value("0"));
+    const cxxopts::ParseResult arguments = options.parse(argc, argv);
+    Exploration exploration;
+    exploration.vms = arguments["vms"].as<std::size_t>();
+    exploration.steps = arguments["steps"].as<std::size_t>();
+    exploration.longestPause = arguments["pause"].as<int>();
+    exploration.rules = rulesWithout(arguments["without"].as<int>());
+    const ExplorationResult result = explore(exploration, arguments["seed"].as<std::uint64_t>(), arguments["count"].as<int>());
+    std::cout << "without rule " << arguments["without"].as<int>() << ", " << exploration.vms << " VMs: schedules " << result.schedules << ", with a start " << result.withStart << ", two starts "
+              << result.doubleStarts << ", false refusals " << result.falseRefusals << ", first bad seed " << result.firstBadSeed << '\n';
+    return result.doubleStarts + result.falseRefusals == 0 ? 0 : 1;
+}
--- /dev/null
+++ b/tests/model/rule_switch.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <egrettrestle/decision/claim_ledger.hpp>
+
+namespace egrettrestle::model {
+
+/// The switch of a rule, by its number in docs/DESIGN.md.
+struct RuleSwitch {
+    int number;
+    bool ClaimRules::*flag;
+};
+
+inline constexpr RuleSwitch ruleSwitches[] = {
+    { 1, &ClaimRules::sameEpochAcknowledgement },
+    { 2, &ClaimRules::tentativeIsKnown },
+    { 3, &ClaimRules::oneHolder },
+    { 4, &ClaimRules::addressedToIncarnation },
+    { 5, &ClaimRules::wholeness },
+    { 6, &ClaimRules::epochsOnlyGrow },
+    { 8, &ClaimRules::resignationKeepsEpoch },
+    { 9, &ClaimRules::steppingInIsNotWhole },
+};
+
+/// All rules but one; all of them for a number without a switch.
+inline ClaimRules rulesWithout(int number)
+{
+    ClaimRules rules;
+    for (const RuleSwitch& item : ruleSwitches) {
+        if (item.number == number)
+            rules.*item.flag = false;
+    }
+    return rules;
+}
+
+} // namespace egrettrestle::model
--- /dev/null
+++ b/tests/model/unit-claim-rules.cpp
@@ -0,0 +1,54 @@
+#include <catch2/catch.hpp>
+
+#include "claim_world.hpp"
+#include "rule_switch.hpp"
+
+using namespace egrettrestle;
+using namespace egrettrestle::model;
+
+namespace {
+
+void requireSafe(const Exploration& exploration, std::uint64_t firstSeed, int count)
+{
+    const ExplorationResult result = explore(exploration, firstSeed, count);
+    INFO("vms " << exploration.vms << ", schedules " << result.schedules << ", with a start " << result.withStart << ", first bad seed " << result.firstBadSeed);
+    CHECK(result.doubleStarts == 0);
+    CHECK(result.falseRefusals == 0);
+    // Schedules in which nothing ever starts would prove nothing.
+    CHECK(result.withStart > result.schedules / 6);
+}
+
+/// A rule and a range of seeds in which its absence shows.
+struct NeededRule {
+    int rule;
+    std::uint64_t firstSeed;
+    int count;
+};
+
+}
+
+TEST_CASE("under all rules no schedule has two starts or a false refusal")
+{
+    for (const std::size_t vms : { 2, 3, 4 }) {
+        Exploration exploration;
+        exploration.vms = vms;
+        requireSafe(exploration, 1, 10'000);
+    }
+}
+
+TEST_CASE("without a rule a bad schedule is found, so the check can fail")
+{
+    const std::vector<NeededRule> rules {
+        { 3, 114'400, 100 },
+        { 4, 100'500, 100 },
+        { 5, 100'400, 100 },
+        { 6, 102'950, 100 },
+    };
+    for (const NeededRule& item : rules) {
+        INFO("rule " << item.rule);
+        Exploration exploration;
+        exploration.rules = rulesWithout(item.rule);
+        const ExplorationResult result = explore(exploration, item.firstSeed, item.count);
+        CHECK(result.doubleStarts + result.falseRefusals > 0);
+    }
+}
