--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -39,6 +39,8 @@
         std::size_t bytesSent() const { return m_bytesSent; }
         void beginRequest() { m_bytesSent = 0; }
         bool hasBufferedInput() const { return buffered() > 0; }
+        /// Whether more than the end of the last chunk (CR LF) has been received already.
+        bool hasBufferedChunk() const { return buffered() > 2; }
 
     protected:
         int write(const char* buffer, std::streamsize length) override
@@ -229,7 +231,7 @@
         copyHead(incoming, result.response);
         std::string line;
         while (!stop && SteadyClock::now() < deadline) {
-            const bool ready = stream.rdbuf()->in_avail() > 0 || session.hasBufferedInput() || session.socket().poll(timespan(stopPollInterval), Poco::Net::Socket::SELECT_READ);
+            const bool ready = stream.rdbuf()->in_avail() > 0 || session.hasBufferedChunk() || session.socket().poll(timespan(stopPollInterval), Poco::Net::Socket::SELECT_READ);
             if (!ready)
                 continue;
             if (!std::getline(stream, line))
--- a/tests/integration/cluster.cpp
+++ b/tests/integration/cluster.cpp
@@ -1,11 +1,15 @@
 #include "cluster.hpp"
 
+#include <atomic>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
 #include <thread>
 
+#include <unistd.h>
+
+#include <Poco/Net/NetException.h>
 #include <Poco/Net/ServerSocket.h>
 #include <nlohmann/json.hpp>
 
@@ -90,9 +94,21 @@
 
 std::string Cluster::newAddress()
 {
-    // Asked of the system, so that tests may run side by side.
-    const Poco::Net::ServerSocket socket(Poco::Net::SocketAddress("127.0.0.1:0"));
-    return socket.address().toString();
+    // Below the range from which the system takes ports for outgoing connections. Test programs that run side by side
+    // begin far apart, and a port in use is passed over.
+    constexpr int lowest = 10'000;
+    constexpr int count = 22'000;
+    constexpr int stride = 1'009;
+    static std::atomic<int> next { (getpid() % count) * stride % count };
+    while (true) {
+        const std::string address = "127.0.0.1:" + std::to_string(lowest + next++ % count);
+        try {
+            const Poco::Net::ServerSocket socket { Poco::Net::SocketAddress(address) };
+            return address;
+        } catch (const Poco::Exception&) {
+            continue;
+        }
+    }
 }
 
 std::string Cluster::link(const std::string& name, const std::string& target)
--- a/tests/integration/cluster.hpp
+++ b/tests/integration/cluster.hpp
@@ -95,7 +95,7 @@
     /// @}
 
 private:
-    std::string newAddress();
+    static std::string newAddress();
     void writeManifest();
     void writeSettings(Vm& vm);
     std::string link(const std::string& name, const std::string& target);
--- a/tests/integration/process.cpp
+++ b/tests/integration/process.cpp
@@ -14,7 +14,7 @@
 
 namespace {
 
-    constexpr Seconds longestStop { 60 };
+    constexpr Seconds longestStop { 20 };
     constexpr Milliseconds pollInterval { 10 };
 
 }
