--- a/packages/decision/include/egrettrestle/decision/task_scheduler.hpp
+++ b/packages/decision/include/egrettrestle/decision/task_scheduler.hpp
@@ -99,7 +99,7 @@
 private:
     struct Upstream {
         UpstreamShare share;
-        std::map<int, std::size_t> busyByRank;
+        const UpstreamRecord* health = nullptr;
         std::size_t busy = 0;
         bool listed = true;
     };
@@ -107,13 +107,13 @@
     struct Pool {
         std::map<int, std::deque<QueuedTask>> queues;
         std::map<int, std::size_t> busyByRank;
-        std::vector<UpstreamId> upstreams;
+        std::vector<Upstream*> upstreams;
     };
 
     std::deque<QueuedTask>* nextQueue(Pool& pool, TimePoint now);
     bool mayUseSlot(const Pool& pool, int rank, std::size_t slots) const;
     std::size_t usableSlots(const Pool& pool, TimePoint now) const;
-    Upstream* chooseUpstream(const Pool& pool, const QueuedTask& task, TimePoint now);
+    Upstream* chooseUpstream(const Pool& pool, const QueuedTask& task, TimePoint now) const;
     std::size_t slotsOpen(const Upstream& upstream, bool floorReached, TimePoint now) const;
     bool floorReached(const Pool& pool, TimePoint now) const;
     const ClassRule* rule(int rank) const;
--- a/packages/decision/include/egrettrestle/decision/upstream_health.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_health.hpp
@@ -33,6 +33,16 @@
     double floorShare = 0.5;
 };
 
+/// What is known of one upstream.
+struct UpstreamRecord {
+    int failures = 0;
+    int pauses = 0;
+    TimePoint asideUntil {};
+    bool aside = false;
+    double slowness = 1;
+    int samples = 0;
+};
+
 /// Tracks the health and speed of upstreams. Pure; calls must not overlap.
 class UpstreamHealth {
 public:
@@ -44,16 +54,21 @@
     /// `atOnce` puts it aside without waiting for more failures. True if this put the upstream aside.
     bool noteFailure(const UpstreamId& upstream, bool atOnce, TimePoint now);
     void forget(const UpstreamId& upstream);
+    /// The record of an upstream, begun if there is none. It stays where it is until the upstream is forgotten, so that
+    /// whoever looks at many upstreams for each task need not find them by name.
+    const UpstreamRecord& record(const UpstreamId& upstream) { return m_records[upstream]; }
     /// @}
     /// @name lookup
     /// @{
 
     /// The state an upstream has by its own record, without the floor.
+    UpstreamState state(const UpstreamRecord& record, TimePoint now) const;
     UpstreamState state(const UpstreamId& upstream, TimePoint now) const;
 
     /// The upstream's average run time over that of the fleet; 1 if unknown.
-    double slowness(const UpstreamId& upstream) const;
+    double slowness(const UpstreamRecord& record) const { return record.samples == 0 ? 1 : record.slowness; }
 
+    bool isSlow(const UpstreamRecord& record) const { return record.samples >= m_policy.slowSamples && record.slowness > m_policy.slowFactor; }
     bool isSlow(const UpstreamId& upstream) const;
 
     /// The learned run time of a kind over all upstreams, or `fallback` while too few tasks were measured.
@@ -63,24 +78,15 @@
     const HealthPolicy& policy() const { return m_policy; }
 
 private:
-    struct Record {
-        int failures = 0;
-        int pauses = 0;
-        TimePoint asideUntil {};
-        bool aside = false;
-        double slowness = 1;
-        int samples = 0;
-    };
-
     struct Learned {
         double seconds = 0;
         int samples = 0;
     };
 
-    void putAside(Record& record, TimePoint now) const;
+    void putAside(UpstreamRecord& record, TimePoint now) const;
 
     HealthPolicy m_policy;
-    std::map<UpstreamId, Record> m_records;
+    std::map<UpstreamId, UpstreamRecord> m_records;
     std::map<std::string, Learned> m_kinds;
 };
 
--- a/packages/decision/src/task_scheduler.cpp
+++ b/packages/decision/src/task_scheduler.cpp
@@ -32,6 +32,7 @@
     for (const UpstreamShare& share : upstreams) {
         Upstream& upstream = m_upstreams[share.id];
         upstream.share = share;
+        upstream.health = &m_health.record(share.id);
         upstream.listed = true;
     }
     for (auto entry = m_upstreams.begin(); entry != m_upstreams.end();) {
@@ -42,9 +43,9 @@
     }
     for (auto& entry : m_pools)
         entry.second.upstreams.clear();
-    for (const auto& entry : m_upstreams) {
+    for (auto& entry : m_upstreams) {
         if (entry.second.listed)
-            m_pools[entry.second.share.service].upstreams.push_back(entry.first);
+            m_pools[entry.second.share.service].upstreams.push_back(&entry.second);
     }
 }
 
@@ -93,7 +94,6 @@
         Assignment assignment { std::move(queue->front()), upstream->share.id, upstream->share.address };
         queue->pop_front();
         ++upstream->busy;
-        ++upstream->busyByRank[assignment.task.rank];
         ++pool.busyByRank[assignment.task.rank];
         return assignment;
     }
@@ -108,7 +108,6 @@
     Upstream& upstream = found->second;
     Pool& pool = m_pools[upstream.share.service];
     --upstream.busy;
-    --upstream.busyByRank[rank];
     --pool.busyByRank[rank];
     if (!upstream.listed && upstream.busy == 0) {
         m_health.forget(id);
@@ -170,12 +169,11 @@
 {
     std::size_t listed = 0;
     std::size_t live = 0;
-    for (const UpstreamId& id : pool.upstreams) {
-        const Upstream& upstream = m_upstreams.at(id);
-        if (upstream.share.leaving)
+    for (const Upstream* upstream : pool.upstreams) {
+        if (upstream->share.leaving)
             continue;
         ++listed;
-        if (m_health.state(id, now) == UpstreamState::Live)
+        if (m_health.state(*upstream->health, now) == UpstreamState::Live)
             ++live;
     }
     return static_cast<double>(live) < m_health.policy().floorShare * static_cast<double>(listed);
@@ -185,9 +183,9 @@
 {
     if (upstream.share.leaving || !upstream.listed)
         return 0;
-    const UpstreamState state = m_health.state(upstream.share.id, now);
+    const UpstreamState state = m_health.state(*upstream.health, now);
     // Slow upstreams are used again when too few others are left; refusing ones would only cost messages.
-    if (state == UpstreamState::Live || (floor && m_health.isSlow(upstream.share.id)))
+    if (state == UpstreamState::Live || (floor && m_health.isSlow(*upstream.health)))
         return upstream.share.slots;
     return state == UpstreamState::Probe ? std::min<std::size_t>(1, upstream.share.slots) : 0;
 }
@@ -196,25 +194,24 @@
 {
     const bool floor = floorReached(pool, now);
     std::size_t slots = 0;
-    for (const UpstreamId& id : pool.upstreams)
-        slots += slotsOpen(m_upstreams.at(id), floor, now);
+    for (const Upstream* upstream : pool.upstreams)
+        slots += slotsOpen(*upstream, floor, now);
     return slots;
 }
 
-TaskScheduler::Upstream* TaskScheduler::chooseUpstream(const Pool& pool, const QueuedTask& task, TimePoint now)
+TaskScheduler::Upstream* TaskScheduler::chooseUpstream(const Pool& pool, const QueuedTask& task, TimePoint now) const
 {
     const bool floor = floorReached(pool, now);
     Upstream* best = nullptr;
     double bestScore = 0;
-    for (const UpstreamId& id : pool.upstreams) {
-        Upstream& upstream = m_upstreams.at(id);
-        const std::size_t open = slotsOpen(upstream, floor, now);
-        if (upstream.busy >= open || contains(task.avoid, id))
+    for (Upstream* upstream : pool.upstreams) {
+        const std::size_t open = slotsOpen(*upstream, floor, now);
+        if (upstream->busy >= open || contains(task.avoid, upstream->share.id))
             continue;
-        const double fill = static_cast<double>(upstream.busy) / static_cast<double>(open);
-        const double score = m_health.slowness(id) * (1 + fill);
+        const double fill = static_cast<double>(upstream->busy) / static_cast<double>(open);
+        const double score = m_health.slowness(*upstream->health) * (1 + fill);
         if (!best || score < bestScore) {
-            best = &upstream;
+            best = upstream;
             bestScore = score;
         }
     }
@@ -232,8 +229,8 @@
         load.busy += entry.second;
     for (const auto& entry : found->second.queues)
         load.queued += entry.second.size();
-    for (const UpstreamId& id : found->second.upstreams) {
-        if (m_health.state(id, now) != UpstreamState::Live)
+    for (const Upstream* upstream : found->second.upstreams) {
+        if (m_health.state(*upstream->health, now) != UpstreamState::Live)
             ++load.upstreamsAside;
     }
     return load;
--- a/packages/decision/src/upstream_health.cpp
+++ b/packages/decision/src/upstream_health.cpp
@@ -26,7 +26,7 @@
 
 void UpstreamHealth::noteSuccess(const UpstreamId& upstream, const std::string& kind, Duration runTime, TimePoint now)
 {
-    Record& record = m_records[upstream];
+    UpstreamRecord& record = m_records[upstream];
     record.failures = 0;
     Learned& learned = m_kinds[kind];
     const double seconds = toSeconds(runTime);
@@ -36,11 +36,11 @@
         ++record.samples;
     }
     // Samples of a slow upstream would raise the very average it is compared with.
-    if (!isSlow(upstream)) {
+    if (!isSlow(record)) {
         learned.seconds = blend(learned.seconds, seconds, kindWeight, learned.samples);
         ++learned.samples;
     }
-    if (isSlow(upstream)) {
+    if (isSlow(record)) {
         if (!record.aside || now >= record.asideUntil)
             putAside(record, now);
         return;
@@ -51,7 +51,7 @@
 
 bool UpstreamHealth::noteFailure(const UpstreamId& upstream, bool atOnce, TimePoint now)
 {
-    Record& record = m_records[upstream];
+    UpstreamRecord& record = m_records[upstream];
     ++record.failures;
     const bool failedProbe = record.aside && now >= record.asideUntil;
     const bool due = atOnce || failedProbe || record.failures >= m_policy.failuresInRow;
@@ -61,7 +61,7 @@
     return true;
 }
 
-void UpstreamHealth::putAside(Record& record, TimePoint now) const
+void UpstreamHealth::putAside(UpstreamRecord& record, TimePoint now) const
 {
     constexpr int mostDoublings = 20;
     const Milliseconds pause = std::min(m_policy.longestPause, m_policy.firstPause * (1 << std::min(record.pauses, mostDoublings)));
@@ -75,24 +75,23 @@
     m_records.erase(upstream);
 }
 
-UpstreamState UpstreamHealth::state(const UpstreamId& upstream, TimePoint now) const
+UpstreamState UpstreamHealth::state(const UpstreamRecord& record, TimePoint now) const
 {
-    const auto found = m_records.find(upstream);
-    if (found == m_records.end() || !found->second.aside)
+    if (!record.aside)
         return UpstreamState::Live;
-    return now >= found->second.asideUntil ? UpstreamState::Probe : UpstreamState::Aside;
+    return now >= record.asideUntil ? UpstreamState::Probe : UpstreamState::Aside;
 }
 
-double UpstreamHealth::slowness(const UpstreamId& upstream) const
+UpstreamState UpstreamHealth::state(const UpstreamId& upstream, TimePoint now) const
 {
     const auto found = m_records.find(upstream);
-    return found == m_records.end() || found->second.samples == 0 ? 1 : found->second.slowness;
+    return found == m_records.end() ? UpstreamState::Live : state(found->second, now);
 }
 
 bool UpstreamHealth::isSlow(const UpstreamId& upstream) const
 {
     const auto found = m_records.find(upstream);
-    return found != m_records.end() && found->second.samples >= m_policy.slowSamples && found->second.slowness > m_policy.slowFactor;
+    return found != m_records.end() && isSlow(found->second);
 }
 
 Duration UpstreamHealth::expectedRunTime(const std::string& kind, Duration fallback) const
