--- a/packages/wire/src/peer_messages.cpp
+++ b/packages/wire/src/peer_messages.cpp
@@ -1,6 +1,6 @@
 #include <egrettrestle/wire/peer_messages.hpp>
 
-#include <egrettrestle/wire/detail/input/object_reader.hpp>
+#include <egrettrestle/wire/detail/conversions/parse_message.hpp>
 
 namespace egrettrestle {
 
@@ -83,21 +83,6 @@
         return claims;
     }
 
-    /// Parses a text and reads it with a function, which gets the reader and the list of faults.
-    template <typename Message, typename Read>
-    std::optional<Message> parseMessage(std::string_view text, Read read)
-    {
-        std::vector<Fault> faults;
-        const std::optional<json> value = detail::parseJson(text, peerFamily, faults);
-        if (!value)
-            return std::nullopt;
-        detail::ObjectReader reader(*value, "", peerFamily, faults);
-        Message message = read(reader, faults);
-        if (!faults.empty())
-            return std::nullopt;
-        return message;
-    }
-
 }
 
 std::string toText(const ClaimBatch& batch)
@@ -111,7 +96,7 @@
 
 std::optional<ClaimBatch> parseClaimBatch(std::string_view text)
 {
-    return parseMessage<ClaimBatch>(text, [](detail::ObjectReader& reader, std::vector<Fault>& faults) {
+    return detail::parseMessage<ClaimBatch>(text, peerFamily, [](detail::ObjectReader& reader, std::vector<Fault>& faults) {
         ClaimBatch batch;
         batch.header = readHeader(reader);
         for (const json& element : reader.array("requests")) {
@@ -139,7 +124,7 @@
 
 std::optional<ClaimBatchReply> parseClaimBatchReply(std::string_view text)
 {
-    return parseMessage<ClaimBatchReply>(text, [](detail::ObjectReader& reader, std::vector<Fault>& faults) {
+    return detail::parseMessage<ClaimBatchReply>(text, peerFamily, [](detail::ObjectReader& reader, std::vector<Fault>& faults) {
         ClaimBatchReply reply;
         reply.epoch.value = reader.number("epoch");
         for (const json& element : reader.array("answers")) {
@@ -170,7 +155,7 @@
 
 std::optional<RecordBatch> parseRecordBatch(std::string_view text, TimePoint now)
 {
-    return parseMessage<RecordBatch>(text, [now](detail::ObjectReader& reader, std::vector<Fault>& faults) {
+    return detail::parseMessage<RecordBatch>(text, peerFamily, [now](detail::ObjectReader& reader, std::vector<Fault>& faults) {
         RecordBatch batch;
         batch.header = readHeader(reader);
         for (const json& element : reader.array("requests")) {
@@ -201,7 +186,7 @@
 
 std::optional<RecordBatchReply> parseRecordBatchReply(std::string_view text, TimePoint now)
 {
-    return parseMessage<RecordBatchReply>(text, [now](detail::ObjectReader& reader, std::vector<Fault>& faults) {
+    return detail::parseMessage<RecordBatchReply>(text, peerFamily, [now](detail::ObjectReader& reader, std::vector<Fault>& faults) {
         RecordBatchReply reply;
         reply.epoch.value = reader.number("epoch");
         for (const json& element : reader.array("answers")) {
@@ -231,7 +216,7 @@
 
 std::optional<HandoverBatch> parseHandoverBatch(std::string_view text, TimePoint now)
 {
-    return parseMessage<HandoverBatch>(text, [now](detail::ObjectReader& reader, std::vector<Fault>& faults) {
+    return detail::parseMessage<HandoverBatch>(text, peerFamily, [now](detail::ObjectReader& reader, std::vector<Fault>& faults) {
         HandoverBatch batch;
         batch.header = readHeader(reader);
         for (const json& element : reader.array("handovers")) {
@@ -255,7 +240,7 @@
 
 std::optional<Resignation> parseResignation(std::string_view text, TimePoint now)
 {
-    return parseMessage<Resignation>(text, [now](detail::ObjectReader& reader, std::vector<Fault>& faults) {
+    return detail::parseMessage<Resignation>(text, peerFamily, [now](detail::ObjectReader& reader, std::vector<Fault>& faults) {
         Resignation resignation;
         resignation.epoch.value = reader.number("epoch");
         resignation.resigner.value = reader.number("resigner");
@@ -273,7 +258,7 @@
 
 std::optional<Heartbeat> parseHeartbeat(std::string_view text)
 {
-    return parseMessage<Heartbeat>(text, [](detail::ObjectReader& reader, std::vector<Fault>&) {
+    return detail::parseMessage<Heartbeat>(text, peerFamily, [](detail::ObjectReader& reader, std::vector<Fault>&) {
         Heartbeat heartbeat;
         heartbeat.header = readHeader(reader);
         heartbeat.manifestRevision = reader.number("manifest");
@@ -289,7 +274,7 @@
 
 std::optional<HeartbeatReply> parseHeartbeatReply(std::string_view text)
 {
-    return parseMessage<HeartbeatReply>(text, [](detail::ObjectReader& reader, std::vector<Fault>&) {
+    return detail::parseMessage<HeartbeatReply>(text, peerFamily, [](detail::ObjectReader& reader, std::vector<Fault>&) {
         HeartbeatReply reply;
         reply.epoch.value = reader.number("epoch");
         reply.incarnation.value = reader.number("incarnation");
@@ -310,7 +295,7 @@
 
 std::optional<View> parseView(std::string_view text)
 {
-    return parseMessage<View>(text, [](detail::ObjectReader& reader, std::vector<Fault>& faults) {
+    return detail::parseMessage<View>(text, peerFamily, [](detail::ObjectReader& reader, std::vector<Fault>& faults) {
         View view;
         view.epoch.value = reader.number("epoch");
         for (const json& element : reader.array("members")) {
--- a/packages/wire/src/upstream_messages.cpp
+++ b/packages/wire/src/upstream_messages.cpp
@@ -1,6 +1,6 @@
 #include <egrettrestle/wire/upstream_messages.hpp>
 
-#include <egrettrestle/wire/detail/input/object_reader.hpp>
+#include <egrettrestle/wire/detail/conversions/parse_message.hpp>
 
 namespace egrettrestle {
 
@@ -23,20 +23,15 @@
 
 std::optional<UpstreamTask> parseUpstreamTask(std::string_view taskId, std::string_view text)
 {
-    std::vector<Fault> faults;
-    const std::optional<json> value = detail::parseJson(text, upstreamFamily, faults);
-    if (!value)
-        return std::nullopt;
-    detail::ObjectReader reader(*value, "", upstreamFamily, faults);
-    UpstreamTask task;
-    task.taskId = taskId;
-    task.kind = reader.text("kind");
-    task.timeLeft = reader.milliseconds("timeLeftMs");
-    const json* payload = reader.any("payload");
-    task.payload = payload ? payload->dump() : "null";
-    if (!faults.empty())
-        return std::nullopt;
-    return task;
+    return detail::parseMessage<UpstreamTask>(text, upstreamFamily, [taskId](detail::ObjectReader& reader, std::vector<Fault>&) {
+        UpstreamTask task;
+        task.taskId = taskId;
+        task.kind = reader.text("kind");
+        task.timeLeft = reader.milliseconds("timeLeftMs");
+        const json* payload = reader.any("payload");
+        task.payload = payload ? payload->dump() : "null";
+        return task;
+    });
 }
 
 std::string toText(const UpstreamAnswer& answer)
@@ -46,18 +41,13 @@
 
 std::optional<UpstreamAnswer> parseUpstreamAnswer(std::string_view text)
 {
-    std::vector<Fault> faults;
-    const std::optional<json> value = detail::parseJson(text, upstreamFamily, faults);
-    if (!value)
-        return std::nullopt;
-    detail::ObjectReader reader(*value, "", upstreamFamily, faults);
-    UpstreamAnswer answer;
-    answer.taskId = reader.text("taskId");
-    const json* found = reader.any("answer");
-    answer.answer = found ? found->dump() : "null";
-    if (!faults.empty())
-        return std::nullopt;
-    return answer;
+    return detail::parseMessage<UpstreamAnswer>(text, upstreamFamily, [](detail::ObjectReader& reader, std::vector<Fault>&) {
+        UpstreamAnswer answer;
+        answer.taskId = reader.text("taskId");
+        const json* found = reader.any("answer");
+        answer.answer = found ? found->dump() : "null";
+        return answer;
+    });
 }
 
 std::string toText(const InstanceList& list)
@@ -72,27 +62,22 @@
 
 std::optional<InstanceList> parseInstanceList(std::string_view text)
 {
-    std::vector<Fault> faults;
-    const std::optional<json> value = detail::parseJson(text, platformFamily, faults);
-    if (!value)
-        return std::nullopt;
-    detail::ObjectReader reader(*value, "", platformFamily, faults);
-    InstanceList list;
-    list.version = reader.numberOr("version", 0);
-    for (const json& element : reader.array("vms")) {
-        detail::ObjectReader item(element, reader.pointer("vms", list.instances.size()), platformFamily, faults);
-        Instance instance;
-        instance.id = item.text("id");
-        instance.service = item.text("service");
-        instance.dataCentre = item.textOr("dataCentre", "");
-        instance.address = item.text("address");
-        instance.slots = item.number("slots");
-        instance.state = item.textOr("state", "live") == "leaving" ? InstanceState::Leaving : InstanceState::Live;
-        list.instances.push_back(std::move(instance));
-    }
-    if (!faults.empty())
-        return std::nullopt;
-    return list;
+    return detail::parseMessage<InstanceList>(text, platformFamily, [](detail::ObjectReader& reader, std::vector<Fault>& faults) {
+        InstanceList list;
+        list.version = reader.numberOr("version", 0);
+        for (const json& element : reader.array("vms")) {
+            detail::ObjectReader item(element, reader.pointer("vms", list.instances.size()), platformFamily, faults);
+            Instance instance;
+            instance.id = item.text("id");
+            instance.service = item.text("service");
+            instance.dataCentre = item.textOr("dataCentre", "");
+            instance.address = item.text("address");
+            instance.slots = item.number("slots");
+            instance.state = item.textOr("state", "live") == "leaving" ? InstanceState::Leaving : InstanceState::Live;
+            list.instances.push_back(std::move(instance));
+        }
+        return list;
+    });
 }
 
 } // namespace egrettrestle
--- a/tests/integration/point6-7-8-changes.cpp
+++ b/tests/integration/point6-7-8-changes.cpp
@@ -33,7 +33,7 @@
 /// Sends small jobs through all VMs until it is stopped, and keeps what was wrong with the replies.
 class Load {
 public:
-    Load(Cluster& cluster, std::vector<std::size_t> vms)
+    Load(Cluster& cluster, const std::vector<std::size_t>& vms)
     {
         for (const std::size_t vm : vms) {
             m_threads.emplace_back([this, &cluster, vm] {
