--- a/tests/integration/cluster.cpp
+++ b/tests/integration/cluster.cpp
@@ -355,8 +355,8 @@
     if (reply.answers.size() != job.tasks.size())
         return false;
     for (std::size_t index = 0; index < job.tasks.size(); ++index) {
-        const nlohmann::json answer = nlohmann::json::parse(reply.answers[index]);
-        if (answer["echo"] != nlohmann::json::parse(job.tasks[index].payload))
+        const nlohmann::json answer = nlohmann::json::parse(reply.answers[index], nullptr, false);
+        if (!answer.is_object() || answer.value("echo", nlohmann::json()) != nlohmann::json::parse(job.tasks[index].payload))
             return false;
     }
     return true;
