--- a/apps/egrettrestle/manifest_commands.cpp
+++ b/apps/egrettrestle/manifest_commands.cpp
@@ -5,7 +5,7 @@
 #include <nlohmann/json.hpp>
 
 #include <egrettrestle/http/client.hpp>
-#include <egrettrestle/platform/etcd_store.hpp>
+#include <egrettrestle/store/etcd_store.hpp>
 #include <egrettrestle/tools/shipping.hpp>
 #include <egrettrestle/wire/manifest_json.hpp>
 
--- a/apps/egrettrestled/main.cpp
+++ b/apps/egrettrestled/main.cpp
@@ -1,11 +1,14 @@
 #include <atomic>
 #include <csignal>
+#include <cstdlib>
 #include <iostream>
 
 #include <cxxopts.hpp>
 #include <glog/logging.h>
 
 #include <egrettrestle/base/event.hpp>
+#include <egrettrestle/fleet/fleet_daemon.hpp>
+#include <egrettrestle/platform/site.hpp>
 #include <egrettrestle/services/daemon.hpp>
 
 namespace {
@@ -24,6 +27,53 @@
     stopRequested = true;
 }
 
+void handleSignals()
+{
+    std::signal(SIGTERM, requestStop);
+    std::signal(SIGINT, requestStop);
+    std::signal(SIGPIPE, SIG_IGN);
+    // What changes in a fleet comes through the store.
+    std::signal(SIGHUP, SIG_IGN);
+}
+
+int reportFaults(const std::string& path, const std::vector<egrettrestle::Fault>& faults)
+{
+    std::cerr << path << ": " << faults.size() << " faults; docs/SETTINGS.md lists all keys\n"
+              << egrettrestle::toString(faults);
+    return BadSettings;
+}
+
+int endWith(const absl::Status& status)
+{
+    if (status.ok())
+        return Success;
+    std::cerr << "cannot start: " << status.message() << '\n';
+    return CannotStart;
+}
+
+int runFleet(const std::string& path, bool checkOnly)
+{
+    const egrettrestle::FleetSettingsParse parse = egrettrestle::readFleetSettings(path);
+    if (!parse.settings)
+        return reportFaults(path, parse.faults);
+    if (checkOnly) {
+        std::cout << path << ": the settings are sound\n";
+        return Success;
+    }
+    handleSignals();
+    egrettrestle::Site site = egrettrestle::platform::makeSite(*parse.settings);
+    return endWith(egrettrestle::runFleetDaemon(*parse.settings, site, stopRequested));
+}
+
+/// The settings file of a fleet's VM: as given, else as the platform names it.
+std::string fleetSettingsPath(const cxxopts::ParseResult& arguments)
+{
+    if (arguments.count("settings"))
+        return arguments["settings"].as<std::string>();
+    const char* path = std::getenv(egrettrestle::platform::settingsVariable);
+    return path ? path : "";
+}
+
 void startLogging(const char* program, const egrettrestle::Settings& settings)
 {
     FLAGS_logtostderr = settings.logDirectory.empty();
@@ -34,7 +84,7 @@
 int run(int argc, char** argv)
 {
     cxxopts::Options options("egrettrestled", "Dispatcher daemon of an entry VM.");
-    options.add_options()("settings", "settings file (INI)", cxxopts::value<std::string>())("check", "check the settings and end")(
+    options.add_options()("settings", "settings file (INI)", cxxopts::value<std::string>())("fleet", "run on a fleet of upstreams that the platform's store lists")("check", "check the settings and end")(
         "print-events", "print the catalogue of log events and end")("print-settings", "print the reference of settings and end")("help", "print this help");
     const cxxopts::ParseResult arguments = options.parse(argc, argv);
     if (arguments.count("help")) {
@@ -46,33 +96,27 @@
         return Success;
     }
     if (arguments.count("print-settings")) {
-        std::cout << egrettrestle::settingsTable();
+        std::cout << egrettrestle::settingsTable() << "\nWith `--fleet`:\n\n"
+                  << egrettrestle::fleetSettingsTable();
         return Success;
     }
+    if (arguments.count("fleet"))
+        return runFleet(fleetSettingsPath(arguments), arguments.count("check") > 0);
     if (!arguments.count("settings")) {
         std::cerr << "--settings FILE is missing; see --help\n";
         return BadSettings;
     }
     const std::string path = arguments["settings"].as<std::string>();
     const egrettrestle::SettingsParse parse = egrettrestle::readSettings(path);
-    if (!parse.settings) {
-        std::cerr << path << ": " << parse.faults.size() << " faults; docs/SETTINGS.md lists all keys\n"
-                  << egrettrestle::toString(parse.faults);
-        return BadSettings;
-    }
+    if (!parse.settings)
+        return reportFaults(path, parse.faults);
     if (arguments.count("check")) {
         std::cout << path << ": the settings are sound\n";
         return Success;
     }
     startLogging(argv[0], *parse.settings);
-    std::signal(SIGTERM, requestStop);
-    std::signal(SIGINT, requestStop);
-    std::signal(SIGPIPE, SIG_IGN);
-    const absl::Status status = egrettrestle::runDaemon(*parse.settings, stopRequested);
-    if (status.ok())
-        return Success;
-    std::cerr << "cannot start: " << status.message() << '\n';
-    return CannotStart;
+    handleSignals();
+    return endWith(egrettrestle::runDaemon(*parse.settings, stopRequested));
 }
 
 }
--- /dev/null
+++ b/packages/decision/include/egrettrestle/decision/dispatcher.hpp
@@ -0,0 +1,137 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <string>
+#include <vector>
+
+#include <egrettrestle/decision/job_executor.hpp>
+#include <egrettrestle/decision/ownership.hpp>
+#include <egrettrestle/decision/upstream_owner.hpp>
+
+namespace egrettrestle {
+
+/// Bounds of a dispatcher's decisions.
+struct DispatcherLimits {
+    OwnerLimits owner;
+    ExecutorLimits executor;
+    /// An upstream that discovery no longer lists is used on for this long: entries that lapsed while the store was away
+    /// come back about two seconds after its return.
+    Milliseconds discoveryGrace { 2'500 };
+    /// The runs of an executor that is silent for this long are stopped: before its callers send their jobs again.
+    Milliseconds executorSilence { 600 };
+    /// A VM that has not answered for this long gets no new work.
+    Milliseconds peerSilence { 350 };
+};
+
+/// Carries out what a dispatcher decides. Calls come from within calls of the dispatcher and must not call it back.
+class DispatcherPort {
+public:
+    virtual ~DispatcherPort() = default;
+
+    virtual void start(const StartOrder& order) = 0;
+    virtual void stop(const StopOrder& order) = 0;
+    virtual void lookNow(const UpstreamId& upstream) = 0;
+    virtual void send(const VmId& vm, PeerMessage message) = 0;
+    virtual void reply(CallerTicket ticket, const JobReply& reply) = 0;
+    virtual void note(const OwnerNote& note) = 0;
+    virtual void note(const JobNote& note) = 0;
+    /// The upstreams that this VM owns have changed.
+    virtual void ownedChanged() = 0;
+    /// A VM is silent for so long that its runs are started elsewhere; messages that wait for it must not reach it.
+    virtual void peerLost(const VmId& vm) = 0;
+};
+
+/// All decisions of one VM: executor of the jobs that callers bring here, owner of its share of the upstreams. Not safe
+/// for use by several threads.
+class Dispatcher : private OwnerPort, private ExecutorPort {
+public:
+    Dispatcher(DispatcherPort& port, VmId self, DispatcherLimits limits);
+
+    /// @name beliefs
+    /// @{
+    void setView(const View& view, TimePoint now);
+    void setUpstream(const UpstreamInfo& upstream, TimePoint now);
+    /// Discovery no longer lists an upstream.
+    void upstreamMissing(const UpstreamId& upstream, TimePoint now);
+    /// @}
+    /// @name callers
+    /// @{
+    void submit(CallerTicket ticket, const JobRequest& request, const Route& route, TimePoint now);
+    void callerLeft(CallerTicket ticket, TimePoint now);
+    bool cancel(const std::string& job, TimePoint now);
+    /// @}
+    /// @name peers
+    /// @{
+    void onPeerMessages(const VmId& vm, const std::vector<PeerMessage>& messages, const RoomReport& room, TimePoint now);
+    /// A message to a VM was answered.
+    void onPeerAnswered(const VmId& vm, TimePoint now);
+    /// Another life of a VM speaks: everything before is gone.
+    void onPeerReborn(const VmId& vm, TimePoint now);
+    /// How many run requests of a VM have arrived.
+    std::uint64_t requestsSeen(const VmId& vm) const;
+    /// @}
+    /// @name upstreams
+    /// @{
+    std::optional<LookOrder> nextLook(const UpstreamId& upstream, TimePoint now);
+    void onLook(const LookOrder& order, const LookReply& reply, TimePoint sentAt, TimePoint now);
+    void onStartReply(const StartOrder& order, const OrderReply& reply, TimePoint now);
+    void onStopReply(const StopOrder& order, const OrderReply& reply, TimePoint now);
+    /// @}
+
+    void tick(TimePoint now);
+
+    RoomReport room(TimePoint now) const { return m_owner.room(now); }
+    std::vector<UpstreamInfo> ownedUpstreams() const;
+    const UpstreamInfo* upstream(const UpstreamId& id) const;
+    std::size_t jobs() const { return m_executor.jobs(); }
+    std::size_t notStarted(const std::string& route) const { return m_executor.notStarted(route); }
+    std::size_t queued() const { return m_owner.queued(); }
+    std::size_t running() const { return m_owner.running(); }
+    std::size_t knownUpstreams() const { return m_upstreams.size(); }
+
+private:
+    struct KnownUpstream {
+        UpstreamInfo info;
+        std::optional<TimePoint> missingSince;
+    };
+
+    struct PeerState {
+        TimePoint heardAt {};
+        TimePoint answeredAt {};
+        std::uint64_t requestsSeen = 0;
+        bool dropped = false;
+        bool lost = false;
+    };
+
+    void stop(const StopOrder& order) override { m_port.stop(order); }
+    void start(const StartOrder& order) override { m_port.start(order); }
+    void lookNow(const UpstreamId& upstream) override { m_port.lookNow(upstream); }
+    void tell(const VmId& executor, PeerMessage message) override { send(executor, std::move(message)); }
+    void note(const OwnerNote& note) override { m_port.note(note); }
+    void note(const JobNote& note) override { m_port.note(note); }
+    void reply(CallerTicket ticket, const JobReply& reply) override { m_port.reply(ticket, reply); }
+    void send(const VmId& vm, PeerMessage message) override;
+
+    void assignOwners(TimePoint now);
+    void handle(const VmId& from, const PeerMessage& message, TimePoint now);
+    void deliverLocal(TimePoint now);
+    void refreshOwnRoom(TimePoint now);
+    void checkPeers(TimePoint now);
+    void checkMissing(TimePoint now);
+
+    DispatcherPort& m_port;
+    VmId m_self;
+    DispatcherLimits m_limits;
+    RoomTable m_rooms;
+    UpstreamOwner m_owner;
+    JobExecutor m_executor;
+    View m_view;
+    std::map<UpstreamId, KnownUpstream> m_upstreams;
+    std::map<UpstreamId, VmId> m_owners;
+    std::map<VmId, PeerState> m_peers;
+    std::deque<PeerMessage> m_local;
+    std::uint64_t m_ownRequests = 0;
+};
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/decision/include/egrettrestle/decision/job_executor.hpp
@@ -0,0 +1,203 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include <egrettrestle/decision/dispatch_types.hpp>
+#include <egrettrestle/decision/room_table.hpp>
+#include <egrettrestle/decision/run_times.hpp>
+#include <egrettrestle/decision/upstream_orders.hpp>
+#include <egrettrestle/decision/view.hpp>
+
+namespace egrettrestle {
+
+/// Names one waiting caller at this VM.
+using CallerTicket = std::uint64_t;
+
+/// What a caller is told at the end.
+enum class JobOutcome {
+    /// All tasks are done.
+    Succeeded,
+    /// A task failed as often as its route allows.
+    Failed,
+    /// Nothing of the job has run, and nothing will.
+    Refused,
+    /// Part of the job may have run; no part runs any more or will.
+    GaveUp,
+};
+
+struct JobReply {
+    JobOutcome outcome = JobOutcome::Refused;
+    /// When the caller may come again; only for a refusal.
+    Milliseconds retryAfter { 0 };
+    std::string reason;
+};
+
+/// Bounds of an executor's decisions.
+struct ExecutorLimits {
+    /// Kept back from a caller's patience for the way of the answer.
+    Milliseconds replyMargin { 25 };
+    /// A task is not started with less time left than this share of its expected duration: forecasts err by as much.
+    double shortestShare = 0.75;
+    /// A task that waits this long at a full owner is moved to one that has room.
+    Milliseconds moveAfter { 25 };
+    /// The longest task of a job lasts about this many times the expected duration.
+    double longestTask = 1.2;
+    /// A refused caller is asked to wait at least this long.
+    Milliseconds shortestRetry { 1'000 };
+    /// Without word from an owner for this long, nothing that it ran for this VM is at work any more: it stops the runs of
+    /// a silent executor, and its leases lapse.
+    Milliseconds ownerLostAfter { 1'700 };
+    /// Distance to a run number that another executor of the same job cannot have reached.
+    RunNumber runNumberStride = 16;
+};
+
+/// What an executor has decided about a job, for the log.
+struct JobNote {
+    enum class Kind {
+        Answered,
+        Refused,
+        GaveUp,
+        Resent,
+        CallerLeft,
+        ClaimSent,
+    };
+
+    Kind kind = Kind::Answered;
+    std::string job;
+    std::string route;
+    std::string reason;
+    Milliseconds age { 0 };
+    Milliseconds expected { 0 };
+    Milliseconds expectedWait { 0 };
+    RoomTotals room;
+    std::size_t tasks = 0;
+    std::size_t resent = 0;
+};
+
+/// Carries out what an executor decides.
+class ExecutorPort {
+public:
+    virtual ~ExecutorPort() = default;
+
+    virtual void send(const VmId& owner, PeerMessage message) = 0;
+    virtual void reply(CallerTicket ticket, const JobReply& reply) = 0;
+    virtual void note(const JobNote& note) = 0;
+};
+
+/// Runs jobs: admits or refuses them, spreads their tasks over owners, repeats what failed within the route's attempts,
+/// and answers once. Not safe for use by several threads.
+class JobExecutor {
+public:
+    JobExecutor(ExecutorPort& port, RoomTable& rooms, VmId self, ExecutorLimits limits);
+
+    /// @name callers
+    /// @{
+
+    /// Takes a job in. A job that is at work here already is joined; one that is being stopped starts over afterwards.
+    void submit(CallerTicket ticket, const JobRequest& request, const Route& route, TimePoint now);
+
+    /// A caller no longer waits; a job that nobody waits for is stopped.
+    void callerLeft(CallerTicket ticket, TimePoint now);
+
+    /// Cancels a job by its id. False if it is not at work here.
+    bool cancel(const std::string& job, TimePoint now);
+
+    /// @}
+    /// @name owners
+    /// @{
+    void onStarted(const VmId& owner, const RunStarted& started, TimePoint now);
+    void onEnded(const VmId& owner, const RunEnded& ended, TimePoint now);
+    void onReturned(const VmId& owner, const RunReturned& returned, TimePoint now);
+
+    /// Claims runs whose upstream has another owner now.
+    void onOwnersChanged(const std::map<UpstreamId, VmId>& owners, TimePoint now);
+
+    /// An owner is silent for so long that nothing it ran for this VM is at work.
+    void onOwnerLost(const VmId& owner, TimePoint now);
+    /// @}
+
+    void tick(TimePoint now);
+
+    bool contains(const std::string& job) const { return m_jobs.count(job) > 0; }
+    std::size_t jobs() const { return m_jobs.size(); }
+    /// Jobs of a route of which no task has started.
+    std::size_t notStarted(const std::string& route) const;
+
+private:
+    enum class TaskState {
+        /// Waits for an earlier step.
+        Blocked,
+        /// Has to be sent to an owner.
+        Unsent,
+        /// At an owner; it may or may not run.
+        Sent,
+        Running,
+        /// Taken back; the owner's word is awaited.
+        Withdrawn,
+        Done,
+    };
+
+    struct Task {
+        std::uint32_t step = 0;
+        std::uint32_t index = 0;
+        TaskState state = TaskState::Blocked;
+        RunNumber run = 0;
+        VmId owner;
+        UpstreamId upstream;
+        int failures = 0;
+        TimePoint sentAt;
+        std::vector<UpstreamId> avoid;
+        std::vector<VmId> unfitOwners;
+    };
+
+    struct Job {
+        JobRequest request;
+        Route route;
+        TimePoint receivedAt;
+        TimePoint deadline;
+        std::vector<CallerTicket> callers;
+        std::vector<Task> tasks;
+        bool anyStarted = false;
+        /// Set once the answer is decided: what is still out is taken back.
+        bool ending = false;
+        std::size_t resent = 0;
+        JobReply finalReply;
+        bool replied = false;
+        /// Callers that sent the job again while it was being stopped.
+        std::vector<std::pair<CallerTicket, JobRequest>> restarts;
+    };
+
+    struct Forecast {
+        Milliseconds run { 0 };
+        Milliseconds wait { 0 };
+        RoomTotals room;
+    };
+
+    Forecast forecast(const JobRequest& request, const Route& route) const;
+    bool isTimely(const Forecast& forecast, const JobRequest& request, const Route& route) const;
+    void refuse(CallerTicket ticket, const JobRequest& request, const Route& route, const Forecast& forecast, const std::string& reason);
+    void unblockSteps(Job& job);
+    void sendUnsent(Job& job, TimePoint now);
+    void sendTask(Job& job, Task& task, const VmId& owner, TimePoint now);
+    void withdrawTask(const Job& job, Task& task, bool onlyIfWaiting);
+    void resend(Job& job, Task& task, TimePoint now);
+    void end(Job& job, JobOutcome outcome, const std::string& reason, TimePoint now);
+    void reply(Job& job, JobReply reply, TimePoint now);
+    void settle(const std::string& id, TimePoint now);
+    Task* findTask(const TaskRun& run, const VmId& owner, Job*& job);
+    TaskRun runOf(const Job& job, const Task& task) const;
+    void moveWaiting(Job& job, TimePoint now);
+    void noteJob(JobNote::Kind kind, const Job& job, const std::string& reason, TimePoint now);
+
+    ExecutorPort& m_port;
+    RoomTable& m_rooms;
+    VmId m_self;
+    ExecutorLimits m_limits;
+    RunTimes m_runTimes;
+    std::map<std::string, Job> m_jobs;
+    std::map<CallerTicket, std::string> m_tickets;
+};
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
@@ -0,0 +1,128 @@
+#pragma once
+
+#include <map>
+#include <optional>
+
+#include <egrettrestle/decision/dispatch_types.hpp>
+#include <egrettrestle/decision/upstream_orders.hpp>
+
+namespace egrettrestle {
+
+/// Bounds of an owner's decisions.
+struct OwnerLimits {
+    /// How long a lease lasts from the moment it is granted; at most the platform's longest hold.
+    Milliseconds lease { 700 };
+    /// How long a regular look waits for an end: several looks fit into a lease.
+    Milliseconds lookWait { 200 };
+    /// How long runs found at a new upstream wait to be claimed by their executors.
+    Milliseconds claimGrace { 300 };
+    /// A stop takes at most this long at the upstream.
+    Milliseconds stopTime { 50 };
+    /// Added to a lease's end before everything under it counts as ended: timers and delivery.
+    Milliseconds lapseMargin { 60 };
+    /// An upstream's clock may be slower by this share.
+    double clockDrift = 0.02;
+    /// Without a good look for this long, an upstream gets no new runs.
+    Milliseconds silence { 450 };
+    /// A run is taken to hang after this many times its expected duration, and the allowance more.
+    double hangFactor = 3;
+    Milliseconds hangAllowance { 250 };
+    /// First and longest pause of an upstream that fails, hangs or does not answer; doubled each time.
+    Milliseconds firstPause { 400 };
+    Milliseconds longestPause { 6'000 };
+    /// Failed ends in a row, without a good one, before an upstream is set aside.
+    int failuresBeforePause = 3;
+    /// How long ends are remembered for claims that come after them.
+    Milliseconds endMemory { 5'000 };
+    /// Running a task away from its data's rack takes this many times as long.
+    double farFactor = 1;
+};
+
+/// Why a run is stopped.
+enum class StopCause {
+    Withdrawn,
+    ExecutorGone,
+    Hanging,
+    Unclaimed,
+    /// Its start got no answer and no look shows it.
+    Doubtful,
+};
+
+enum class RunState {
+    /// The start order is on its way or got no answer.
+    Starting,
+    Running,
+    Stopping,
+};
+
+/// A run at an upstream, as its owner knows it.
+struct OwnedRun {
+    RunRequest request;
+    /// Empty for a run that was found at the upstream and not yet claimed.
+    VmId executor;
+    RunState state = RunState::Starting;
+    StopCause stopCause = StopCause::Withdrawn;
+    TimePoint orderedAt;
+    TimePoint confirmedAt;
+    /// When the upstream accepted the stop; a look sent later that does not list the run proves that it is gone.
+    std::optional<TimePoint> stopAcceptedAt;
+    TimePoint stopSentAt;
+    bool doubtful = false;
+};
+
+/// An upstream that this VM owns.
+struct OwnedUpstream {
+    UpstreamInfo info;
+    FencingToken token;
+    TimePoint ownedSince;
+    std::map<TaskRun, OwnedRun> runs;
+    Resources used;
+    std::uint64_t acknowledged = 0;
+    /// Whether a look under the present ownership has shown what runs here.
+    bool known = false;
+    /// Whether runs that nobody claimed are settled.
+    bool claimsSettled = false;
+    bool fenced = false;
+    bool gone = false;
+    /// The upstream refused a start for want of room; nothing is started until the next look.
+    bool blocked = false;
+    /// Difference between the upstream's clock and this VM's at the last reply.
+    std::optional<Milliseconds> clockOffset;
+    TimePoint clockSeenAt;
+    TimePoint lastGoodLook;
+    int failedLooks = 0;
+    /// When everything under the last lease granted has surely ended.
+    TimePoint lapsedBy;
+    int failuresInARow = 0;
+    int pauses = 0;
+    TimePoint pausedUntil;
+    /// Back from a pause: one run at a time until one ends well.
+    bool probing = false;
+
+    Resources available() const { return info.capacity - used; }
+};
+
+/// What an owner has decided, for the log.
+struct OwnerNote {
+    enum class Kind {
+        Owned,
+        Released,
+        Paused,
+        Resumed,
+        Fenced,
+        Reborn,
+        RunsLost,
+        StartUnanswered,
+        RunStopped,
+        RequestExpired,
+    };
+
+    Kind kind = Kind::Owned;
+    UpstreamId upstream;
+    TaskRun run;
+    std::string cause;
+    Milliseconds age { 0 };
+    std::uint64_t count = 0;
+};
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/decision/include/egrettrestle/decision/room_table.hpp
@@ -0,0 +1,63 @@
+#pragma once
+
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include <egrettrestle/decision/dispatch_types.hpp>
+
+namespace egrettrestle {
+
+/// What all owners together can take, as one VM knows it.
+struct RoomTotals {
+    std::int64_t freeTasks = 0;
+    std::int64_t totalTasks = 0;
+    /// Tasks that wait and are at least as urgent as the priority asked for.
+    std::int64_t tasksAhead = 0;
+    /// Their expected durations, added up.
+    Milliseconds workAhead { 0 };
+};
+
+/// The latest room of each owner, less what this VM has sent there since. Not safe for use by several threads.
+class RoomTable {
+public:
+    /// Takes an owner's report.
+    void update(const VmId& owner, RoomReport report);
+
+    /// Counts a run request sent to an owner; gives the number of requests sent to it so far.
+    std::uint64_t countRequest(const VmId& owner);
+
+    /// Forgets an owner, whose count of requests starts anew.
+    void forget(const VmId& owner);
+
+    /// An owner that does not answer keeps its report but is passed over.
+    void setReachable(const VmId& owner, bool reachable);
+
+    /// Tasks of a service that an owner can start at once; negative when more were sent than had room.
+    std::int64_t freeAt(const VmId& owner, const std::string& service) const;
+
+    RoomTotals totals(const std::string& service, int priority) const;
+
+    /// The owner for one more task: `self` while it has room on a kind no slower than others have, else the one with the
+    /// most room, else the one with the shortest queue for its size. Owners in `except` are passed over.
+    std::optional<VmId> pick(const VmId& self, const std::string& service, const std::vector<VmId>& except) const;
+
+    /// An owner other than `except` that has room at once.
+    std::optional<VmId> withRoom(const std::string& service, const VmId& except) const;
+
+private:
+    struct Entry {
+        RoomReport report;
+        std::uint64_t sent = 0;
+        bool reachable = true;
+    };
+
+    static std::int64_t freeIn(const Entry& entry, const std::string& service);
+    static std::int64_t totalIn(const Entry& entry, const std::string& service);
+    static std::int64_t queuedIn(const Entry& entry, const std::string& service);
+
+    std::map<VmId, Entry> m_owners;
+};
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -0,0 +1,130 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <set>
+#include <string>
+#include <vector>
+
+#include <egrettrestle/decision/dispatch_types.hpp>
+#include <egrettrestle/decision/owned_upstream.hpp>
+#include <egrettrestle/decision/run_times.hpp>
+#include <egrettrestle/decision/upstream_orders.hpp>
+
+namespace egrettrestle {
+
+/// Carries out what an owner decides.
+class OwnerPort {
+public:
+    virtual ~OwnerPort() = default;
+
+    virtual void start(const StartOrder& order) = 0;
+    virtual void stop(const StopOrder& order) = 0;
+    /// Looks at an upstream at once, beside the regular looks.
+    virtual void lookNow(const UpstreamId& upstream) = 0;
+    virtual void tell(const VmId& executor, PeerMessage message) = 0;
+    /// Reports a decision for the log.
+    virtual void note(const OwnerNote& note) = 0;
+};
+
+/// Orders the upstreams that this VM owns: places the runs that executors ask for, keeps them under a lease, and tells
+/// how they ended. It never lets a run be started elsewhere before the upstream said, or the lease proves, that it is not
+/// at work. Not safe for use by several threads.
+class UpstreamOwner {
+public:
+    UpstreamOwner(OwnerPort& port, OwnerLimits limits);
+
+    /// @name ownership
+    /// @{
+
+    /// Owns an upstream under a token, or learns what has changed about it. Until the first look has shown what runs
+    /// there, nothing is started. Runs that no executor claims within the claim grace are stopped.
+    void own(const UpstreamInfo& info, FencingToken token, TimePoint now);
+
+    /// Gives an upstream up; its runs are the next owner's. Requests that wait stay here.
+    void release(const UpstreamId& upstream, TimePoint now);
+
+    /// Discovery no longer lists an upstream: nothing is started there, and it is forgotten once nothing can run there.
+    void markGone(const UpstreamId& upstream);
+
+    std::vector<UpstreamId> owned() const;
+    bool owns(const UpstreamId& upstream) const { return m_upstreams.count(upstream) > 0; }
+    /// Sets whether this VM starts new runs at all.
+    void setStarting(bool starting) { m_starting = starting; }
+
+    /// @}
+    /// @name executors
+    /// @{
+    void request(const VmId& executor, const RunRequest& request, TimePoint now);
+    void withdraw(const VmId& executor, const RunWithdrawn& withdrawn, TimePoint now);
+    void claim(const VmId& executor, const RunClaim& claim, TimePoint now);
+    /// Stops everything of an executor that is gone.
+    void dropExecutor(const VmId& executor, TimePoint now);
+    /// @}
+    /// @name upstreams
+    /// @{
+
+    /// The next regular look at an upstream; nothing if it is not owned.
+    std::optional<LookOrder> nextLook(const UpstreamId& upstream, TimePoint now);
+    void onLook(const UpstreamId& upstream, const LookOrder& order, const LookReply& reply, TimePoint sentAt, TimePoint now);
+    void onStartReply(const StartOrder& order, const OrderReply& reply, TimePoint now);
+    void onStopReply(const StopOrder& order, const OrderReply& reply, TimePoint now);
+
+    /// @}
+
+    /// Acts on what time alone decides: lapsed leases, expired requests, hanging runs, claim grace.
+    void tick(TimePoint now);
+
+    /// What can be taken now. The report's `requestsSeen` is left to the caller.
+    RoomReport room(TimePoint now) const;
+
+    /// Whether an upstream of the service could ever take such a task.
+    bool couldEverRun(const std::string& service, const Resources& need) const;
+
+    std::size_t queued() const { return m_queue.size(); }
+    std::size_t running() const;
+    const RunTimes& runTimes() const { return m_runTimes; }
+
+private:
+    struct Waiting {
+        VmId executor;
+        RunRequest request;
+        TimePoint since;
+    };
+
+    using EndedRuns = std::map<TaskRun, RunEnded>;
+
+    void startWaiting(TimePoint now);
+    OwnedUpstream* bestFor(const RunRequest& request, TimePoint now);
+    double durationOn(const OwnedUpstream& upstream, const RunRequest& request) const;
+    void startOn(OwnedUpstream& upstream, const Waiting& waiting, TimePoint now);
+    void stopRun(OwnedUpstream& upstream, OwnedRun& run, StopCause cause, TimePoint now);
+    void requeue(OwnedRun& run, TimePoint now);
+    void forget(OwnedUpstream& upstream, const TaskRun& run);
+    void returnRun(const VmId& executor, const TaskRun& run, ReturnReason reason);
+    void finishRun(OwnedUpstream& upstream, OwnedRun run, RunEnd how, TimePoint now);
+    void takeEnds(OwnedUpstream& upstream, const LookReply& reply, TimePoint now);
+    void compareRunning(OwnedUpstream& upstream, const LookReply& reply, TimePoint sentAt, TimePoint now);
+    void adoptUnknown(OwnedUpstream& upstream, const TaskRun& run, TimePoint now);
+    void loseRuns(OwnedUpstream& upstream);
+    void checkRuns(OwnedUpstream& upstream, TimePoint now);
+    void checkClaims(OwnedUpstream& upstream, TimePoint now);
+    void expireWaiting(TimePoint now);
+    void noteNeed(const Resources& need);
+    OwnedUpstream* find(const UpstreamId& upstream);
+    void insertWaiting(Waiting waiting);
+
+    OwnerPort& m_port;
+    OwnerLimits m_limits;
+    RunTimes m_runTimes;
+    std::map<UpstreamId, OwnedUpstream> m_upstreams;
+    /// Ordered by priority, then by the latest useful start.
+    std::vector<Waiting> m_queue;
+    /// Runs that ended lately, for claims that arrive after the end.
+    EndedRuns m_recentEnds;
+    std::vector<std::pair<TimePoint, TaskRun>> m_recentOrder;
+    Resources m_ordinaryNeed;
+    bool m_starting = true;
+};
+
+} // namespace egrettrestle
--- a/packages/decision/include/egrettrestle/decision/view.hpp
+++ b/packages/decision/include/egrettrestle/decision/view.hpp
@@ -22,6 +22,8 @@
     std::string peerAddress;
     std::string callerAddress;
     Incarnation incarnation;
+    /// Set where one view spans several data centres.
+    DataCentreId dataCentre = {};
 };
 
 /// The members of an earlier view. It lets a VM that skipped views tell which pairs they had.
--- /dev/null
+++ b/packages/decision/src/dispatcher.cpp
@@ -0,0 +1,255 @@
+#include <egrettrestle/decision/dispatcher.hpp>
+
+#include <algorithm>
+
+namespace egrettrestle {
+
+Dispatcher::Dispatcher(DispatcherPort& port, VmId self, DispatcherLimits limits)
+    : m_port(port)
+    , m_self(std::move(self))
+    , m_limits(limits)
+    , m_owner(*this, limits.owner)
+    , m_executor(*this, m_rooms, m_self, limits.executor)
+{
+}
+
+void Dispatcher::setView(const View& view, TimePoint now)
+{
+    if (view.epoch < m_view.epoch)
+        return;
+    m_view = view;
+    assignOwners(now);
+    deliverLocal(now);
+}
+
+void Dispatcher::setUpstream(const UpstreamInfo& upstream, TimePoint now)
+{
+    KnownUpstream& known = m_upstreams[upstream.id];
+    const bool changed = known.info != upstream || known.missingSince;
+    known.info = upstream;
+    known.missingSince.reset();
+    if (!changed)
+        return;
+    assignOwners(now);
+    deliverLocal(now);
+}
+
+void Dispatcher::upstreamMissing(const UpstreamId& upstream, TimePoint now)
+{
+    const auto found = m_upstreams.find(upstream);
+    if (found != m_upstreams.end() && !found->second.missingSince)
+        found->second.missingSince = now;
+}
+
+void Dispatcher::assignOwners(TimePoint now)
+{
+    const FencingToken token { m_view.epoch.value };
+    std::map<UpstreamId, VmId> owners;
+    bool changed = false;
+    for (const auto& entry : m_upstreams) {
+        const std::optional<VmId> owner = ownerOf(m_view, entry.second.info);
+        if (owner)
+            owners[entry.first] = *owner;
+        const bool owned = m_owner.owns(entry.first);
+        if (owner == m_self)
+            m_owner.own(entry.second.info, token, now);
+        else if (owned)
+            m_owner.release(entry.first, now);
+        changed = changed || owned != (owner == m_self);
+    }
+    const bool moved = owners != m_owners;
+    m_owners = std::move(owners);
+    if (moved)
+        m_executor.onOwnersChanged(m_owners, now);
+    if (changed)
+        m_port.ownedChanged();
+}
+
+void Dispatcher::submit(CallerTicket ticket, const JobRequest& request, const Route& route, TimePoint now)
+{
+    refreshOwnRoom(now);
+    m_executor.submit(ticket, request, route, now);
+    deliverLocal(now);
+}
+
+void Dispatcher::callerLeft(CallerTicket ticket, TimePoint now)
+{
+    m_executor.callerLeft(ticket, now);
+    deliverLocal(now);
+}
+
+bool Dispatcher::cancel(const std::string& job, TimePoint now)
+{
+    const bool cancelled = m_executor.cancel(job, now);
+    deliverLocal(now);
+    return cancelled;
+}
+
+void Dispatcher::onPeerMessages(const VmId& vm, const std::vector<PeerMessage>& messages, const RoomReport& room, TimePoint now)
+{
+    PeerState& peer = m_peers.emplace(vm, PeerState { now, now }).first->second;
+    peer.heardAt = now;
+    peer.dropped = false;
+    m_rooms.update(vm, room);
+    for (const PeerMessage& message : messages) {
+        if (message.request)
+            ++peer.requestsSeen;
+        handle(vm, message, now);
+    }
+    deliverLocal(now);
+}
+
+void Dispatcher::onPeerAnswered(const VmId& vm, TimePoint now)
+{
+    PeerState& peer = m_peers.emplace(vm, PeerState { now, now }).first->second;
+    peer.answeredAt = now;
+    peer.lost = false;
+    m_rooms.setReachable(vm, true);
+}
+
+void Dispatcher::onPeerReborn(const VmId& vm, TimePoint now)
+{
+    m_peers[vm] = { now, now };
+    m_rooms.forget(vm);
+    m_owner.dropExecutor(vm, now);
+    deliverLocal(now);
+}
+
+std::uint64_t Dispatcher::requestsSeen(const VmId& vm) const
+{
+    const auto found = m_peers.find(vm);
+    return found == m_peers.end() ? 0 : found->second.requestsSeen;
+}
+
+std::optional<LookOrder> Dispatcher::nextLook(const UpstreamId& upstream, TimePoint now)
+{
+    return m_owner.nextLook(upstream, now);
+}
+
+void Dispatcher::onLook(const LookOrder& order, const LookReply& reply, TimePoint sentAt, TimePoint now)
+{
+    m_owner.onLook(order.upstream, order, reply, sentAt, now);
+    deliverLocal(now);
+}
+
+void Dispatcher::onStartReply(const StartOrder& order, const OrderReply& reply, TimePoint now)
+{
+    m_owner.onStartReply(order, reply, now);
+    deliverLocal(now);
+}
+
+void Dispatcher::onStopReply(const StopOrder& order, const OrderReply& reply, TimePoint now)
+{
+    m_owner.onStopReply(order, reply, now);
+    deliverLocal(now);
+}
+
+void Dispatcher::tick(TimePoint now)
+{
+    checkMissing(now);
+    checkPeers(now);
+    m_owner.tick(now);
+    deliverLocal(now);
+    m_executor.tick(now);
+    deliverLocal(now);
+}
+
+void Dispatcher::checkPeers(TimePoint now)
+{
+    for (auto& entry : m_peers) {
+        PeerState& peer = entry.second;
+        if (!peer.dropped && now - peer.heardAt > m_limits.executorSilence) {
+            peer.dropped = true;
+            m_owner.dropExecutor(entry.first, now);
+        }
+        if (now - std::min(peer.answeredAt, peer.heardAt) > m_limits.peerSilence)
+            m_rooms.setReachable(entry.first, false);
+        if (!peer.lost && now - peer.answeredAt > m_limits.executor.ownerLostAfter) {
+            peer.lost = true;
+            m_port.peerLost(entry.first);
+            m_executor.onOwnerLost(entry.first, now);
+        }
+    }
+}
+
+void Dispatcher::checkMissing(TimePoint now)
+{
+    std::vector<UpstreamId> gone;
+    for (const auto& entry : m_upstreams) {
+        if (entry.second.missingSince && now - *entry.second.missingSince > m_limits.discoveryGrace)
+            gone.push_back(entry.first);
+    }
+    for (const UpstreamId& upstream : gone) {
+        if (m_owner.owns(upstream)) {
+            m_owner.markGone(upstream);
+            continue;
+        }
+        m_upstreams.erase(upstream);
+        m_owners.erase(upstream);
+        m_port.ownedChanged();
+    }
+}
+
+void Dispatcher::send(const VmId& vm, PeerMessage message)
+{
+    if (vm == m_self)
+        m_local.push_back(std::move(message));
+    else
+        m_port.send(vm, std::move(message));
+}
+
+void Dispatcher::handle(const VmId& from, const PeerMessage& message, TimePoint now)
+{
+    if (message.request)
+        m_owner.request(from, *message.request, now);
+    if (message.withdrawn)
+        m_owner.withdraw(from, *message.withdrawn, now);
+    if (message.claim)
+        m_owner.claim(from, *message.claim, now);
+    if (message.started)
+        m_executor.onStarted(from, *message.started, now);
+    if (message.ended)
+        m_executor.onEnded(from, *message.ended, now);
+    if (message.returned)
+        m_executor.onReturned(from, *message.returned, now);
+}
+
+void Dispatcher::deliverLocal(TimePoint now)
+{
+    while (!m_local.empty()) {
+        const PeerMessage message = std::move(m_local.front());
+        m_local.pop_front();
+        if (message.request)
+            ++m_ownRequests;
+        if (message.ended || message.returned)
+            refreshOwnRoom(now);
+        handle(m_self, message, now);
+    }
+    refreshOwnRoom(now);
+}
+
+void Dispatcher::refreshOwnRoom(TimePoint now)
+{
+    RoomReport report = m_owner.room(now);
+    report.requestsSeen = m_ownRequests;
+    m_rooms.update(m_self, std::move(report));
+}
+
+std::vector<UpstreamInfo> Dispatcher::ownedUpstreams() const
+{
+    std::vector<UpstreamInfo> owned;
+    for (const UpstreamId& id : m_owner.owned()) {
+        const auto known = m_upstreams.find(id);
+        if (known != m_upstreams.end())
+            owned.push_back(known->second.info);
+    }
+    return owned;
+}
+
+const UpstreamInfo* Dispatcher::upstream(const UpstreamId& id) const
+{
+    const auto known = m_upstreams.find(id);
+    return known == m_upstreams.end() ? nullptr : &known->second.info;
+}
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/decision/src/room_table.cpp
@@ -0,0 +1,128 @@
+#include <egrettrestle/decision/room_table.hpp>
+
+#include <algorithm>
+#include <limits>
+
+namespace egrettrestle {
+
+void RoomTable::update(const VmId& owner, RoomReport report)
+{
+    m_owners[owner].report = std::move(report);
+}
+
+std::uint64_t RoomTable::countRequest(const VmId& owner)
+{
+    return ++m_owners[owner].sent;
+}
+
+void RoomTable::forget(const VmId& owner)
+{
+    m_owners.erase(owner);
+}
+
+void RoomTable::setReachable(const VmId& owner, bool reachable)
+{
+    const auto found = m_owners.find(owner);
+    if (found != m_owners.end())
+        found->second.reachable = reachable;
+}
+
+std::int64_t RoomTable::freeIn(const Entry& entry, const std::string& service)
+{
+    std::int64_t free = 0;
+    for (const KindRoom& kind : entry.report.kinds) {
+        if (kind.service == service)
+            free += kind.freeTasks;
+    }
+    const std::uint64_t onTheWay = entry.sent > entry.report.requestsSeen ? entry.sent - entry.report.requestsSeen : 0;
+    return free - static_cast<std::int64_t>(onTheWay) - queuedIn(entry, service);
+}
+
+std::int64_t RoomTable::totalIn(const Entry& entry, const std::string& service)
+{
+    std::int64_t total = 0;
+    for (const KindRoom& kind : entry.report.kinds) {
+        if (kind.service == service)
+            total += kind.totalTasks;
+    }
+    return total;
+}
+
+std::int64_t RoomTable::queuedIn(const Entry& entry, const std::string& service)
+{
+    std::int64_t tasks = 0;
+    for (const QueueLength& queue : entry.report.queues) {
+        if (queue.service == service)
+            tasks += queue.tasks;
+    }
+    return tasks;
+}
+
+std::int64_t RoomTable::freeAt(const VmId& owner, const std::string& service) const
+{
+    const auto found = m_owners.find(owner);
+    return found == m_owners.end() ? 0 : freeIn(found->second, service);
+}
+
+RoomTotals RoomTable::totals(const std::string& service, int priority) const
+{
+    RoomTotals totals;
+    for (const auto& owner : m_owners) {
+        const Entry& entry = owner.second;
+        if (!entry.reachable)
+            continue;
+        totals.freeTasks += std::max<std::int64_t>(0, freeIn(entry, service));
+        totals.totalTasks += totalIn(entry, service);
+        for (const QueueLength& queue : entry.report.queues) {
+            if (queue.service != service || queue.priority > priority)
+                continue;
+            totals.tasksAhead += queue.tasks;
+            totals.workAhead += queue.work;
+        }
+    }
+    return totals;
+}
+
+std::optional<VmId> RoomTable::pick(const VmId& self, const std::string& service, const std::vector<VmId>& except) const
+{
+    const auto passedOver = [&except](const VmId& id) { return std::find(except.begin(), except.end(), id) != except.end(); };
+    if (freeAt(self, service) > 0 && !passedOver(self))
+        return self;
+    std::optional<VmId> roomiest;
+    std::int64_t mostFree = 0;
+    std::optional<VmId> shortest;
+    double shortestWait = std::numeric_limits<double>::max();
+    for (const auto& owner : m_owners) {
+        const Entry& entry = owner.second;
+        const std::int64_t total = totalIn(entry, service);
+        if (!entry.reachable || total == 0 || passedOver(owner.first))
+            continue;
+        const std::int64_t free = freeIn(entry, service);
+        if (free > mostFree) {
+            mostFree = free;
+            roomiest = owner.first;
+        }
+        const double wait = static_cast<double>(1 - free) / static_cast<double>(total);
+        if (wait < shortestWait) {
+            shortestWait = wait;
+            shortest = owner.first;
+        }
+    }
+    return roomiest ? roomiest : shortest;
+}
+
+std::optional<VmId> RoomTable::withRoom(const std::string& service, const VmId& except) const
+{
+    std::optional<VmId> best;
+    std::int64_t mostFree = 0;
+    for (const auto& owner : m_owners) {
+        const std::int64_t free = owner.second.reachable && owner.first != except ? freeIn(owner.second, service) : 0;
+        if (free > mostFree) {
+            mostFree = free;
+            best = owner.first;
+        }
+    }
+    return best;
+}
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/decision/src/upstream_owner.cpp
@@ -0,0 +1,705 @@
+#include <egrettrestle/decision/upstream_owner.hpp>
+
+#include <algorithm>
+#include <limits>
+
+namespace egrettrestle {
+
+namespace {
+
+    using NoteKind = OwnerNote::Kind;
+
+    // An end list as long as this may go on in the next reply.
+    constexpr std::size_t endPageSize = 500;
+    // Share of a new need in the mean that room is counted in.
+    constexpr double needShare = 0.02;
+    // A look counts as unanswered from the first failure on; a single lost packet may be repeated once.
+    constexpr int failedLooksBeforeSilence = 2;
+
+    bool waitsBefore(const RunRequest& left, const RunRequest& right)
+    {
+        return left.priority != right.priority ? left.priority < right.priority : left.latestStart < right.latestStart;
+    }
+
+    const char* causeName(StopCause cause)
+    {
+        static const std::map<StopCause, const char*> names {
+            { StopCause::Withdrawn, "withdrawn" },
+            { StopCause::ExecutorGone, "executor-gone" },
+            { StopCause::Hanging, "hanging" },
+            { StopCause::Unclaimed, "unclaimed" },
+            { StopCause::Doubtful, "start-unanswered" },
+        };
+        return names.at(cause);
+    }
+
+    UpstreamClock clockAt(const OwnedUpstream& upstream, TimePoint now)
+    {
+        return upstream.clockOffset.value_or(Milliseconds { 0 }) + toMilliseconds(now.time_since_epoch());
+    }
+
+    void readClock(OwnedUpstream& upstream, const std::optional<UpstreamClock>& clock, TimePoint now)
+    {
+        if (!clock)
+            return;
+        upstream.clockOffset = *clock - toMilliseconds(now.time_since_epoch());
+        upstream.clockSeenAt = now;
+    }
+
+    void noteLease(OwnedUpstream& upstream, const OwnerLimits& limits, TimePoint now)
+    {
+        const Duration sampleAge = now - upstream.clockSeenAt;
+        const Duration drift = std::chrono::duration_cast<Duration>((limits.lease + sampleAge) * limits.clockDrift);
+        upstream.lapsedBy = std::max(upstream.lapsedBy, now + limits.lease + drift + limits.lapseMargin);
+    }
+
+    bool hasLabel(const UpstreamInfo& info, const std::string& label)
+    {
+        return label.empty() || std::find(info.labels.begin(), info.labels.end(), label) != info.labels.end();
+    }
+
+    std::uint32_t runsOfStep(const OwnedUpstream& upstream, const TaskRef& task)
+    {
+        return static_cast<std::uint32_t>(std::count_if(upstream.runs.begin(), upstream.runs.end(), [&task](const auto& entry) {
+            return entry.first.task.job == task.job && entry.first.task.step == task.step;
+        }));
+    }
+
+    std::uint32_t tasksThatFit(const Resources& room, const Resources& need)
+    {
+        std::int64_t count = std::numeric_limits<std::int32_t>::max();
+        const auto bound = [&count](std::int64_t available, std::int64_t each) {
+            if (each > 0)
+                count = std::min(count, std::max<std::int64_t>(0, available / each));
+        };
+        bound(room.milliCores, need.milliCores);
+        bound(room.memoryMb, need.memoryMb);
+        bound(room.accelerators, need.accelerators);
+        return count == std::numeric_limits<std::int32_t>::max() ? 0 : static_cast<std::uint32_t>(count);
+    }
+
+    bool takesRuns(const OwnedUpstream& upstream, const OwnerLimits& limits, TimePoint now)
+    {
+        const bool reachable = upstream.known && upstream.claimsSettled && upstream.failedLooks == 0 && now - upstream.lastGoodLook < limits.silence;
+        const bool wanted = !upstream.info.draining && !upstream.gone && !upstream.fenced && !upstream.blocked;
+        return reachable && wanted && now >= upstream.pausedUntil && !(upstream.probing && !upstream.runs.empty());
+    }
+
+}
+
+UpstreamOwner::UpstreamOwner(OwnerPort& port, OwnerLimits limits)
+    : m_port(port)
+    , m_limits(limits)
+{
+}
+
+void UpstreamOwner::own(const UpstreamInfo& info, FencingToken token, TimePoint now)
+{
+    const auto found = m_upstreams.find(info.id);
+    if (found != m_upstreams.end()) {
+        OwnedUpstream& upstream = found->second;
+        const bool reborn = upstream.info.startedAt.count() > 0 && info.startedAt.count() > 0 && info.startedAt > upstream.info.startedAt;
+        if (reborn) {
+            m_port.note({ NoteKind::Reborn, info.id, {}, "discovery", {}, upstream.runs.size() });
+            loseRuns(upstream);
+            m_upstreams.erase(found);
+        } else {
+            if (info.startedAt >= upstream.info.startedAt)
+                upstream.info = info;
+            upstream.gone = false;
+            if (token > upstream.token) {
+                upstream.token = token;
+                upstream.fenced = false;
+            }
+            return;
+        }
+    }
+    OwnedUpstream upstream;
+    upstream.info = info;
+    upstream.token = token;
+    upstream.ownedSince = now;
+    upstream.lastGoodLook = now;
+    upstream.lapsedBy = now;
+    m_upstreams.emplace(info.id, std::move(upstream));
+    m_port.note({ NoteKind::Owned, info.id, {}, {}, {}, token.value });
+}
+
+void UpstreamOwner::release(const UpstreamId& upstream, TimePoint now)
+{
+    OwnedUpstream* owned = find(upstream);
+    if (!owned)
+        return;
+    m_port.note({ NoteKind::Released, upstream, {}, {}, toMilliseconds(now - owned->ownedSince), owned->runs.size() });
+    m_upstreams.erase(upstream);
+}
+
+void UpstreamOwner::markGone(const UpstreamId& upstream)
+{
+    if (OwnedUpstream* owned = find(upstream))
+        owned->gone = true;
+}
+
+std::vector<UpstreamId> UpstreamOwner::owned() const
+{
+    std::vector<UpstreamId> ids;
+    ids.reserve(m_upstreams.size());
+    for (const auto& entry : m_upstreams)
+        ids.push_back(entry.first);
+    return ids;
+}
+
+void UpstreamOwner::request(const VmId& executor, const RunRequest& request, TimePoint now)
+{
+    noteNeed(request.need);
+    insertWaiting({ executor, request, now });
+    startWaiting(now);
+}
+
+void UpstreamOwner::withdraw(const VmId& executor, const RunWithdrawn& withdrawn, TimePoint now)
+{
+    const TaskRun& run = withdrawn.run;
+    const auto waiting = std::find_if(m_queue.begin(), m_queue.end(), [&run](const Waiting& entry) { return entry.request.run == run; });
+    if (waiting != m_queue.end()) {
+        m_queue.erase(waiting);
+        returnRun(executor, run, ReturnReason::Withdrawn);
+        return;
+    }
+    for (auto& entry : m_upstreams) {
+        const auto found = entry.second.runs.find(run);
+        if (found == entry.second.runs.end())
+            continue;
+        if (!withdrawn.onlyIfWaiting)
+            stopRun(entry.second, found->second, StopCause::Withdrawn, now);
+        return;
+    }
+    const auto ended = m_recentEnds.find(run);
+    if (ended != m_recentEnds.end())
+        m_port.tell(executor, { {}, {}, ended->second, {}, {}, {} });
+    else
+        returnRun(executor, run, ReturnReason::Withdrawn);
+}
+
+void UpstreamOwner::claim(const VmId& executor, const RunClaim& claim, TimePoint now)
+{
+    const auto ended = m_recentEnds.find(claim.run);
+    if (ended != m_recentEnds.end()) {
+        m_port.tell(executor, { {}, {}, ended->second, {}, {}, {} });
+        return;
+    }
+    OwnedUpstream* upstream = find(claim.upstream);
+    if (!upstream) {
+        returnRun(executor, claim.run, ReturnReason::Lost);
+        return;
+    }
+    const auto found = upstream->runs.find(claim.run);
+    if (found != upstream->runs.end()) {
+        found->second.executor = executor;
+        return;
+    }
+    if (upstream->known) {
+        returnRun(executor, claim.run, ReturnReason::Lost);
+        return;
+    }
+    // The first look tells whether the run is there.
+    OwnedRun run;
+    run.request.run = claim.run;
+    run.request.need = m_ordinaryNeed;
+    run.request.latestStart = now;
+    run.executor = executor;
+    run.state = RunState::Running;
+    run.orderedAt = now;
+    run.confirmedAt = upstream->ownedSince;
+    upstream->used = upstream->used + run.request.need;
+    upstream->runs.emplace(claim.run, std::move(run));
+}
+
+void UpstreamOwner::dropExecutor(const VmId& executor, TimePoint now)
+{
+    m_queue.erase(std::remove_if(m_queue.begin(), m_queue.end(), [&executor](const Waiting& entry) { return entry.executor == executor; }), m_queue.end());
+    for (auto& entry : m_upstreams) {
+        for (auto& run : entry.second.runs) {
+            if (run.second.executor == executor)
+                stopRun(entry.second, run.second, StopCause::ExecutorGone, now);
+        }
+    }
+}
+
+std::optional<LookOrder> UpstreamOwner::nextLook(const UpstreamId& upstream, TimePoint now)
+{
+    OwnedUpstream* owned = find(upstream);
+    if (!owned)
+        return std::nullopt;
+    LookOrder order;
+    order.upstream = upstream;
+    order.token = owned->token;
+    order.acknowledged = owned->acknowledged;
+    const bool extends = owned->known && owned->claimsSettled && owned->failedLooks == 0 && owned->clockOffset;
+    order.wait = extends ? m_limits.lookWait : Milliseconds { 0 };
+    if (extends) {
+        order.leaseEnd = clockAt(*owned, now) + m_limits.lease;
+        noteLease(*owned, m_limits, now);
+    }
+    return order;
+}
+
+void UpstreamOwner::onLook(const UpstreamId& upstream, const LookOrder& order, const LookReply& reply, TimePoint sentAt, TimePoint now)
+{
+    OwnedUpstream* owned = find(upstream);
+    if (!owned || order.token < owned->token)
+        return;
+    if (reply.outcome == OrderOutcome::Fenced) {
+        if (!owned->fenced)
+            m_port.note({ NoteKind::Fenced, upstream, {}, "look", {}, owned->token.value });
+        owned->fenced = true;
+        return;
+    }
+    if (reply.outcome != OrderOutcome::Accepted) {
+        ++owned->failedLooks;
+        return;
+    }
+    const bool reborn = reply.startedAt && owned->info.startedAt.count() > 0 && *reply.startedAt > owned->info.startedAt;
+    if (reborn) {
+        m_port.note({ NoteKind::Reborn, upstream, {}, "look", {}, owned->runs.size() });
+        loseRuns(*owned);
+        owned->acknowledged = 0;
+        owned->clockOffset.reset();
+    }
+    if (reply.startedAt && *reply.startedAt >= owned->info.startedAt)
+        owned->info.startedAt = *reply.startedAt;
+    readClock(*owned, reply.clock, now);
+    owned->failedLooks = 0;
+    owned->lastGoodLook = now;
+    owned->blocked = false;
+    takeEnds(*owned, reply, now);
+    compareRunning(*owned, reply, sentAt, now);
+    owned->known = true;
+    checkClaims(*owned, now);
+    startWaiting(now);
+}
+
+void UpstreamOwner::takeEnds(OwnedUpstream& upstream, const LookReply& reply, TimePoint now)
+{
+    for (const ListedEnd& end : reply.ended) {
+        if (end.number <= upstream.acknowledged)
+            continue;
+        upstream.acknowledged = end.number;
+        const auto found = upstream.runs.find(end.run);
+        if (found == upstream.runs.end()) {
+            const RunEnded ended { end.run, upstream.info.id, end.how, Milliseconds { 0 } };
+            m_recentEnds[end.run] = ended;
+            m_recentOrder.emplace_back(now, end.run);
+            continue;
+        }
+        OwnedRun run = std::move(found->second);
+        upstream.used = upstream.used - run.request.need;
+        upstream.runs.erase(found);
+        finishRun(upstream, std::move(run), end.how, now);
+    }
+}
+
+void UpstreamOwner::finishRun(OwnedUpstream& upstream, OwnedRun run, RunEnd how, TimePoint now)
+{
+    const bool measured = run.state != RunState::Starting && run.confirmedAt != TimePoint {};
+    const Milliseconds took = measured ? toMilliseconds(now - run.confirmedAt) : Milliseconds { 0 };
+    const RunEnded ended { run.request.run, upstream.info.id, how, took, upstream.info.kind };
+    m_recentEnds[run.request.run] = ended;
+    m_recentOrder.emplace_back(now, run.request.run);
+    if (how == RunEnd::Done) {
+        upstream.failuresInARow = 0;
+        if (upstream.probing)
+            m_port.note({ NoteKind::Resumed, upstream.info.id, run.request.run, {}, took, 0 });
+        upstream.probing = false;
+        upstream.pauses = 0;
+        if (measured && run.request.expected.count() > 0)
+            m_runTimes.record(run.request.route, upstream.info.kind, run.request.estimate, took);
+    } else if (how == RunEnd::Failed) {
+        ++upstream.failuresInARow;
+        if (upstream.failuresInARow >= m_limits.failuresBeforePause || upstream.probing) {
+            upstream.pausedUntil = now + std::min(m_limits.longestPause, m_limits.firstPause * (1 << std::min(upstream.pauses, 6)));
+            ++upstream.pauses;
+            upstream.probing = true;
+            upstream.failuresInARow = 0;
+            m_port.note({ NoteKind::Paused, upstream.info.id, run.request.run, "failed-runs", toMilliseconds(upstream.pausedUntil - now), static_cast<std::uint64_t>(upstream.pauses) });
+        }
+    }
+    if (!run.executor.empty())
+        m_port.tell(run.executor, { {}, {}, ended, {}, {}, {} });
+}
+
+void UpstreamOwner::compareRunning(OwnedUpstream& upstream, const LookReply& reply, TimePoint sentAt, TimePoint now)
+{
+    const std::set<TaskRun> listed(reply.running.begin(), reply.running.end());
+    for (const TaskRun& run : reply.running) {
+        const auto found = upstream.runs.find(run);
+        if (found == upstream.runs.end()) {
+            if (m_recentEnds.count(run) == 0)
+                adoptUnknown(upstream, run, now);
+            continue;
+        }
+        OwnedRun& owned = found->second;
+        if (owned.state == RunState::Starting) {
+            owned.state = RunState::Running;
+            owned.doubtful = false;
+            owned.confirmedAt = now;
+            m_port.tell(owned.executor, { {}, RunStarted { run, upstream.info.id }, {}, {}, {}, {} });
+        }
+    }
+    if (reply.ended.size() >= endPageSize)
+        return;
+    std::vector<TaskRun> missing;
+    for (const auto& entry : upstream.runs) {
+        const OwnedRun& run = entry.second;
+        if (listed.count(entry.first) > 0)
+            continue;
+        const bool ranBefore = run.state == RunState::Running && run.confirmedAt < sentAt;
+        const bool stoppedBefore = run.state == RunState::Stopping && run.stopAcceptedAt && *run.stopAcceptedAt < sentAt;
+        if (ranBefore || stoppedBefore)
+            missing.push_back(entry.first);
+    }
+    for (const TaskRun& run : missing) {
+        const VmId executor = upstream.runs.at(run).executor;
+        forget(upstream, run);
+        if (!executor.empty())
+            returnRun(executor, run, ReturnReason::Lost);
+    }
+    // A start without an answer that no look shows: a stop keeps it from being carried out later.
+    for (auto& entry : upstream.runs) {
+        OwnedRun& run = entry.second;
+        if (run.state == RunState::Starting && run.doubtful && run.orderedAt < sentAt)
+            stopRun(upstream, run, StopCause::Doubtful, now);
+    }
+}
+
+void UpstreamOwner::adoptUnknown(OwnedUpstream& upstream, const TaskRun& run, TimePoint now)
+{
+    OwnedRun adopted;
+    adopted.request.run = run;
+    adopted.request.need = m_ordinaryNeed;
+    adopted.request.latestStart = now;
+    adopted.state = RunState::Running;
+    adopted.orderedAt = now;
+    adopted.confirmedAt = now;
+    upstream.used = upstream.used + adopted.request.need;
+    OwnedRun& stored = upstream.runs.emplace(run, std::move(adopted)).first->second;
+    if (upstream.claimsSettled)
+        stopRun(upstream, stored, StopCause::Unclaimed, now);
+}
+
+void UpstreamOwner::checkClaims(OwnedUpstream& upstream, TimePoint now)
+{
+    if (upstream.claimsSettled || !upstream.known)
+        return;
+    const bool graceOver = now - upstream.ownedSince >= m_limits.claimGrace;
+    bool open = false;
+    for (auto& entry : upstream.runs) {
+        if (!entry.second.executor.empty())
+            continue;
+        open = true;
+        if (graceOver)
+            stopRun(upstream, entry.second, StopCause::Unclaimed, now);
+    }
+    upstream.claimsSettled = !open;
+}
+
+void UpstreamOwner::onStartReply(const StartOrder& order, const OrderReply& reply, TimePoint now)
+{
+    OwnedUpstream* upstream = find(order.upstream);
+    if (!upstream)
+        return;
+    readClock(*upstream, reply.clock, now);
+    const auto found = upstream->runs.find(order.run);
+    if (found == upstream->runs.end() || found->second.state == RunState::Running)
+        return;
+    OwnedRun& run = found->second;
+    if (reply.outcome == OrderOutcome::Accepted) {
+        run.confirmedAt = now;
+        if (run.state == RunState::Stopping)
+            return;
+        run.state = RunState::Running;
+        m_port.tell(run.executor, { {}, RunStarted { order.run, order.upstream }, {}, {}, {}, {} });
+        return;
+    }
+    if (reply.outcome == OrderOutcome::Unknown) {
+        run.doubtful = true;
+        m_port.note({ NoteKind::StartUnanswered, order.upstream, order.run, {}, toMilliseconds(now - run.orderedAt), 0 });
+        m_port.lookNow(order.upstream);
+        return;
+    }
+    // Everything else says that the run is not at work and that this order never will start it.
+    OwnedRun refused = run;
+    forget(*upstream, order.run);
+    switch (reply.outcome) {
+    case OrderOutcome::Superseded:
+        returnRun(refused.executor, order.run, ReturnReason::Superseded);
+        return;
+    case OrderOutcome::Malformed:
+        returnRun(refused.executor, order.run, ReturnReason::Impossible);
+        return;
+    case OrderOutcome::NoRoom:
+    case OrderOutcome::Late:
+        upstream->blocked = true;
+        m_port.lookNow(order.upstream);
+        break;
+    case OrderOutcome::Fenced:
+        upstream->fenced = true;
+        m_port.note({ NoteKind::Fenced, order.upstream, order.run, "start", {}, order.token.value });
+        break;
+    default:
+        upstream->pausedUntil = now + std::min(m_limits.longestPause, m_limits.firstPause * (1 << std::min(upstream->pauses, 6)));
+        ++upstream->pauses;
+        m_port.note({ NoteKind::Paused, order.upstream, order.run, "start-refused", toMilliseconds(upstream->pausedUntil - now), static_cast<std::uint64_t>(upstream->pauses) });
+        break;
+    }
+    if (refused.state == RunState::Stopping)
+        returnRun(refused.executor, order.run, ReturnReason::Withdrawn);
+    else
+        requeue(refused, now);
+    startWaiting(now);
+}
+
+void UpstreamOwner::onStopReply(const StopOrder& order, const OrderReply& reply, TimePoint now)
+{
+    OwnedUpstream* upstream = find(order.upstream);
+    if (!upstream)
+        return;
+    readClock(*upstream, reply.clock, now);
+    const auto found = upstream->runs.find(order.run);
+    if (found == upstream->runs.end())
+        return;
+    if (reply.outcome == OrderOutcome::Accepted)
+        found->second.stopAcceptedAt = now + m_limits.stopTime;
+    else if (reply.outcome == OrderOutcome::Fenced)
+        upstream->fenced = true;
+}
+
+void UpstreamOwner::tick(TimePoint now)
+{
+    expireWaiting(now);
+    std::vector<UpstreamId> done;
+    for (auto& entry : m_upstreams) {
+        OwnedUpstream& upstream = entry.second;
+        checkClaims(upstream, now);
+        checkRuns(upstream, now);
+        const bool silent = upstream.failedLooks >= failedLooksBeforeSilence || upstream.gone;
+        if (silent && now > upstream.lapsedBy && !upstream.runs.empty()) {
+            m_port.note({ NoteKind::RunsLost, entry.first, {}, "lease-lapsed", toMilliseconds(now - upstream.lastGoodLook), upstream.runs.size() });
+            loseRuns(upstream);
+        }
+        if (upstream.gone && upstream.runs.empty() && now > upstream.lapsedBy)
+            done.push_back(entry.first);
+    }
+    for (const UpstreamId& upstream : done)
+        release(upstream, now);
+    while (!m_recentOrder.empty() && now - m_recentOrder.front().first > m_limits.endMemory) {
+        m_recentEnds.erase(m_recentOrder.front().second);
+        m_recentOrder.erase(m_recentOrder.begin());
+    }
+    startWaiting(now);
+}
+
+void UpstreamOwner::checkRuns(OwnedUpstream& upstream, TimePoint now)
+{
+    constexpr Milliseconds stopRepeat { 150 };
+    for (auto& entry : upstream.runs) {
+        OwnedRun& run = entry.second;
+        if (run.state == RunState::Stopping && !run.stopAcceptedAt && now - run.stopSentAt > stopRepeat && upstream.failedLooks == 0) {
+            run.stopSentAt = now;
+            m_port.stop({ upstream.info.id, entry.first, upstream.token });
+        }
+        if (run.state != RunState::Running || run.request.expected.count() == 0)
+            continue;
+        const auto allowed = std::chrono::duration_cast<Duration>(run.request.expected * durationOn(upstream, run.request) * m_limits.hangFactor) + m_limits.hangAllowance;
+        if (now - run.confirmedAt <= allowed)
+            continue;
+        stopRun(upstream, run, StopCause::Hanging, now);
+        upstream.pausedUntil = now + std::min(m_limits.longestPause, m_limits.firstPause * (1 << std::min(upstream.pauses, 6)));
+        ++upstream.pauses;
+        upstream.probing = true;
+        m_port.note({ NoteKind::Paused, upstream.info.id, entry.first, "hanging-run", toMilliseconds(upstream.pausedUntil - now), static_cast<std::uint64_t>(upstream.pauses) });
+    }
+}
+
+void UpstreamOwner::expireWaiting(TimePoint now)
+{
+    const auto expired = [this, now](const Waiting& waiting) {
+        if (waiting.request.latestStart >= now)
+            return false;
+        m_port.note({ NoteKind::RequestExpired, {}, waiting.request.run, {}, toMilliseconds(now - waiting.since), m_queue.size() });
+        returnRun(waiting.executor, waiting.request.run, ReturnReason::Expired);
+        return true;
+    };
+    m_queue.erase(std::remove_if(m_queue.begin(), m_queue.end(), expired), m_queue.end());
+}
+
+void UpstreamOwner::startWaiting(TimePoint now)
+{
+    if (!m_starting || m_queue.empty())
+        return;
+    std::vector<Waiting> kept;
+    std::vector<Waiting> queue;
+    queue.swap(m_queue);
+    for (Waiting& waiting : queue) {
+        OwnedUpstream* upstream = waiting.request.latestStart >= now ? bestFor(waiting.request, now) : nullptr;
+        if (upstream)
+            startOn(*upstream, waiting, now);
+        else
+            kept.push_back(std::move(waiting));
+    }
+    m_queue = std::move(kept);
+}
+
+double UpstreamOwner::durationOn(const OwnedUpstream& upstream, const RunRequest& request) const
+{
+    const bool far = !request.dataRack.empty() && request.dataRack != upstream.info.rack;
+    return m_runTimes.slowness(upstream.info.kind) * (far ? m_limits.farFactor : 1);
+}
+
+OwnedUpstream* UpstreamOwner::bestFor(const RunRequest& request, TimePoint now)
+{
+    OwnedUpstream* best = nullptr;
+    double bestDuration = 0;
+    std::int64_t bestLeft = 0;
+    for (auto& entry : m_upstreams) {
+        OwnedUpstream& upstream = entry.second;
+        const bool matches = upstream.info.service == request.service && hasLabel(upstream.info, request.requiredLabel);
+        if (!matches || !takesRuns(upstream, m_limits, now) || !fits(request.need, upstream.available()))
+            continue;
+        if (std::find(request.avoid.begin(), request.avoid.end(), entry.first) != request.avoid.end())
+            continue;
+        if (request.maxPerUpstream > 0 && runsOfStep(upstream, request.run.task) >= request.maxPerUpstream)
+            continue;
+        const double duration = durationOn(upstream, request);
+        const auto extra = std::chrono::duration_cast<Duration>(request.expected * (duration - 1));
+        if (now + extra > request.latestStart)
+            continue;
+        const std::int64_t left = (upstream.available() - request.need).milliCores;
+        if (best && (duration > bestDuration || (duration == bestDuration && left >= bestLeft)))
+            continue;
+        best = &upstream;
+        bestDuration = duration;
+        bestLeft = left;
+    }
+    return best;
+}
+
+void UpstreamOwner::startOn(OwnedUpstream& upstream, const Waiting& waiting, TimePoint now)
+{
+    OwnedRun run;
+    run.request = waiting.request;
+    run.executor = waiting.executor;
+    run.orderedAt = now;
+    upstream.used = upstream.used + run.request.need;
+    upstream.runs.emplace(waiting.request.run, run);
+    noteLease(upstream, m_limits, now);
+    m_port.start({ upstream.info.id, waiting.request.run, waiting.request.spec, upstream.token, clockAt(upstream, now) + m_limits.lease });
+}
+
+void UpstreamOwner::stopRun(OwnedUpstream& upstream, OwnedRun& run, StopCause cause, TimePoint now)
+{
+    if (run.state == RunState::Stopping)
+        return;
+    run.state = RunState::Stopping;
+    run.stopCause = cause;
+    run.stopSentAt = now;
+    m_port.note({ NoteKind::RunStopped, upstream.info.id, run.request.run, causeName(cause), toMilliseconds(now - run.orderedAt), 0 });
+    m_port.stop({ upstream.info.id, run.request.run, upstream.token });
+}
+
+void UpstreamOwner::requeue(OwnedRun& run, TimePoint now)
+{
+    insertWaiting({ run.executor, run.request, now });
+}
+
+void UpstreamOwner::insertWaiting(Waiting waiting)
+{
+    const auto place = std::upper_bound(m_queue.begin(), m_queue.end(), waiting, [](const Waiting& left, const Waiting& right) { return waitsBefore(left.request, right.request); });
+    m_queue.insert(place, std::move(waiting));
+}
+
+void UpstreamOwner::forget(OwnedUpstream& upstream, const TaskRun& run)
+{
+    const auto found = upstream.runs.find(run);
+    if (found == upstream.runs.end())
+        return;
+    upstream.used = upstream.used - found->second.request.need;
+    upstream.runs.erase(found);
+}
+
+void UpstreamOwner::returnRun(const VmId& executor, const TaskRun& run, ReturnReason reason)
+{
+    if (!executor.empty())
+        m_port.tell(executor, { {}, {}, {}, RunReturned { run, reason }, {}, {} });
+}
+
+void UpstreamOwner::loseRuns(OwnedUpstream& upstream)
+{
+    for (const auto& entry : upstream.runs)
+        returnRun(entry.second.executor, entry.first, ReturnReason::Lost);
+    upstream.runs.clear();
+    upstream.used = {};
+}
+
+void UpstreamOwner::noteNeed(const Resources& need)
+{
+    const auto follow = [](std::int64_t& mean, std::int64_t value) {
+        mean = mean == 0 ? value : mean + static_cast<std::int64_t>(static_cast<double>(value - mean) * needShare);
+    };
+    follow(m_ordinaryNeed.milliCores, need.milliCores);
+    follow(m_ordinaryNeed.memoryMb, need.memoryMb);
+    follow(m_ordinaryNeed.accelerators, need.accelerators);
+}
+
+RoomReport UpstreamOwner::room(TimePoint now) const
+{
+    std::map<std::pair<std::string, std::string>, KindRoom> kinds;
+    for (const auto& entry : m_upstreams) {
+        const OwnedUpstream& upstream = entry.second;
+        KindRoom& kind = kinds[{ upstream.info.service, upstream.info.kind }];
+        kind.service = upstream.info.service;
+        kind.kind = upstream.info.kind;
+        kind.slowness = m_runTimes.slowness(kind.kind);
+        if (!m_starting || !takesRuns(upstream, m_limits, now))
+            continue;
+        // Until the first task has been seen, an upstream counts as room for one.
+        const bool unseen = m_ordinaryNeed == Resources {};
+        kind.freeTasks += unseen ? 1 : tasksThatFit(upstream.available(), m_ordinaryNeed);
+        kind.totalTasks += unseen ? 1 : tasksThatFit(upstream.info.capacity, m_ordinaryNeed);
+    }
+    RoomReport report;
+    for (auto& kind : kinds)
+        report.kinds.push_back(kind.second);
+    std::map<std::pair<std::string, int>, QueueLength> queues;
+    for (const Waiting& waiting : m_queue) {
+        QueueLength& queue = queues[{ waiting.request.service, waiting.request.priority }];
+        queue.service = waiting.request.service;
+        queue.priority = waiting.request.priority;
+        ++queue.tasks;
+        queue.work += waiting.request.expected;
+    }
+    for (auto& queue : queues)
+        report.queues.push_back(queue.second);
+    return report;
+}
+
+bool UpstreamOwner::couldEverRun(const std::string& service, const Resources& need) const
+{
+    return std::any_of(m_upstreams.begin(), m_upstreams.end(), [&](const auto& entry) {
+        return entry.second.info.service == service && fits(need, entry.second.info.capacity);
+    });
+}
+
+std::size_t UpstreamOwner::running() const
+{
+    std::size_t count = 0;
+    for (const auto& entry : m_upstreams)
+        count += entry.second.runs.size();
+    return count;
+}
+
+OwnedUpstream* UpstreamOwner::find(const UpstreamId& upstream)
+{
+    const auto found = m_upstreams.find(upstream);
+    return found == m_upstreams.end() ? nullptr : &found->second;
+}
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/fleet/include/egrettrestle/fleet/caller_front.hpp
@@ -0,0 +1,35 @@
+#pragma once
+
+#include <memory>
+
+#include <egrettrestle/fleet/fleet_node.hpp>
+#include <egrettrestle/http/server.hpp>
+
+namespace egrettrestle {
+
+/// Serves callers, the balancer's question for readiness, and metrics.
+class CallerFront : public KernelService {
+public:
+    explicit CallerFront(FleetNode& node);
+    ~CallerFront() override;
+
+    std::string name() const override { return fleetServices::callerFront; }
+    absl::Status start() override;
+    void stop() override;
+
+    /// Ends each connection with its next reply, so that callers turn to other VMs.
+    void sendCallersAway();
+
+private:
+    HttpResponse answer(const HttpRequest& request);
+    HttpResponse answerJob(const HttpRequest& request, const CallerCall& call);
+    HttpResponse answerReady(const HttpRequest& request) const;
+    bool isReady() const;
+
+    FleetNode& m_node;
+    std::unique_ptr<HttpServer> m_callers;
+    std::unique_ptr<HttpServer> m_ready;
+    std::unique_ptr<HttpServer> m_metrics;
+};
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/fleet/include/egrettrestle/fleet/peer_links.hpp
@@ -0,0 +1,75 @@
+#pragma once
+
+#include <condition_variable>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <thread>
+
+#include <egrettrestle/decision/view.hpp>
+#include <egrettrestle/fleet/fleet_node.hpp>
+#include <egrettrestle/http/client.hpp>
+#include <egrettrestle/http/server.hpp>
+#include <egrettrestle/wire/dispatch_messages.hpp>
+
+namespace egrettrestle {
+
+/// A VM that does not answer.
+struct SilentPeer {
+    VmId id;
+    Milliseconds silence { 0 };
+    /// Its port refuses connections: the process is gone, or something on the way refuses for it.
+    bool refuses = false;
+};
+
+/// Exchanges messages with the other VMs. Each peer gets one request at a time, which carries all that has gathered; it
+/// is repeated until it is answered, and acted on once. Safe for use by several threads.
+class PeerLinks : public KernelService {
+public:
+    explicit PeerLinks(FleetNode& node);
+    ~PeerLinks() override;
+
+    std::string name() const override { return fleetServices::peerLinks; }
+    absl::Status start() override;
+    void stop() override;
+
+    /// Keeps links to the members of a view; links to former members go on for a while.
+    void setView(const View& view);
+    void send(const VmId& vm, PeerMessage message);
+    /// Drops what waits for a VM.
+    void dropMessages(const VmId& vm);
+    /// Tells the links that the room here has changed.
+    void roomChanged();
+
+    std::vector<SilentPeer> silentPeers() const;
+
+    /// The text of the configuration that a peer has in force; empty if it cannot be had.
+    std::string fetchConfiguration(const std::string& address);
+
+private:
+    struct Peer;
+
+    HttpResponse receive(const HttpRequest& request);
+    DispatchReply take(const DispatchBatch& batch);
+    void sendLoop(const std::shared_ptr<Peer>& peer);
+    DispatchBatch makeBatch(Peer& peer);
+    void onReply(Peer& peer, const DispatchReply& reply, std::size_t sent);
+    void spawn(const std::shared_ptr<Peer>& peer);
+    Milliseconds roomInterval() const;
+
+    FleetNode& m_node;
+    HttpClient m_client;
+    std::unique_ptr<HttpServer> m_server;
+    mutable std::mutex m_mutex;
+    std::condition_variable m_ended;
+    std::map<VmId, std::shared_ptr<Peer>> m_peers;
+    std::map<VmId, std::pair<std::uint64_t, std::uint64_t>> m_inbound;
+    std::map<VmId, TimePoint> m_heardAt;
+    Epoch m_epoch;
+    std::uint64_t m_roomVersion = 0;
+    int m_threads = 0;
+    std::atomic<bool> m_stopping { false };
+};
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/fleet/src/fleet_settings.cpp
@@ -0,0 +1,86 @@
+#include <egrettrestle/fleet/fleet_settings.hpp>
+
+#include <fstream>
+
+#include <Poco/NumberParser.h>
+
+#include <egrettrestle/settings/ini_settings.hpp>
+
+namespace egrettrestle {
+
+namespace {
+
+    constexpr double longestGraceSeconds = 600;
+    constexpr double largestFarFactor = 100;
+
+    std::optional<double> realNumber(const std::string& value, double least, double most)
+    {
+        double number = 0;
+        if (!Poco::NumberParser::tryParseFloat(value, number) || number < least || number > most)
+            return std::nullopt;
+        return number;
+    }
+
+    std::string setStopGrace(FleetSettings& settings, const std::string& value)
+    {
+        const std::optional<double> seconds = realNumber(value, 0, longestGraceSeconds);
+        if (!seconds)
+            return "seconds, from 0 to 600";
+        settings.stopGrace = Milliseconds { static_cast<std::int64_t>(*seconds * 1'000) };
+        return {};
+    }
+
+    std::string setFarFactor(FleetSettings& settings, const std::string& value)
+    {
+        const std::optional<double> factor = realNumber(value, 1, largestFarFactor);
+        if (!factor)
+            return "a factor from 1 to 100";
+        settings.farFactor = *factor;
+        return {};
+    }
+
+    const std::vector<SettingRule<FleetSettings>>& rules()
+    {
+        static const std::vector<SettingRule<FleetSettings>> list {
+            { { "vm", "id", nullptr, "name of this VM, unlike any other's" }, nameSetter(&FleetSettings::id) },
+            { { "vm", "dataCentre", nullptr, "data centre of this VM" }, nameSetter(&FleetSettings::dataCentre) },
+            { { "listen", "caller", nullptr, "address for callers" }, addressSetter(&FleetSettings::callerAddress, false) },
+            { { "listen", "ready", nullptr, "address for the balancer's question whether this VM is ready" }, addressSetter(&FleetSettings::readyAddress, false) },
+            { { "listen", "peer", nullptr, "address for other VMs" }, addressSetter(&FleetSettings::peerAddress, false) },
+            { { "listen", "metrics", "", "address for metrics; empty: none" }, addressSetter(&FleetSettings::metricsAddress, true) },
+            { { "store", "address", nullptr, "address of the platform's store" }, addressSetter(&FleetSettings::storeAddress, false) },
+            { { "bounds", "longestLeaseMs", "1000", "longest lease that upstreams grant, milliseconds" }, numberSetter<FleetSettings>(100, 60'000, [](FleetSettings& settings, int value) { settings.longestLease = Milliseconds { value }; }) },
+            { { "bounds", "stopMs", "50", "longest time that a stop takes at an upstream, milliseconds" }, numberSetter<FleetSettings>(0, 10'000, [](FleetSettings& settings, int value) { settings.stopTime = Milliseconds { value }; }) },
+            { { "bounds", "graceS", "6", "time from the signal to end until the process is killed, seconds" }, setStopGrace },
+            { { "bounds", "farFactor", "1", "how many times as long a task takes away from its data" }, setFarFactor },
+        };
+        return list;
+    }
+
+}
+
+FleetSettingsParse parseFleetSettings(std::istream& text)
+{
+    FleetSettingsParse result;
+    FleetSettings settings = readByRules(text, rules(), result.faults);
+    if (result.faults.empty())
+        result.settings = std::move(settings);
+    return result;
+}
+
+FleetSettingsParse readFleetSettings(const std::string& path)
+{
+    std::ifstream file(path);
+    if (file)
+        return parseFleetSettings(file);
+    FleetSettingsParse result;
+    result.faults.push_back({ settingsFaults::unreadable, path, "no readable file", "a settings file" });
+    return result;
+}
+
+std::string fleetSettingsTable()
+{
+    return iniTable(keysOf(rules()));
+}
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/fleet/src/peer_links.cpp
@@ -0,0 +1,336 @@
+#include <egrettrestle/fleet/peer_links.hpp>
+
+#include <algorithm>
+
+#include <egrettrestle/fleet/dispatch_service.hpp>
+#include <egrettrestle/fleet/store_feed.hpp>
+
+namespace egrettrestle {
+
+namespace {
+
+    constexpr const char* dispatchPath = "/v1/dispatch";
+    constexpr const char* configurationPath = "/v1/configuration";
+    // A VM may be held off its processor for a tenth of a second, and a packet may be lost once.
+    constexpr HttpCallTimes peerTimes { Milliseconds { 200 }, Milliseconds { 350 } };
+    // Several fit into the silence after which a VM's runs are stopped.
+    constexpr Milliseconds keepAlive { 120 };
+    constexpr Milliseconds retryPause { 40 };
+    // Messages older than this by the receiver's own clock are not acted on: the silence after which runs are stopped.
+    constexpr Milliseconds oldestMark { 600 };
+    // Links to VMs that are no longer members go on for so long after the last word from them.
+    constexpr Milliseconds formerMember { 3'000 };
+    // Room is told at most this often to few peers, and less often to many, so that its cost for a VM stays the same.
+    constexpr Milliseconds shortestRoomInterval { 15 };
+    constexpr int peersAtShortestInterval = 5;
+    constexpr int mostConnections = 200;
+
+    std::uint64_t markNow()
+    {
+        return static_cast<std::uint64_t>(toMilliseconds(bootNow().time_since_epoch()).count());
+    }
+
+}
+
+/// The way to one VM.
+struct PeerLinks::Peer {
+    VmId id;
+    std::string address;
+    bool member = true;
+    std::condition_variable wake;
+    std::deque<PeerMessage> outbox;
+    std::uint64_t receiverLife = 0;
+    std::uint64_t mark = 0;
+    std::uint64_t sequence = 1;
+    std::uint64_t roomVersion = 0;
+    /// Messages of the batch that is on its way or has to be repeated.
+    std::size_t inBatch = 0;
+    TimePoint lastSent;
+    TimePoint answeredAt;
+    TimePoint formerSince;
+    int refusals = 0;
+};
+
+PeerLinks::PeerLinks(FleetNode& node)
+    : m_node(node)
+{
+}
+
+PeerLinks::~PeerLinks()
+{
+    stop();
+}
+
+absl::Status PeerLinks::start()
+{
+    HttpServerLimits limits;
+    limits.maxConnections = mostConnections;
+    limits.stopPoll = Milliseconds { 500 };
+    m_server = std::make_unique<HttpServer>(m_node.settings.peerAddress, limits, [this](const HttpRequest& request) { return receive(request); });
+    return m_server->start();
+}
+
+void PeerLinks::stop()
+{
+    m_stopping = true;
+    {
+        std::unique_lock<std::mutex> lock(m_mutex);
+        for (const auto& entry : m_peers)
+            entry.second->wake.notify_all();
+        m_ended.wait(lock, [this] { return m_threads == 0; });
+    }
+    if (m_server)
+        m_server->stop();
+}
+
+void PeerLinks::setView(const View& view)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    m_epoch = view.epoch;
+    for (auto& entry : m_peers) {
+        const Member* member = findMember(view, entry.first);
+        if (entry.second->member && !member)
+            entry.second->formerSince = bootNow();
+        entry.second->member = member != nullptr;
+    }
+    for (const Member& member : view.members) {
+        if (member.id == m_node.settings.id)
+            continue;
+        std::shared_ptr<Peer>& peer = m_peers[member.id];
+        if (peer) {
+            peer->address = member.peerAddress;
+            continue;
+        }
+        peer = std::make_shared<Peer>();
+        peer->id = member.id;
+        peer->address = member.peerAddress;
+        peer->answeredAt = bootNow();
+        spawn(peer);
+    }
+}
+
+/// Called with m_mutex held.
+void PeerLinks::spawn(const std::shared_ptr<Peer>& peer)
+{
+    ++m_threads;
+    std::thread([this, peer] {
+        sendLoop(peer);
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        const auto found = m_peers.find(peer->id);
+        if (found != m_peers.end() && found->second == peer)
+            m_peers.erase(found);
+        --m_threads;
+        m_ended.notify_all();
+    }).detach();
+}
+
+void PeerLinks::send(const VmId& vm, PeerMessage message)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const auto found = m_peers.find(vm);
+    if (found == m_peers.end())
+        return;
+    found->second->outbox.push_back(std::move(message));
+    found->second->wake.notify_one();
+}
+
+void PeerLinks::dropMessages(const VmId& vm)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    const auto found = m_peers.find(vm);
+    if (found == m_peers.end())
+        return;
+    found->second->outbox.clear();
+    found->second->inBatch = 0;
+    ++found->second->sequence;
+}
+
+void PeerLinks::roomChanged()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    ++m_roomVersion;
+}
+
+Milliseconds PeerLinks::roomInterval() const
+{
+    const int peers = static_cast<int>(m_peers.size());
+    return shortestRoomInterval * std::max(1, peers / peersAtShortestInterval);
+}
+
+DispatchBatch PeerLinks::makeBatch(Peer& peer)
+{
+    DispatchService& dispatch = m_node.kernel.find<DispatchService>(fleetServices::dispatch);
+    DispatchBatch batch;
+    batch.from = m_node.settings.id;
+    batch.life = m_node.life;
+    batch.address = m_node.settings.peerAddress;
+    const std::shared_ptr<const Configuration> configuration = dispatch.configuration();
+    batch.configurationVersion = configuration ? configuration->version : 0;
+    dispatch.with([&](Dispatcher& dispatcher, TimePoint now) {
+        batch.room = dispatcher.room(now);
+        batch.room.requestsSeen = dispatcher.requestsSeen(peer.id);
+    });
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    batch.epoch = m_epoch;
+    batch.receiverLife = peer.receiverLife;
+    batch.mark = peer.mark;
+    batch.sequence = peer.sequence;
+    peer.inBatch = peer.outbox.size();
+    batch.messages.assign(peer.outbox.begin(), peer.outbox.end());
+    peer.roomVersion = m_roomVersion;
+    peer.lastSent = bootNow();
+    return batch;
+}
+
+void PeerLinks::sendLoop(const std::shared_ptr<Peer>& peer)
+{
+    bool repeat = false;
+    while (!m_stopping) {
+        std::string address;
+        {
+            std::unique_lock<std::mutex> lock(m_mutex);
+            const TimePoint now = bootNow();
+            const bool former = !peer->member && now - std::max(peer->formerSince, peer->answeredAt) > formerMember;
+            if (former)
+                return;
+            if (repeat) {
+                peer->wake.wait_for(lock, retryPause, [this] { return m_stopping.load(); });
+            } else {
+                const Milliseconds sinceSent = toMilliseconds(now - peer->lastSent);
+                const Milliseconds wait = std::max(Milliseconds { 0 }, (peer->roomVersion != m_roomVersion ? roomInterval() : keepAlive) - sinceSent);
+                peer->wake.wait_for(lock, wait, [&] { return m_stopping || !peer->outbox.empty(); });
+            }
+            address = peer->address;
+        }
+        const DispatchBatch batch = makeBatch(*peer);
+        HttpRequest request;
+        request.method = "POST";
+        request.path = dispatchPath;
+        request.body = toText(batch, bootNow());
+        const HttpResult result = m_client.call(address, request, peerTimes);
+        const std::optional<DispatchReply> reply = result.ok() && result.response.status == httpStatus::ok ? parseDispatchReply(result.response.body) : std::nullopt;
+        repeat = !reply;
+        if (reply) {
+            onReply(*peer, *reply, batch.messages.size());
+            continue;
+        }
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        peer->refusals = result.failure == HttpFailure::ConnectFailed ? peer->refusals + 1 : 0;
+    }
+}
+
+void PeerLinks::onReply(Peer& peer, const DispatchReply& reply, std::size_t sent)
+{
+    DispatchService& dispatch = m_node.kernel.find<DispatchService>(fleetServices::dispatch);
+    bool reborn = false;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        reborn = peer.receiverLife != 0 && peer.receiverLife != reply.life;
+        peer.receiverLife = reply.life;
+        peer.mark = reply.mark;
+        peer.answeredAt = bootNow();
+        peer.refusals = 0;
+        if (reply.taken) {
+            const std::size_t done = std::min({ sent, peer.inBatch, peer.outbox.size() });
+            peer.outbox.erase(peer.outbox.begin(), peer.outbox.begin() + static_cast<std::ptrdiff_t>(done));
+            peer.inBatch = 0;
+            ++peer.sequence;
+        }
+        if (reborn) {
+            peer.outbox.clear();
+            peer.inBatch = 0;
+        }
+    }
+    if (reborn) {
+        m_node.log.write(events::vmReborn, { { "peer", peer.id }, { "life", static_cast<std::int64_t>(reply.life) }, { "seen", "reply" } });
+        dispatch.with([&](Dispatcher& dispatcher, TimePoint now) { dispatcher.onPeerReborn(peer.id, now); });
+    }
+    if (reply.taken)
+        dispatch.with([&](Dispatcher& dispatcher, TimePoint now) { dispatcher.onPeerAnswered(peer.id, now); });
+    const std::shared_ptr<const Configuration> configuration = dispatch.configuration();
+    if (reply.configurationVersion > (configuration ? configuration->version : 0)) {
+        const std::string text = fetchConfiguration(peer.address);
+        if (!text.empty())
+            m_node.kernel.find<StoreFeed>(fleetServices::storeFeed).takeConfiguration(text, "peer");
+    }
+}
+
+std::string PeerLinks::fetchConfiguration(const std::string& address)
+{
+    HttpRequest request;
+    request.path = configurationPath;
+    const HttpResult result = m_client.call(address, request, peerTimes);
+    return result.ok() && result.response.status == httpStatus::ok ? result.response.body : std::string();
+}
+
+HttpResponse PeerLinks::receive(const HttpRequest& request)
+{
+    HttpResponse response;
+    if (request.method == "GET" && request.path == configurationPath) {
+        response.body = m_node.kernel.find<DispatchService>(fleetServices::dispatch).configurationText();
+        return response;
+    }
+    if (request.method != "POST" || request.path != dispatchPath) {
+        response.status = httpStatus::notFound;
+        return response;
+    }
+    const std::optional<DispatchBatch> batch = parseDispatchBatch(request.body, bootNow());
+    if (!batch) {
+        response.status = httpStatus::badRequest;
+        return response;
+    }
+    response.body = toText(take(*batch));
+    return response;
+}
+
+DispatchReply PeerLinks::take(const DispatchBatch& batch)
+{
+    DispatchService& dispatch = m_node.kernel.find<DispatchService>(fleetServices::dispatch);
+    DispatchReply reply;
+    reply.life = m_node.life;
+    reply.mark = markNow();
+    const std::shared_ptr<const Configuration> configuration = dispatch.configuration();
+    reply.configurationVersion = configuration ? configuration->version : 0;
+    bool reborn = false;
+    bool fresh = false;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        reply.epoch = m_epoch;
+        if (batch.receiverLife != m_node.life || reply.mark > batch.mark + static_cast<std::uint64_t>(oldestMark.count()))
+            return reply;
+        const auto known = m_inbound.find(batch.from);
+        reborn = known != m_inbound.end() && known->second.first != batch.life;
+        if (reborn && batch.life < known->second.first && bootNow() - m_heardAt[batch.from] < oldestMark)
+            return reply;
+        if (known == m_inbound.end() || reborn)
+            m_inbound[batch.from] = { batch.life, 0 };
+        fresh = batch.sequence > m_inbound[batch.from].second;
+        if (fresh)
+            m_inbound[batch.from].second = batch.sequence;
+        m_heardAt[batch.from] = bootNow();
+    }
+    if (reborn) {
+        m_node.log.write(events::vmReborn, { { "peer", batch.from }, { "life", static_cast<std::int64_t>(batch.life) }, { "seen", "batch" } });
+        dispatch.with([&](Dispatcher& dispatcher, TimePoint now) { dispatcher.onPeerReborn(batch.from, now); });
+    }
+    if (fresh)
+        dispatch.with([&](Dispatcher& dispatcher, TimePoint now) { dispatcher.onPeerMessages(batch.from, batch.messages, batch.room, now); });
+    reply.taken = true;
+    return reply;
+}
+
+std::vector<SilentPeer> PeerLinks::silentPeers() const
+{
+    // Below this a VM counts as present.
+    constexpr Milliseconds shortestSilence { 150 };
+    std::vector<SilentPeer> silent;
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    for (const auto& entry : m_peers) {
+        const Milliseconds silence = toMilliseconds(bootNow() - entry.second->answeredAt);
+        if (entry.second->member && silence > shortestSilence)
+            silent.push_back({ entry.first, silence, entry.second->refusals > 1 });
+    }
+    return silent;
+}
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/fleet/src/store_feed.cpp
@@ -0,0 +1,172 @@
+#include <egrettrestle/fleet/store_feed.hpp>
+
+#include <egrettrestle/fleet/dispatch_service.hpp>
+#include <egrettrestle/fleet/membership.hpp>
+
+namespace egrettrestle {
+
+namespace {
+
+    constexpr Milliseconds retryPause { 150 };
+    // Upstreams write at every heartbeat; gathering them saves calls and leaves time within the bound on draining.
+    constexpr Milliseconds heartbeatGather { 500 };
+    // A watch goes on until it fails.
+    constexpr Milliseconds watchLength { 3'600'000 };
+
+    bool startsWith(const std::string& text, const std::string& prefix)
+    {
+        return text.compare(0, prefix.size(), prefix) == 0;
+    }
+
+}
+
+StoreFeed::StoreFeed(FleetNode& node)
+    : m_node(node)
+{
+}
+
+StoreFeed::~StoreFeed()
+{
+    stop();
+}
+
+absl::Status StoreFeed::start()
+{
+    const StoreFormats& formats = *m_node.site.formats;
+    m_streams.push_back({ formats.configurationPrefix(), Milliseconds { 0 }, 0, {}, false, {}, {} });
+    m_streams.push_back({ storeKeys::prefix, Milliseconds { 0 }, 0, {}, false, {}, {} });
+    m_streams.push_back({ formats.upstreamPrefix(), heartbeatGather, 0, {}, false, {}, {} });
+    for (Stream& stream : m_streams)
+        stream.thread = std::thread([this, &stream] { follow(stream); });
+    return absl::OkStatus();
+}
+
+void StoreFeed::stop()
+{
+    m_stopping = true;
+    for (Stream& stream : m_streams) {
+        if (stream.thread.joinable())
+            stream.thread.join();
+    }
+}
+
+void StoreFeed::follow(Stream& stream)
+{
+    bool complete = false;
+    while (!m_stopping) {
+        absl::Status status = absl::OkStatus();
+        if (!complete)
+            status = readAll(stream);
+        if (status.ok()) {
+            complete = true;
+            storeAnswers(stream);
+            status = m_node.site.store->watch(stream.prefix, stream.revision + 1, watchLength, stream.gatherTime, m_stopping, [this, &stream](const StoreEntry& entry) {
+                storeAnswers(stream);
+                stream.revision = std::max(stream.revision, entry.modRevision);
+                take(stream, entry);
+            });
+        }
+        if (status.ok() || m_stopping)
+            continue;
+        // What was missed cannot be had from the history any more.
+        if (errorNumber(status) == platformErrors::storeHistoryGone)
+            complete = false;
+        else
+            storeLost(stream, status);
+        std::this_thread::sleep_for(retryPause);
+    }
+}
+
+absl::Status StoreFeed::readAll(Stream& stream)
+{
+    absl::StatusOr<StoreSnapshot> snapshot = m_node.site.store->readPrefix(stream.prefix);
+    if (!snapshot.ok())
+        return snapshot.status();
+    std::set<std::string> present;
+    for (const StoreEntry& entry : snapshot->entries) {
+        present.insert(entry.key);
+        take(stream, entry);
+    }
+    const std::set<std::string> before = stream.keys;
+    for (const std::string& key : before) {
+        if (present.count(key) == 0)
+            dropUpstream(stream, key);
+    }
+    stream.revision = std::max(stream.revision, snapshot->revision);
+    return absl::OkStatus();
+}
+
+void StoreFeed::take(Stream& stream, const StoreEntry& entry)
+{
+    const StoreFormats& formats = *m_node.site.formats;
+    if (entry.key == formats.configurationKey()) {
+        if (!entry.removed)
+            takeConfiguration(entry.value, "store");
+    } else if (startsWith(entry.key, formats.upstreamPrefix())) {
+        if (entry.removed)
+            dropUpstream(stream, entry.key);
+        else
+            takeUpstream(stream, entry);
+    } else if (startsWith(entry.key, storeKeys::prefix)) {
+        m_node.kernel.find<FleetMembership>(fleetServices::membership).take(entry);
+    }
+}
+
+void StoreFeed::takeConfiguration(const std::string& text, const char* source)
+{
+    std::vector<Fault> faults;
+    std::optional<Configuration> configuration = m_node.site.formats->readConfiguration(text, faults);
+    if (!configuration) {
+        m_node.log.write(events::configurationRejected, { { "source", source }, { "fault", faults.empty() ? std::string() : toString(faults.front()) } });
+        return;
+    }
+    m_node.kernel.find<DispatchService>(fleetServices::dispatch).setConfiguration(std::make_shared<const Configuration>(std::move(*configuration)), text, source);
+}
+
+void StoreFeed::takeUpstream(Stream& stream, const StoreEntry& entry)
+{
+    std::vector<Fault> faults;
+    const std::optional<UpstreamInfo> upstream = m_node.site.formats->readUpstream(entry.key, entry.value, faults);
+    if (!upstream) {
+        m_node.log.write(events::entryRejected, { { "key", entry.key }, { "revision", static_cast<std::int64_t>(entry.modRevision) }, { "fault", faults.empty() ? std::string() : toString(faults.front()) } });
+        dropUpstream(stream, entry.key);
+        return;
+    }
+    stream.keys.insert(entry.key);
+    const bool changed = m_node.kernel.find<DispatchService>(fleetServices::dispatch).with([&upstream](Dispatcher& dispatcher, TimePoint now) {
+        const UpstreamInfo* known = dispatcher.upstream(upstream->id);
+        const bool differs = !known || *known != *upstream;
+        dispatcher.setUpstream(*upstream, now);
+        return differs;
+    });
+    if (changed)
+        m_node.log.write(events::upstreamListed, { { "upstream", upstream->id }, { "revision", static_cast<std::int64_t>(entry.modRevision) }, { "state", upstream->draining ? "draining" : "ready" }, { "startedAt", upstream->startedAt.count() } });
+}
+
+void StoreFeed::dropUpstream(Stream& stream, const std::string& key)
+{
+    if (stream.keys.erase(key) == 0)
+        return;
+    const UpstreamId id = key.substr(m_node.site.formats->upstreamPrefix().size());
+    m_node.log.write(events::upstreamUnlisted, { { "upstream", id } });
+    m_node.kernel.find<DispatchService>(fleetServices::dispatch).with([&id](Dispatcher& dispatcher, TimePoint now) { dispatcher.upstreamMissing(id, now); });
+}
+
+void StoreFeed::storeLost(Stream& stream, const absl::Status& status)
+{
+    if (stream.lost)
+        return;
+    stream.lost = true;
+    stream.lostSince = bootNow();
+    m_node.log.write(events::storeLost, { { "prefix", stream.prefix }, { "cause", std::string(status.message()) }, { "revision", static_cast<std::int64_t>(stream.revision) } });
+}
+
+void StoreFeed::storeAnswers(Stream& stream)
+{
+    if (!stream.lost)
+        return;
+    stream.lost = false;
+    m_node.log.write(events::storeBack, { { "prefix", stream.prefix }, { "awayMs", toMilliseconds(bootNow() - stream.lostSince).count() }, { "revision", static_cast<std::int64_t>(stream.revision) } });
+}
+
+} // namespace egrettrestle
--- a/packages/http/include/egrettrestle/http/message.hpp
+++ b/packages/http/include/egrettrestle/http/message.hpp
@@ -26,6 +26,8 @@
     std::string query;
     std::string body;
     std::vector<HttpHeader> headers;
+    /// Whether the client still holds its connection; set by a server for the time of the handler's call.
+    std::function<bool()> clientConnected = {};
 };
 
 /// The value of a query parameter, decoded; empty if it is not there.
--- a/packages/http/include/egrettrestle/http/server.hpp
+++ b/packages/http/include/egrettrestle/http/server.hpp
@@ -20,6 +20,8 @@
     Milliseconds receiveTimeout { 10'000 };
     /// An idle connection is closed after this time.
     Milliseconds idleTimeout { 60'000 };
+    /// How often an idle connection looks whether the server stops.
+    Milliseconds stopPoll { 100 };
 };
 
 /// What kept a request from being read.
@@ -46,6 +48,9 @@
     /// Listens. Unavailable if the address cannot be bound.
     absl::Status start();
 
+    /// From now on each reply ends its connection, so that clients turn elsewhere.
+    void closeAfterReplies();
+
     /// Accepts no more connections, lets requests in flight finish and closes all connections.
     void stop();
 
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -19,7 +19,6 @@
 
 namespace {
 
-    constexpr Milliseconds stopPollInterval { 100 };
     constexpr int listenBacklog = 512;
     constexpr int cannotListen = 901;
 
@@ -43,6 +42,7 @@
         HttpHandler handler;
         HttpFaultHandler faultHandler;
         std::atomic<bool> stopping { false };
+        std::atomic<bool> closing { false };
     };
 
     /// Serves the requests of one connection, one after another.
@@ -76,7 +76,7 @@
         {
             const TimePoint idleEnd = SteadyClock::now() + m_shared->limits.idleTimeout;
             while (!m_shared->stopping && SteadyClock::now() < idleEnd) {
-                if (session.socket().poll(timespan(stopPollInterval), Poco::Net::Socket::SELECT_READ))
+                if (session.socket().poll(timespan(m_shared->limits.stopPoll), Poco::Net::Socket::SELECT_READ))
                     return true;
             }
             return false;
@@ -92,9 +92,11 @@
                 const HttpRequestFault fault = read(request, plain);
                 if (fault.status != 0)
                     return sendFault(response, fault);
-                const bool keepAlive = request.getKeepAlive() && !m_shared->stopping;
+                plain.clientConnected = [&session] { return isConnected(session.socket()); };
+                const HttpResponse answer = m_shared->handler(plain);
+                const bool keepAlive = request.getKeepAlive() && !m_shared->stopping && !m_shared->closing;
                 response.setKeepAlive(keepAlive);
-                return send(response, m_shared->handler(plain)) && keepAlive;
+                return send(response, answer) && keepAlive;
             } catch (const Poco::Net::NoMessageException&) {
                 return false;
             } catch (const Poco::TimeoutException&) {
@@ -108,6 +110,17 @@
             }
         }
 
+        /// Input that waits is the next request; the end of input is a client that has left.
+        static bool isConnected(Poco::Net::StreamSocket& socket)
+        {
+            try {
+                char byte = 0;
+                return !socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ) || socket.receiveBytes(&byte, 1, MSG_PEEK) > 0;
+            } catch (const Poco::Exception&) {
+                return false;
+            }
+        }
+
         HttpRequestFault read(Poco::Net::HTTPServerRequestImpl& request, HttpRequest& plain)
         {
             plain.method = request.getMethod();
@@ -251,6 +264,11 @@
     return absl::OkStatus();
 }
 
+void HttpServer::closeAfterReplies()
+{
+    m_state->shared->closing = true;
+}
+
 void HttpServer::stop()
 {
     if (!m_state->server)
--- a/packages/services/include/egrettrestle/services/membership_service.hpp
+++ b/packages/services/include/egrettrestle/services/membership_service.hpp
@@ -6,9 +6,9 @@
 #include <mutex>
 #include <thread>
 
-#include <egrettrestle/platform/store.hpp>
 #include <egrettrestle/services/claims_service.hpp>
 #include <egrettrestle/services/node.hpp>
+#include <egrettrestle/store/store.hpp>
 #include <egrettrestle/wire/peer_messages.hpp>
 
 namespace egrettrestle {
--- a/packages/services/include/egrettrestle/services/platform_service.hpp
+++ b/packages/services/include/egrettrestle/services/platform_service.hpp
@@ -2,9 +2,9 @@
 
 #include <memory>
 
-#include <egrettrestle/platform/embedded_store.hpp>
-#include <egrettrestle/platform/vm_list.hpp>
 #include <egrettrestle/services/node.hpp>
+#include <egrettrestle/store/embedded_store.hpp>
+#include <egrettrestle/store/vm_list.hpp>
 
 namespace egrettrestle {
 
--- a/packages/services/include/egrettrestle/services/settings.hpp
+++ b/packages/services/include/egrettrestle/services/settings.hpp
@@ -8,6 +8,7 @@
 #include <egrettrestle/base/clock.hpp>
 #include <egrettrestle/base/fault.hpp>
 #include <egrettrestle/base/ids.hpp>
+#include <egrettrestle/settings/ini_settings.hpp>
 
 namespace egrettrestle {
 
@@ -45,19 +46,6 @@
     std::string logDirectory;
 };
 
-/// The numbers of settings faults.
-namespace settingsFaults {
-
-    inline constexpr int unreadable = 101;
-    inline constexpr int notKeyAndValue = 102;
-    inline constexpr int repeatedKey = 103;
-    inline constexpr int unknownSection = 104;
-    inline constexpr int unknownKey = 105;
-    inline constexpr int missingKey = 106;
-    inline constexpr int badValue = 107;
-
-}
-
 /// Settings, or every fault that keeps a text from being them.
 struct SettingsParse {
     std::optional<Settings> settings;
--- a/packages/services/include/egrettrestle/services/store_watch_service.hpp
+++ b/packages/services/include/egrettrestle/services/store_watch_service.hpp
@@ -3,8 +3,8 @@
 #include <atomic>
 #include <thread>
 
-#include <egrettrestle/platform/store.hpp>
 #include <egrettrestle/services/node.hpp>
+#include <egrettrestle/store/store.hpp>
 
 namespace egrettrestle {
 
--- a/packages/services/src/admin_port.cpp
+++ b/packages/services/src/admin_port.cpp
@@ -1,12 +1,12 @@
 #include <nlohmann/json.hpp>
 
-#include <egrettrestle/platform/store_gateway.hpp>
 #include <egrettrestle/services/claims_service.hpp>
 #include <egrettrestle/services/detail/output/routes.hpp>
 #include <egrettrestle/services/jobs_service.hpp>
 #include <egrettrestle/services/manifest_service.hpp>
 #include <egrettrestle/services/platform_service.hpp>
 #include <egrettrestle/services/ports.hpp>
+#include <egrettrestle/store/store_gateway.hpp>
 
 namespace egrettrestle {
 
--- a/packages/services/src/platform_service.cpp
+++ b/packages/services/src/platform_service.cpp
@@ -3,7 +3,7 @@
 #include <fstream>
 #include <sstream>
 
-#include <egrettrestle/platform/etcd_store.hpp>
+#include <egrettrestle/store/etcd_store.hpp>
 #include <egrettrestle/wire/manifest_json.hpp>
 
 namespace egrettrestle {
--- a/packages/services/src/store_watch_service.cpp
+++ b/packages/services/src/store_watch_service.cpp
@@ -38,7 +38,7 @@
     while (!m_stopping) {
         std::uint64_t revision = 0;
         if (readAll(revision)) {
-            const absl::Status status = store.watch(storeKeys::prefix, revision + 1, watchLength, m_stopping, [this](const StoreEntry& entry) { note(entry); });
+            const absl::Status status = store.watch(storeKeys::prefix, revision + 1, watchLength, Milliseconds { 0 }, m_stopping, [this](const StoreEntry& entry) { note(entry); });
             if (status.ok())
                 continue;
             noteStore(false, std::string(status.message()));
--- /dev/null
+++ b/packages/settings/src/ini_settings.cpp
@@ -0,0 +1,123 @@
+#include <egrettrestle/settings/ini_settings.hpp>
+
+#include <algorithm>
+#include <set>
+#include <sstream>
+
+#include <Poco/AutoPtr.h>
+#include <Poco/Net/SocketAddress.h>
+#include <Poco/NumberParser.h>
+#include <Poco/String.h>
+#include <Poco/Util/IniFileConfiguration.h>
+
+namespace egrettrestle {
+
+namespace {
+
+    /// Finds what POCO's reader passes over: lines without '=', and keys given twice.
+    void checkLines(const std::string& text, std::vector<Fault>& faults)
+    {
+        std::istringstream lines(text);
+        std::string line;
+        std::string section;
+        std::set<std::string> seen;
+        for (int number = 1; std::getline(lines, line); ++number) {
+            const std::string content = Poco::trim(line);
+            if (content.empty() || content[0] == ';' || content[0] == '#')
+                continue;
+            const std::string where = "line " + std::to_string(number);
+            if (content[0] == '[') {
+                section = Poco::trim(content.substr(1, content.find(']') - 1));
+                if (content.back() != ']')
+                    faults.push_back({ settingsFaults::notKeyAndValue, where, content, "a section name in brackets" });
+                continue;
+            }
+            const std::size_t equals = content.find('=');
+            if (equals == std::string::npos) {
+                faults.push_back({ settingsFaults::notKeyAndValue, where, content, "key = value" });
+                continue;
+            }
+            const std::string key = Poco::trim(content.substr(0, equals));
+            if (!seen.insert(Poco::toLower(section + '.' + key)).second)
+                faults.push_back({ settingsFaults::repeatedKey, iniPlace(section, key), "a second value in " + where, "one value" });
+        }
+    }
+
+    void checkUnknown(const Poco::Util::AbstractConfiguration& configuration, const std::vector<IniKey>& known, std::vector<Fault>& faults)
+    {
+        Poco::Util::AbstractConfiguration::Keys sections;
+        configuration.keys(sections);
+        for (const std::string& section : sections) {
+            const auto inSection = [&section](const IniKey& key) { return Poco::icompare(section, std::string(key.section)) == 0; };
+            if (std::none_of(known.begin(), known.end(), inSection)) {
+                faults.push_back({ settingsFaults::unknownSection, '[' + section + ']', "an unknown section", "a section of docs/SETTINGS.md" });
+                continue;
+            }
+            Poco::Util::AbstractConfiguration::Keys keys;
+            configuration.keys(section, keys);
+            for (const std::string& key : keys) {
+                const auto isIt = [&](const IniKey& candidate) { return inSection(candidate) && Poco::icompare(key, std::string(candidate.key)) == 0; };
+                if (std::none_of(known.begin(), known.end(), isIt))
+                    faults.push_back({ settingsFaults::unknownKey, iniPlace(section, key), "an unknown key", "a key of docs/SETTINGS.md" });
+            }
+        }
+    }
+
+}
+
+std::string iniPlace(const std::string& section, const std::string& key) { return '[' + section + "] " + key; }
+
+std::vector<std::optional<std::string>> readIni(std::istream& stream, const std::vector<IniKey>& keys, std::vector<Fault>& faults)
+{
+    std::vector<std::optional<std::string>> values;
+    std::stringstream text;
+    text << stream.rdbuf();
+    checkLines(text.str(), faults);
+    try {
+        const Poco::AutoPtr<Poco::Util::IniFileConfiguration> configuration = new Poco::Util::IniFileConfiguration(text);
+        checkUnknown(*configuration, keys, faults);
+        for (const IniKey& key : keys) {
+            const std::string name = std::string(key.section) + '.' + key.key;
+            if (!configuration->has(name) && !key.fallback) {
+                faults.push_back({ settingsFaults::missingKey, iniPlace(key.section, key.key), "nothing", key.meaning });
+                values.emplace_back();
+                continue;
+            }
+            values.emplace_back(configuration->getRawString(name, key.fallback ? key.fallback : ""));
+        }
+    } catch (const Poco::Exception& error) {
+        faults.push_back({ settingsFaults::unreadable, "settings", error.displayText(), "INI text" });
+    }
+    return values;
+}
+
+std::string iniTable(const std::vector<IniKey>& keys)
+{
+    std::string table = "| section | key | default | meaning |\n| --- | --- | --- | --- |\n";
+    for (const IniKey& key : keys) {
+        const std::string fallback = !key.fallback ? "must be given" : *key.fallback ? '`' + std::string(key.fallback) + '`'
+                                                                                     : "empty";
+        table += std::string("| ") + key.section + " | " + key.key + " | " + fallback + " | " + key.meaning + " |\n";
+    }
+    return table;
+}
+
+bool isSocketAddress(const std::string& value)
+{
+    try {
+        const Poco::Net::SocketAddress address(value);
+        return value.find(':') != std::string::npos;
+    } catch (const Poco::Exception&) {
+        return false;
+    }
+}
+
+std::optional<int> wholeNumber(const std::string& value, int least, int most)
+{
+    int number = 0;
+    if (!Poco::NumberParser::tryParse(value, number) || number < least || number > most)
+        return std::nullopt;
+    return number;
+}
+
+} // namespace egrettrestle
--- a/packages/platform/include/egrettrestle/platform/detail/conversions/etcd_json.hpp
+++ b/packages/store/include/egrettrestle/store/detail/conversions/etcd_json.hpp
@@ -6,7 +6,7 @@
 #include <string_view>
 #include <vector>
 
-#include <egrettrestle/platform/store.hpp>
+#include <egrettrestle/store/store.hpp>
 
 namespace egrettrestle::detail {
 
--- a/packages/platform/include/egrettrestle/platform/embedded_store.hpp
+++ b/packages/store/include/egrettrestle/store/embedded_store.hpp
@@ -4,7 +4,7 @@
 #include <map>
 #include <mutex>
 
-#include <egrettrestle/platform/store.hpp>
+#include <egrettrestle/store/store.hpp>
 
 namespace egrettrestle {
 
@@ -14,7 +14,7 @@
     absl::StatusOr<StoreEntry> read(const std::string& key) override;
     absl::StatusOr<StoreSnapshot> readPrefix(const std::string& prefix) override;
     absl::StatusOr<bool> compareAndSwap(const std::string& key, std::uint64_t expectedModRevision, const std::string& value) override;
-    absl::Status watch(const std::string& prefix, std::uint64_t fromRevision, Milliseconds length, const std::atomic<bool>& stop,
+    absl::Status watch(const std::string& prefix, std::uint64_t fromRevision, Milliseconds length, Milliseconds gatherTime, const std::atomic<bool>& stop,
         const std::function<void(const StoreEntry&)>& onChange) override;
 
     std::uint64_t revision() const;
--- a/packages/platform/include/egrettrestle/platform/store.hpp
+++ b/packages/store/include/egrettrestle/store/store.hpp
@@ -18,6 +18,8 @@
     std::string key;
     std::string value;
     std::uint64_t modRevision = 0;
+    /// Set by a watch for a key that is no longer there; its value is empty.
+    bool removed = false;
 };
 
 /// All keys under a prefix at one revision of the store.
@@ -34,6 +36,8 @@
     inline constexpr int storeBadReply = 413;
     inline constexpr int vmListUnreachable = 421;
     inline constexpr int vmListBadReply = 422;
+    inline constexpr int storeHistoryGone = 431;
+    inline constexpr int storeRefused = 432;
 
 }
 
@@ -51,8 +55,9 @@
     virtual absl::StatusOr<bool> compareAndSwap(const std::string& key, std::uint64_t expectedModRevision, const std::string& value) = 0;
 
     /// Calls `onChange` for each change under a prefix from a revision on, until `stop` is set, `length` is over or the
-    /// store is lost, which gives an error.
-    virtual absl::Status watch(const std::string& prefix, std::uint64_t fromRevision, Milliseconds length, const std::atomic<bool>& stop,
+    /// store is lost, which gives an error. Where the store counts each delivery as a call, changes are gathered for
+    /// `gatherTime` between deliveries.
+    virtual absl::Status watch(const std::string& prefix, std::uint64_t fromRevision, Milliseconds length, Milliseconds gatherTime, const std::atomic<bool>& stop,
         const std::function<void(const StoreEntry&)>& onChange)
         = 0;
 };
--- a/packages/platform/include/egrettrestle/platform/store_gateway.hpp
+++ b/packages/store/include/egrettrestle/store/store_gateway.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <egrettrestle/http/message.hpp>
-#include <egrettrestle/platform/embedded_store.hpp>
+#include <egrettrestle/store/embedded_store.hpp>
 
 namespace egrettrestle {
 
--- a/packages/platform/include/egrettrestle/platform/vm_list.hpp
+++ b/packages/store/include/egrettrestle/store/vm_list.hpp
@@ -7,7 +7,7 @@
 
 #include <egrettrestle/base/ids.hpp>
 #include <egrettrestle/http/client.hpp>
-#include <egrettrestle/platform/etcd_store.hpp>
+#include <egrettrestle/store/etcd_store.hpp>
 #include <egrettrestle/wire/upstream_messages.hpp>
 
 namespace egrettrestle {
--- a/packages/platform/src/embedded_store.cpp
+++ b/packages/store/src/embedded_store.cpp
@@ -1,4 +1,4 @@
-#include <egrettrestle/platform/embedded_store.hpp>
+#include <egrettrestle/store/embedded_store.hpp>
 
 #include <algorithm>
 
@@ -41,7 +41,7 @@
     return true;
 }
 
-absl::Status EmbeddedStore::watch(const std::string& prefix, std::uint64_t fromRevision, Milliseconds length, const std::atomic<bool>& stop,
+absl::Status EmbeddedStore::watch(const std::string& prefix, std::uint64_t fromRevision, Milliseconds length, Milliseconds, const std::atomic<bool>& stop,
     const std::function<void(const StoreEntry&)>& onChange)
 {
     const TimePoint end = SteadyClock::now() + length;
--- a/packages/platform/src/etcd_json.cpp
+++ b/packages/store/src/etcd_json.cpp
@@ -1,4 +1,4 @@
-#include <egrettrestle/platform/detail/conversions/etcd_json.hpp>
+#include <egrettrestle/store/detail/conversions/etcd_json.hpp>
 
 #include <sstream>
 
--- a/packages/platform/src/etcd_store.cpp
+++ b/packages/store/src/etcd_store.cpp
@@ -1,7 +1,7 @@
-#include <egrettrestle/platform/etcd_store.hpp>
+#include <egrettrestle/store/etcd_store.hpp>
 
 #include <egrettrestle/base/fault.hpp>
-#include <egrettrestle/platform/detail/conversions/etcd_json.hpp>
+#include <egrettrestle/store/detail/conversions/etcd_json.hpp>
 
 namespace egrettrestle {
 
@@ -81,7 +81,7 @@
     return *succeeded;
 }
 
-absl::Status EtcdStore::watch(const std::string& prefix, std::uint64_t fromRevision, Milliseconds length, const std::atomic<bool>& stop,
+absl::Status EtcdStore::watch(const std::string& prefix, std::uint64_t fromRevision, Milliseconds length, Milliseconds, const std::atomic<bool>& stop,
     const std::function<void(const StoreEntry&)>& onChange)
 {
     HttpRequest request;
--- a/packages/platform/src/store_gateway.cpp
+++ b/packages/store/src/store_gateway.cpp
@@ -1,8 +1,8 @@
-#include <egrettrestle/platform/store_gateway.hpp>
+#include <egrettrestle/store/store_gateway.hpp>
 
 #include <ostream>
 
-#include <egrettrestle/platform/detail/conversions/etcd_json.hpp>
+#include <egrettrestle/store/detail/conversions/etcd_json.hpp>
 
 namespace egrettrestle {
 
@@ -70,7 +70,7 @@
             while (!ended && !stopping && stream.good() && SteadyClock::now() < end) {
                 const std::uint64_t seen = store.revision();
                 // A slice that ends early only repeats what the next one covers.
-                if (!store.watch(request.prefix, next, slice, ended, write).ok())
+                if (!store.watch(request.prefix, next, slice, Milliseconds { 0 }, ended, write).ok())
                     return;
                 next = std::max(next, seen + 1);
             }
--- a/packages/platform/src/vm_list.cpp
+++ b/packages/store/src/vm_list.cpp
@@ -1,4 +1,4 @@
-#include <egrettrestle/platform/vm_list.hpp>
+#include <egrettrestle/store/vm_list.hpp>
 
 #include <fstream>
 #include <sstream>
--- a/packages/tools/include/egrettrestle/tools/shipping.hpp
+++ b/packages/tools/include/egrettrestle/tools/shipping.hpp
@@ -6,7 +6,7 @@
 
 #include <egrettrestle/base/clock.hpp>
 #include <egrettrestle/decision/manifest.hpp>
-#include <egrettrestle/platform/store.hpp>
+#include <egrettrestle/store/store.hpp>
 
 namespace egrettrestle {
 
--- /dev/null
+++ b/packages/wire/src/dispatch_messages.cpp
@@ -0,0 +1,234 @@
+#include <egrettrestle/wire/dispatch_messages.hpp>
+
+#include <egrettrestle/wire/detail/conversions/parse_message.hpp>
+
+namespace egrettrestle {
+
+namespace {
+
+    using detail::ObjectReader;
+    using nlohmann::json;
+
+    constexpr detail::FaultFamily dispatchFamily { 520 };
+
+    template <typename Enum>
+    Enum readEnum(ObjectReader& reader, const char* key, Enum last, std::vector<Fault>& faults)
+    {
+        const std::uint64_t value = reader.number(key);
+        if (value <= static_cast<std::uint64_t>(last))
+            return static_cast<Enum>(value);
+        faults.push_back({ dispatchFamily.outOfRange(), reader.pointer(key), std::to_string(value), "a known value" });
+        return last;
+    }
+
+    json runJson(const char* kind, const TaskRun& run)
+    {
+        return { { "is", kind }, { "job", run.task.job }, { "step", run.task.step }, { "index", run.task.index }, { "run", run.run } };
+    }
+
+    TaskRun readRun(ObjectReader& reader)
+    {
+        TaskRun run;
+        run.task.job = reader.text("job");
+        run.task.step = static_cast<std::uint32_t>(reader.number("step"));
+        run.task.index = static_cast<std::uint32_t>(reader.number("index"));
+        run.run = reader.number("run");
+        return run;
+    }
+
+    json requestJson(const RunRequest& request, TimePoint now)
+    {
+        json value = runJson("request", request.run);
+        value["spec"] = request.spec;
+        value["service"] = request.service;
+        value["route"] = request.route;
+        value["cpu"] = request.need.milliCores;
+        value["memory"] = request.need.memoryMb;
+        value["accelerators"] = request.need.accelerators;
+        value["priority"] = request.priority;
+        value["estimateMs"] = request.estimate.count();
+        value["expectedMs"] = request.expected.count();
+        value["startWithinMs"] = std::max<std::int64_t>(0, toMilliseconds(request.latestStart - now).count());
+        if (!request.requiredLabel.empty())
+            value["label"] = request.requiredLabel;
+        if (!request.dataRack.empty())
+            value["rack"] = request.dataRack;
+        if (request.maxPerUpstream > 0)
+            value["maxPerUpstream"] = request.maxPerUpstream;
+        if (!request.avoid.empty())
+            value["avoid"] = request.avoid;
+        return value;
+    }
+
+    RunRequest readRequest(ObjectReader& reader, TimePoint now)
+    {
+        RunRequest request;
+        request.run = readRun(reader);
+        request.spec = reader.text("spec");
+        request.service = reader.text("service");
+        request.route = reader.text("route");
+        request.need.milliCores = static_cast<std::int64_t>(reader.number("cpu"));
+        request.need.memoryMb = static_cast<std::int64_t>(reader.number("memory"));
+        request.need.accelerators = static_cast<std::int64_t>(reader.number("accelerators"));
+        request.priority = static_cast<int>(reader.number("priority"));
+        request.estimate = reader.milliseconds("estimateMs");
+        request.expected = reader.milliseconds("expectedMs");
+        request.latestStart = now + reader.milliseconds("startWithinMs");
+        request.requiredLabel = reader.textOr("label", "");
+        request.dataRack = reader.textOr("rack", "");
+        request.maxPerUpstream = static_cast<std::uint32_t>(reader.numberOr("maxPerUpstream", 0));
+        for (const json& upstream : reader.arrayOrEmpty("avoid"))
+            request.avoid.push_back(upstream.is_string() ? upstream.get<std::string>() : std::string());
+        return request;
+    }
+
+    json messageJson(const PeerMessage& message, TimePoint now)
+    {
+        if (message.request)
+            return requestJson(*message.request, now);
+        if (message.started) {
+            json value = runJson("started", message.started->run);
+            value["upstream"] = message.started->upstream;
+            return value;
+        }
+        if (message.ended) {
+            json value = runJson("ended", message.ended->run);
+            value["upstream"] = message.ended->upstream;
+            value["how"] = static_cast<int>(message.ended->how);
+            value["tookMs"] = message.ended->took.count();
+            value["kind"] = message.ended->kind;
+            return value;
+        }
+        if (message.returned) {
+            json value = runJson("returned", message.returned->run);
+            value["reason"] = static_cast<int>(message.returned->reason);
+            return value;
+        }
+        if (message.claim) {
+            json value = runJson("claim", message.claim->run);
+            value["upstream"] = message.claim->upstream;
+            return value;
+        }
+        json value = runJson("withdrawn", message.withdrawn->run);
+        value["onlyIfWaiting"] = message.withdrawn->onlyIfWaiting;
+        return value;
+    }
+
+    PeerMessage readMessage(ObjectReader& reader, TimePoint now, std::vector<Fault>& faults)
+    {
+        PeerMessage message;
+        const std::string kind = reader.text("is");
+        if (kind == "request")
+            message.request = readRequest(reader, now);
+        else if (kind == "started")
+            message.started = RunStarted { readRun(reader), reader.text("upstream") };
+        else if (kind == "ended")
+            message.ended = RunEnded { readRun(reader), reader.text("upstream"), readEnum(reader, "how", RunEnd::Lapsed, faults), reader.milliseconds("tookMs"), reader.text("kind") };
+        else if (kind == "returned")
+            message.returned = RunReturned { readRun(reader), readEnum(reader, "reason", ReturnReason::Impossible, faults) };
+        else if (kind == "claim")
+            message.claim = RunClaim { readRun(reader), reader.text("upstream") };
+        else if (kind == "withdrawn")
+            message.withdrawn = RunWithdrawn { readRun(reader), reader.flag("onlyIfWaiting") };
+        else
+            faults.push_back({ dispatchFamily.outOfRange(), reader.pointer("is"), kind, "a kind of message" });
+        return message;
+    }
+
+    json roomJson(const RoomReport& room)
+    {
+        json kinds = json::array();
+        for (const KindRoom& kind : room.kinds)
+            kinds.push_back({ { "service", kind.service }, { "kind", kind.kind }, { "free", kind.freeTasks }, { "total", kind.totalTasks }, { "slowness", kind.slowness } });
+        json queues = json::array();
+        for (const QueueLength& queue : room.queues)
+            queues.push_back({ { "service", queue.service }, { "priority", queue.priority }, { "tasks", queue.tasks }, { "workMs", queue.work.count() } });
+        return { { "kinds", std::move(kinds) }, { "queues", std::move(queues) }, { "seen", room.requestsSeen } };
+    }
+
+    RoomReport readRoom(ObjectReader& reader, std::vector<Fault>& faults)
+    {
+        RoomReport room;
+        room.requestsSeen = reader.number("seen");
+        for (const json& element : reader.array("kinds")) {
+            ObjectReader item(element, reader.pointer("kinds", room.kinds.size()), dispatchFamily, faults);
+            room.kinds.push_back({ item.text("service"), item.text("kind"), static_cast<std::uint32_t>(item.number("free")), static_cast<std::uint32_t>(item.number("total")), item.real("slowness") });
+        }
+        for (const json& element : reader.array("queues")) {
+            ObjectReader item(element, reader.pointer("queues", room.queues.size()), dispatchFamily, faults);
+            room.queues.push_back({ item.text("service"), static_cast<int>(item.number("priority")), static_cast<std::uint32_t>(item.number("tasks")), item.milliseconds("workMs") });
+        }
+        return room;
+    }
+
+}
+
+std::string toText(const DispatchBatch& batch, TimePoint now)
+{
+    json value {
+        { "from", batch.from },
+        { "life", batch.life },
+        { "toLife", batch.receiverLife },
+        { "sequence", batch.sequence },
+        { "address", batch.address },
+        { "epoch", batch.epoch.value },
+        { "configuration", batch.configurationVersion },
+        { "mark", batch.mark },
+        { "room", roomJson(batch.room) },
+    };
+    json& messages = value["messages"] = json::array();
+    for (const PeerMessage& message : batch.messages)
+        messages.push_back(messageJson(message, now));
+    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::optional<DispatchBatch> parseDispatchBatch(std::string_view text, TimePoint now)
+{
+    return detail::parseMessage<DispatchBatch>(text, dispatchFamily, [now](ObjectReader& reader, std::vector<Fault>& faults) {
+        DispatchBatch batch;
+        batch.from = reader.text("from");
+        batch.life = reader.number("life");
+        batch.receiverLife = reader.number("toLife");
+        batch.sequence = reader.number("sequence");
+        batch.address = reader.text("address");
+        batch.epoch.value = reader.number("epoch");
+        batch.configurationVersion = reader.number("configuration");
+        batch.mark = reader.number("mark");
+        if (const json* room = reader.any("room")) {
+            ObjectReader item(*room, reader.pointer("room"), dispatchFamily, faults);
+            batch.room = readRoom(item, faults);
+        }
+        for (const json& element : reader.array("messages")) {
+            ObjectReader item(element, reader.pointer("messages", batch.messages.size()), dispatchFamily, faults);
+            batch.messages.push_back(readMessage(item, now, faults));
+        }
+        return batch;
+    });
+}
+
+std::string toText(const DispatchReply& reply)
+{
+    return json {
+        { "life", reply.life },
+        { "epoch", reply.epoch.value },
+        { "configuration", reply.configurationVersion },
+        { "mark", reply.mark },
+        { "taken", reply.taken },
+    }
+        .dump();
+}
+
+std::optional<DispatchReply> parseDispatchReply(std::string_view text)
+{
+    return detail::parseMessage<DispatchReply>(text, dispatchFamily, [](ObjectReader& reader, std::vector<Fault>&) {
+        DispatchReply reply;
+        reply.life = reader.number("life");
+        reply.epoch.value = reader.number("epoch");
+        reply.configurationVersion = reader.number("configuration");
+        reply.mark = reader.number("mark");
+        reply.taken = reader.flag("taken");
+        return reply;
+    });
+}
+
+} // namespace egrettrestle
--- a/tests/integration/cluster.cpp
+++ b/tests/integration/cluster.cpp
@@ -15,7 +15,7 @@
 #include <Poco/Net/ServerSocket.h>
 #include <nlohmann/json.hpp>
 
-#include <egrettrestle/platform/etcd_store.hpp>
+#include <egrettrestle/store/etcd_store.hpp>
 #include <egrettrestle/tools/shipping.hpp>
 #include <egrettrestle/wire/manifest_json.hpp>
 
--- a/tests/integration/point6-7-8-changes.cpp
+++ b/tests/integration/point6-7-8-changes.cpp
@@ -6,7 +6,7 @@
 #include <catch2/catch.hpp>
 #include <nlohmann/json.hpp>
 
-#include <egrettrestle/platform/etcd_store.hpp>
+#include <egrettrestle/store/etcd_store.hpp>
 #include <egrettrestle/tools/shipping.hpp>
 #include <egrettrestle/wire/manifest_json.hpp>
 
--- a/tests/standins/platform.cpp
+++ b/tests/standins/platform.cpp
@@ -10,7 +10,7 @@
 #include <cxxopts.hpp>
 #include <nlohmann/json.hpp>
 
-#include <egrettrestle/platform/store_gateway.hpp>
+#include <egrettrestle/store/store_gateway.hpp>
 #include <egrettrestle/wire/upstream_messages.hpp>
 
 #include "standin_main.hpp"
--- a/tests/unit/unit-store.cpp
+++ b/tests/unit/unit-store.cpp
@@ -4,8 +4,8 @@
 
 #include <egrettrestle/base/fault.hpp>
 #include <egrettrestle/http/server.hpp>
-#include <egrettrestle/platform/etcd_store.hpp>
-#include <egrettrestle/platform/store_gateway.hpp>
+#include <egrettrestle/store/etcd_store.hpp>
+#include <egrettrestle/store/store_gateway.hpp>
 
 using namespace egrettrestle;
 
@@ -32,7 +32,7 @@
     std::atomic<bool> stop { false };
     std::vector<StoreEntry> seen;
     std::thread writer([&store] { CHECK(*store.compareAndSwap("/t/c", 0, "three")); });
-    const absl::Status watched = store.watch("/t/", snapshot.revision + 1, Milliseconds(20'000), stop, [&](const StoreEntry& entry) {
+    const absl::Status watched = store.watch("/t/", snapshot.revision + 1, Milliseconds(20'000), Milliseconds(0), stop, [&](const StoreEntry& entry) {
         seen.push_back(entry);
         stop = true;
     });
