--- /dev/null
+++ b/tests/unit/fake_ports.hpp
@@ -0,0 +1,112 @@
+#pragma once
+
+#include <vector>
+
+#include <egrettrestle/decision/dispatcher.hpp>
+
+/// Fakes of the ports of the decision code: they record what was decided.
+namespace egrettrestle::fakes {
+
+struct Told {
+    VmId vm;
+    PeerMessage message;
+};
+
+class RecordingOwnerPort : public OwnerPort {
+public:
+    void start(const StartOrder& order) override { starts.push_back(order); }
+    void stop(const StopOrder& order) override { stops.push_back(order); }
+    void lookNow(const UpstreamId& upstream) override { looks.push_back(upstream); }
+    void tell(const VmId& executor, PeerMessage message) override { told.push_back({ executor, std::move(message) }); }
+    void note(const OwnerNote& note) override { notes.push_back(note); }
+
+    std::vector<StartOrder> starts;
+    std::vector<StopOrder> stops;
+    std::vector<UpstreamId> looks;
+    std::vector<Told> told;
+    std::vector<OwnerNote> notes;
+};
+
+struct Replied {
+    CallerTicket ticket;
+    JobReply reply;
+};
+
+class RecordingExecutorPort : public ExecutorPort {
+public:
+    void send(const VmId& owner, PeerMessage message) override { sent.push_back({ owner, std::move(message) }); }
+    void reply(CallerTicket ticket, const JobReply& reply) override { replies.push_back({ ticket, reply }); }
+    void note(const JobNote& note) override { notes.push_back(note); }
+
+    std::vector<Told> sent;
+    std::vector<Replied> replies;
+    std::vector<JobNote> notes;
+};
+
+inline UpstreamInfo upstreamNamed(const UpstreamId& id, std::int64_t milliCores = 64'000, const std::string& kind = "a")
+{
+    UpstreamInfo info;
+    info.id = id;
+    info.startedAt = Milliseconds { 1'000 };
+    info.service = "print";
+    info.address = "10.0.0.1:80";
+    info.dataCentre = "dc1";
+    info.capacity = { milliCores, 100'000, 0 };
+    info.kind = kind;
+    info.labels = { kind, "r1-1" };
+    info.rack = "r1-1";
+    return info;
+}
+
+inline RunRequest requestFor(const std::string& job, std::uint32_t index, TimePoint latestStart, std::int64_t milliCores = 27'000)
+{
+    RunRequest request;
+    request.run = { { job, 0, index }, 1 };
+    request.spec = "spec";
+    request.service = "print";
+    request.route = "proof";
+    request.need = { milliCores, 64, 0 };
+    request.estimate = Milliseconds { 100 };
+    request.expected = Milliseconds { 100 };
+    request.latestStart = latestStart;
+    return request;
+}
+
+inline Route routeNamed(const std::string& name)
+{
+    Route route;
+    route.name = name;
+    route.host = "shop.example";
+    route.prefix = "/" + name + "/";
+    route.service = "print";
+    route.maxAttempts = 2;
+    route.stretch = 1.6;
+    route.targetLatency = Milliseconds { 60 };
+    route.timeout = Milliseconds { 1'500 };
+    return route;
+}
+
+inline JobRequest jobOf(const std::string& id, std::uint32_t tasks)
+{
+    JobRequest job;
+    job.id = id;
+    job.spec = "spec";
+    job.patience = Milliseconds { 1'500 };
+    JobStep step;
+    step.count = tasks;
+    step.need = { 27'000, 64, 0 };
+    step.estimate = Milliseconds { 100 };
+    job.steps.push_back(step);
+    return job;
+}
+
+inline RoomReport roomFor(std::uint32_t free, std::uint32_t total, std::uint32_t queued = 0)
+{
+    RoomReport room;
+    room.kinds.push_back({ "print", "a", free, total, 1 });
+    if (queued > 0)
+        room.queues.push_back({ "print", 0, queued, Milliseconds { 100 } * queued });
+    return room;
+}
+
+} // namespace egrettrestle::fakes
--- /dev/null
+++ b/tests/unit/unit-job-executor.cpp
@@ -0,0 +1,257 @@
+#include <catch2/catch.hpp>
+
+#include <egrettrestle/decision/job_executor.hpp>
+
+#include "fake_ports.hpp"
+
+using namespace egrettrestle;
+using namespace egrettrestle::fakes;
+
+namespace {
+
+/// An executor `x` with room at itself and at owner `y`.
+struct ExecutorWorld {
+    RecordingExecutorPort port;
+    RoomTable rooms;
+    ExecutorLimits limits;
+    JobExecutor executor { port, rooms, "x", limits };
+    Route route = routeNamed("proof");
+    TimePoint now { std::chrono::hours { 1 } };
+
+    explicit ExecutorWorld(std::uint32_t free = 4)
+    {
+        rooms.update("x", roomFor(free, 8));
+        rooms.update("y", roomFor(free, 8));
+    }
+
+    void submit(const JobRequest& job, CallerTicket ticket = 1) { executor.submit(ticket, job, route, now); }
+
+    const RunRequest& request(std::size_t index) const { return *port.sent.at(index).message.request; }
+
+    void endAll(RunEnd how)
+    {
+        const std::vector<Told> sent = port.sent;
+        for (const Told& told : sent) {
+            if (told.message.request)
+                executor.onEnded(told.vm, { told.message.request->run, "u", how, Milliseconds { 100 }, "a" }, now);
+        }
+    }
+};
+
+}
+
+TEST_CASE("executor answers a job once")
+{
+    ExecutorWorld world;
+
+    SECTION("as soon as all its tasks are done")
+    {
+        world.submit(jobOf("j", 2));
+        REQUIRE(world.port.sent.size() == 2);
+        world.executor.onEnded("x", { world.request(0).run, "u", RunEnd::Done, Milliseconds { 90 }, "a" }, world.now);
+        CHECK(world.port.replies.empty());
+        world.executor.onEnded("x", { world.request(1).run, "u", RunEnd::Done, Milliseconds { 90 }, "a" }, world.now);
+        REQUIRE(world.port.replies.size() == 1);
+        CHECK(world.port.replies[0].reply.outcome == JobOutcome::Succeeded);
+        CHECK(world.executor.jobs() == 0);
+    }
+
+    SECTION("to every caller that sent it")
+    {
+        world.submit(jobOf("j", 1), 1);
+        world.submit(jobOf("j", 1), 2);
+        CHECK(world.port.sent.size() == 1);
+        world.endAll(RunEnd::Done);
+        CHECK(world.port.replies.size() == 2);
+    }
+
+    SECTION("failed, once a task has failed as often as the route allows")
+    {
+        world.submit(jobOf("j", 1));
+        world.executor.onEnded("x", { world.request(0).run, "u1", RunEnd::Failed, {}, "a" }, world.now);
+        REQUIRE(world.port.sent.size() == 2);
+        CHECK(world.request(1).run.run == 2);
+        CHECK(world.request(1).avoid == std::vector<UpstreamId> { "u1" });
+        world.executor.onEnded("x", { world.request(1).run, "u2", RunEnd::Failed, {}, "a" }, world.now);
+        REQUIRE(world.port.replies.size() == 1);
+        CHECK(world.port.replies[0].reply.outcome == JobOutcome::Failed);
+    }
+
+    SECTION("a run that was stopped or lapsed is repeated and counts as no attempt")
+    {
+        world.submit(jobOf("j", 1));
+        for (std::size_t index = 0; index < 3; ++index)
+            world.executor.onEnded("x", { world.request(index).run, "u", RunEnd::Lapsed, {}, "a" }, world.now);
+        CHECK(world.port.replies.empty());
+        CHECK(world.port.sent.size() == 4);
+    }
+
+    SECTION("word about an earlier run changes nothing")
+    {
+        world.submit(jobOf("j", 1));
+        const TaskRun first = world.request(0).run;
+        world.executor.onReturned("x", { first, ReturnReason::Lost }, world.now);
+        world.executor.onEnded("x", { first, "u", RunEnd::Done, {}, "a" }, world.now);
+        CHECK(world.port.replies.empty());
+    }
+}
+
+TEST_CASE("executor starts the tasks of a step when the steps before it are done")
+{
+    ExecutorWorld world;
+    JobRequest job = jobOf("j", 1);
+    job.steps.push_back(job.steps[0]);
+    job.steps[1].after = { 0 };
+    world.submit(job);
+    CHECK(world.port.sent.size() == 1);
+    world.endAll(RunEnd::Done);
+    REQUIRE(world.port.sent.size() == 2);
+    CHECK(world.request(1).run.task.step == 1);
+}
+
+TEST_CASE("executor refuses truly and at once")
+{
+    SECTION("a job that would wait too long is refused before anything is sent, with a time to come back")
+    {
+        ExecutorWorld world(0);
+        world.rooms.update("x", roomFor(0, 8, 40));
+        world.rooms.update("y", roomFor(0, 8, 40));
+        world.submit(jobOf("j", 8));
+        REQUIRE(world.port.replies.size() == 1);
+        CHECK(world.port.replies[0].reply.outcome == JobOutcome::Refused);
+        CHECK(world.port.replies[0].reply.retryAfter >= world.limits.shortestRetry);
+        CHECK(world.port.sent.empty());
+    }
+
+    SECTION("no job is refused while there is room for it")
+    {
+        ExecutorWorld world(8);
+        world.submit(jobOf("j", 8));
+        CHECK(world.port.replies.empty());
+        CHECK(world.port.sent.size() == 8);
+    }
+
+    SECTION("a job that found no room in time is refused once all its tasks are known not to run")
+    {
+        ExecutorWorld world;
+        world.submit(jobOf("j", 2));
+        world.executor.onReturned("x", { world.request(0).run, ReturnReason::Expired }, world.now);
+        CHECK(world.port.replies.empty());
+        world.executor.onReturned("x", { world.request(1).run, ReturnReason::Withdrawn }, world.now);
+        REQUIRE(world.port.replies.size() == 1);
+        CHECK(world.port.replies[0].reply.outcome == JobOutcome::Refused);
+    }
+
+    SECTION("a job of which a task has started is never said not to have run")
+    {
+        ExecutorWorld world;
+        world.submit(jobOf("j", 2));
+        world.executor.onStarted("x", { world.request(0).run, "u" }, world.now);
+        world.executor.onReturned("x", { world.request(1).run, ReturnReason::Expired }, world.now);
+        REQUIRE(world.port.replies.size() == 1);
+        CHECK(world.port.replies[0].reply.outcome == JobOutcome::GaveUp);
+    }
+
+    SECTION("a task that starts while the job is being refused turns the refusal into an unknown outcome")
+    {
+        ExecutorWorld world;
+        world.submit(jobOf("j", 2));
+        world.executor.onReturned("x", { world.request(0).run, ReturnReason::Expired }, world.now);
+        world.executor.onStarted("x", { world.request(1).run, "u" }, world.now);
+        world.executor.onEnded("x", { world.request(1).run, "u", RunEnd::Stopped, {}, "a" }, world.now);
+        REQUIRE(world.port.replies.size() == 1);
+        CHECK(world.port.replies[0].reply.outcome == JobOutcome::GaveUp);
+    }
+}
+
+TEST_CASE("executor stops a job that nobody waits for")
+{
+    ExecutorWorld world;
+    world.submit(jobOf("j", 1));
+    world.executor.callerLeft(1, world.now);
+    REQUIRE(world.port.sent.size() == 2);
+    CHECK(world.port.sent[1].message.withdrawn);
+
+    SECTION("and starts it over when it comes again, but only after its runs have ended")
+    {
+        world.submit(jobOf("j", 1), 2);
+        CHECK(world.port.sent.size() == 2);
+        world.executor.onEnded("x", { world.request(0).run, "u", RunEnd::Stopped, {}, "a" }, world.now);
+        REQUIRE(world.port.sent.size() == 3);
+        CHECK(world.port.sent[2].message.request);
+    }
+}
+
+TEST_CASE("executor spreads tasks over the room that there is")
+{
+    SECTION("its own upstreams first, then the owner with most room")
+    {
+        ExecutorWorld world(4);
+        world.submit(jobOf("j", 6));
+        std::size_t own = 0;
+        for (const Told& told : world.port.sent)
+            own += told.vm == "x" ? 1 : 0;
+        CHECK(own == 4);
+        CHECK(world.port.sent.size() == 6);
+    }
+
+    SECTION("an owner that does not answer gets nothing")
+    {
+        ExecutorWorld world(2);
+        world.rooms.setReachable("y", false);
+        world.submit(jobOf("j", 4));
+        for (const Told& told : world.port.sent)
+            CHECK(told.vm == "x");
+    }
+
+    SECTION("a task that waits at a full owner is moved to one that has room")
+    {
+        ExecutorWorld world(1);
+        world.rooms.update("y", roomFor(0, 8));
+        world.submit(jobOf("j", 2));
+        world.rooms.update("x", roomFor(0, 8, 1));
+        RoomReport free = roomFor(3, 8);
+        world.rooms.update("y", free);
+        world.now += world.limits.moveAfter + Milliseconds { 1 };
+        world.executor.tick(world.now);
+        bool moved = false;
+        for (const Told& told : world.port.sent)
+            moved = moved || (told.message.withdrawn && told.message.withdrawn->onlyIfWaiting);
+        CHECK(moved);
+    }
+}
+
+TEST_CASE("executor claims runs at an upstream's new owner")
+{
+    ExecutorWorld world;
+    world.submit(jobOf("j", 1));
+    world.executor.onStarted("x", { world.request(0).run, "u" }, world.now);
+    world.executor.onOwnersChanged({ { "u", "y" } }, world.now);
+    REQUIRE(world.port.sent.size() == 2);
+    CHECK(world.port.sent[1].vm == "y");
+    REQUIRE(world.port.sent[1].message.claim);
+
+    SECTION("and no longer listens to the old one")
+    {
+        world.executor.onReturned("x", { world.request(0).run, ReturnReason::Lost }, world.now);
+        CHECK(world.port.sent.size() == 2);
+    }
+
+    SECTION("the new one's word counts")
+    {
+        world.executor.onEnded("y", { world.request(0).run, "u", RunEnd::Done, {}, "a" }, world.now);
+        CHECK(world.port.replies.size() == 1);
+    }
+}
+
+TEST_CASE("executor gives a job up when its caller's patience ends")
+{
+    ExecutorWorld world;
+    world.submit(jobOf("j", 1));
+    world.executor.onStarted("x", { world.request(0).run, "u" }, world.now);
+    world.now += Milliseconds { 1'480 };
+    world.executor.tick(world.now);
+    REQUIRE(world.port.replies.size() == 1);
+    CHECK(world.port.replies[0].reply.outcome == JobOutcome::GaveUp);
+    CHECK(world.port.sent.back().message.withdrawn);
+}
--- /dev/null
+++ b/tests/unit/unit-placement.cpp
@@ -0,0 +1,116 @@
+#include <catch2/catch.hpp>
+
+#include <egrettrestle/decision/ownership.hpp>
+#include <egrettrestle/decision/room_table.hpp>
+#include <egrettrestle/decision/run_times.hpp>
+
+#include "fake_ports.hpp"
+
+using namespace egrettrestle;
+using namespace egrettrestle::fakes;
+
+namespace {
+
+View viewOf(const std::vector<std::pair<VmId, DataCentreId>>& members)
+{
+    View view;
+    view.epoch.value = 1;
+    for (const auto& member : members)
+        view.members.push_back({ member.first, "p", "c", { 1 }, member.second });
+    return view;
+}
+
+}
+
+TEST_CASE("ownership of upstreams")
+{
+    const View view = viewOf({ { "a", "dc1" }, { "b", "dc1" }, { "c", "dc2" } });
+
+    SECTION("an upstream belongs to a VM of its own data centre")
+    {
+        for (int index = 0; index < 50; ++index)
+            CHECK(ownerOf(view, upstreamNamed("u" + std::to_string(index))) != "c");
+    }
+
+    SECTION("where its data centre has no VM, to any other")
+    {
+        CHECK(ownerOf(viewOf({ { "c", "dc2" } }), upstreamNamed("u")) == "c");
+    }
+
+    SECTION("nobody without members")
+    {
+        CHECK_FALSE(ownerOf({}, upstreamNamed("u")));
+    }
+
+    SECTION("a member that leaves moves only its own upstreams")
+    {
+        const View without = viewOf({ { "a", "dc1" }, { "c", "dc2" } });
+        for (int index = 0; index < 50; ++index) {
+            const UpstreamInfo upstream = upstreamNamed("u" + std::to_string(index));
+            if (ownerOf(view, upstream) == "a")
+                CHECK(ownerOf(without, upstream) == "a");
+        }
+    }
+}
+
+TEST_CASE("room table")
+{
+    RoomTable rooms;
+    rooms.update("x", roomFor(2, 8));
+    rooms.update("y", roomFor(5, 8));
+
+    SECTION("requests on the way count as taken room until the owner has seen them")
+    {
+        rooms.countRequest("y");
+        rooms.countRequest("y");
+        CHECK(rooms.freeAt("y", "print") == 3);
+        RoomReport report = roomFor(3, 8);
+        report.requestsSeen = 2;
+        rooms.update("y", report);
+        CHECK(rooms.freeAt("y", "print") == 3);
+    }
+
+    SECTION("totals add up what is reachable")
+    {
+        CHECK(rooms.totals("print", 0).freeTasks == 7);
+        rooms.setReachable("y", false);
+        CHECK(rooms.totals("print", 0).freeTasks == 2);
+        CHECK(rooms.totals("print", 0).totalTasks == 8);
+    }
+
+    SECTION("only tasks at least as urgent count as ahead")
+    {
+        RoomReport report = roomFor(0, 8, 3);
+        report.queues[0].priority = 1;
+        rooms.update("y", report);
+        CHECK(rooms.totals("print", 0).tasksAhead == 0);
+        CHECK(rooms.totals("print", 1).tasksAhead == 3);
+    }
+}
+
+TEST_CASE("learned run times")
+{
+    RunTimes times;
+
+    SECTION("the caller's estimate serves until runs have ended")
+    {
+        CHECK(times.expected("proof", Milliseconds { 80 }) == Milliseconds { 80 });
+    }
+
+    SECTION("an estimate that is always half of the truth is corrected")
+    {
+        for (int run = 0; run < 100; ++run)
+            times.record("proof", "a", Milliseconds { 100 }, Milliseconds { 200 });
+        CHECK(times.expected("proof", Milliseconds { 100 }).count() == Approx(200).margin(10));
+    }
+
+    SECTION("a kind of upstream that is slower by a third is known as such")
+    {
+        for (int run = 0; run < 200; ++run) {
+            times.record("proof", "fast", Milliseconds { 100 }, Milliseconds { 100 });
+            times.record("proof", "slow", Milliseconds { 100 }, Milliseconds { 130 });
+        }
+        CHECK(times.slowness("fast") == Approx(1.0).margin(0.05));
+        CHECK(times.slowness("slow") == Approx(1.3).margin(0.1));
+    }
+}
--- /dev/null
+++ b/tests/unit/unit-upstream-owner.cpp
@@ -0,0 +1,334 @@
+#include <catch2/catch.hpp>
+
+#include <egrettrestle/decision/upstream_owner.hpp>
+
+#include "fake_ports.hpp"
+
+using namespace egrettrestle;
+using namespace egrettrestle::fakes;
+
+namespace {
+
+constexpr FencingToken token { 5 };
+
+/// An owner of upstream `u1`, and a clock that the test moves.
+struct OwnerWorld {
+    RecordingOwnerPort port;
+    OwnerLimits limits;
+    UpstreamOwner owner { port, limits };
+    TimePoint now { std::chrono::hours { 1 } };
+    std::uint64_t ends = 0;
+
+    OwnerWorld() { owner.own(upstreamNamed("u1"), token, now); }
+
+    LookReply reply(std::vector<TaskRun> running = {}, std::vector<ListedEnd> ended = {}) const
+    {
+        LookReply look;
+        look.outcome = OrderOutcome::Accepted;
+        look.clock = Milliseconds { 1'000 } + toMilliseconds(now.time_since_epoch());
+        look.running = std::move(running);
+        look.ended = std::move(ended);
+        return look;
+    }
+
+    void look(const LookReply& reply)
+    {
+        const LookOrder order = *owner.nextLook("u1", now);
+        owner.onLook("u1", order, reply, now, now);
+    }
+
+    void lookFails()
+    {
+        const LookOrder order = *owner.nextLook("u1", now);
+        owner.onLook("u1", order, LookReply {}, now, now);
+    }
+
+    void pass(Milliseconds time) { now += time; }
+
+    /// Starts one run and lets the upstream accept it.
+    TaskRun startOne(const std::string& job)
+    {
+        owner.request("x", requestFor(job, 0, now + Seconds { 1 }), now);
+        const StartOrder order = port.starts.back();
+        owner.onStartReply(order, { OrderOutcome::Accepted, std::nullopt }, now);
+        return order.run;
+    }
+
+    ListedEnd end(const TaskRun& run, RunEnd how) { return { ++ends, run, how }; }
+
+    const PeerMessage& lastTold() const { return port.told.back().message; }
+};
+
+}
+
+TEST_CASE("owner starts runs on upstreams that it knows")
+{
+    OwnerWorld world;
+
+    SECTION("nothing is started before the first look")
+    {
+        world.owner.request("x", requestFor("j", 0, world.now + Seconds { 1 }), world.now);
+        CHECK(world.port.starts.empty());
+        world.look(world.reply());
+        REQUIRE(world.port.starts.size() == 1);
+        CHECK(world.port.starts[0].token == token);
+    }
+
+    SECTION("as many as fit, the rest wait")
+    {
+        world.look(world.reply());
+        for (std::uint32_t index = 0; index < 3; ++index)
+            world.owner.request("x", requestFor("j", index, world.now + Seconds { 1 }), world.now);
+        CHECK(world.port.starts.size() == 2);
+        CHECK(world.owner.queued() == 1);
+    }
+
+    SECTION("the more urgent one goes first, whatever came first")
+    {
+        world.look(world.reply());
+        world.startOne("j1");
+        world.startOne("j2");
+        RunRequest quote = requestFor("quote", 0, world.now + Seconds { 1 });
+        quote.priority = 1;
+        world.owner.request("x", quote, world.now);
+        world.owner.request("x", requestFor("proof", 0, world.now + Seconds { 1 }), world.now);
+        world.pass(Milliseconds { 10 });
+        world.look(world.reply({ { { "j2", 0, 0 }, 1 } }, { world.end({ { "j1", 0, 0 }, 1 }, RunEnd::Done) }));
+        CHECK(world.port.starts.back().run.task.job == "proof");
+    }
+
+    SECTION("a draining upstream gets no new run")
+    {
+        world.look(world.reply());
+        UpstreamInfo draining = upstreamNamed("u1");
+        draining.draining = true;
+        world.owner.own(draining, token, world.now);
+        world.owner.request("x", requestFor("j", 0, world.now + Seconds { 1 }), world.now);
+        CHECK(world.port.starts.empty());
+    }
+
+    SECTION("a start carries a lease that ends by the upstream's clock")
+    {
+        world.look(world.reply());
+        world.startOne("j");
+        const UpstreamClock upstreamNow = Milliseconds { 1'000 } + toMilliseconds(world.now.time_since_epoch());
+        CHECK(world.port.starts[0].leaseEnd == upstreamNow + world.limits.lease);
+    }
+
+    SECTION("a request that cannot start in time is returned, not run")
+    {
+        world.owner.request("x", requestFor("j", 0, world.now + Milliseconds { 50 }), world.now);
+        world.pass(Milliseconds { 60 });
+        world.owner.tick(world.now);
+        REQUIRE(world.lastTold().returned);
+        CHECK(world.lastTold().returned->reason == ReturnReason::Expired);
+        CHECK(world.port.starts.empty());
+    }
+}
+
+TEST_CASE("owner reports how runs ended")
+{
+    OwnerWorld world;
+    world.look(world.reply());
+    const TaskRun run = world.startOne("j");
+
+    SECTION("a listed end is told to the executor and acknowledged with the next look")
+    {
+        world.pass(Milliseconds { 80 });
+        world.look(world.reply({}, { world.end(run, RunEnd::Done) }));
+        REQUIRE(world.lastTold().ended);
+        CHECK(world.lastTold().ended->how == RunEnd::Done);
+        CHECK(world.lastTold().ended->took == Milliseconds { 80 });
+        CHECK(world.owner.nextLook("u1", world.now)->acknowledged == 1);
+    }
+
+    SECTION("an end that is listed again is told once")
+    {
+        const ListedEnd end = world.end(run, RunEnd::Done);
+        world.pass(Milliseconds { 10 });
+        world.look(world.reply({}, { end }));
+        const std::size_t told = world.port.told.size();
+        world.look(world.reply({}, { end }));
+        CHECK(world.port.told.size() == told);
+    }
+
+    SECTION("a run that a later look does not list any more is lost")
+    {
+        world.pass(Milliseconds { 10 });
+        world.look(world.reply());
+        REQUIRE(world.lastTold().returned);
+        CHECK(world.lastTold().returned->reason == ReturnReason::Lost);
+    }
+
+    SECTION("a look that was sent before the start proves nothing")
+    {
+        const LookOrder order = *world.owner.nextLook("u1", world.now);
+        const TimePoint sent = world.now;
+        world.pass(Milliseconds { 10 });
+        const TaskRun later = world.startOne("later");
+        world.owner.onLook("u1", order, world.reply({ run }), sent, world.now);
+        CHECK(world.owner.running() == 2);
+        (void)later;
+    }
+}
+
+TEST_CASE("owner never gives a run back while it may be at work")
+{
+    OwnerWorld world;
+    world.look(world.reply());
+
+    SECTION("a start without an answer that a look shows is at work")
+    {
+        world.owner.request("x", requestFor("j", 0, world.now + Seconds { 1 }), world.now);
+        const StartOrder order = world.port.starts.back();
+        world.pass(Milliseconds { 300 });
+        world.owner.onStartReply(order, {}, world.now);
+        REQUIRE(world.port.looks.size() == 1);
+        world.look(world.reply({ order.run }));
+        REQUIRE(world.lastTold().started);
+    }
+
+    SECTION("a start without an answer that no look shows is stopped, and returned only when the stop was accepted and a later look does not list it")
+    {
+        world.owner.request("x", requestFor("j", 0, world.now + Seconds { 1 }), world.now);
+        const StartOrder order = world.port.starts.back();
+        world.pass(Milliseconds { 300 });
+        world.owner.onStartReply(order, {}, world.now);
+        world.pass(Milliseconds { 5 });
+        world.look(world.reply());
+        REQUIRE(world.port.stops.size() == 1);
+        world.pass(Milliseconds { 5 });
+        world.look(world.reply());
+        CHECK(world.port.told.empty());
+        world.owner.onStopReply(world.port.stops[0], { OrderOutcome::Accepted, std::nullopt }, world.now);
+        world.pass(Milliseconds { 100 });
+        world.look(world.reply());
+        REQUIRE(world.port.told.size() == 1);
+        CHECK(world.lastTold().returned);
+    }
+
+    SECTION("runs of a silent upstream are lost only once their lease has lapsed")
+    {
+        const TaskRun run = world.startOne("j");
+        world.pass(Milliseconds { 200 });
+        world.look(world.reply({ run }));
+        const std::size_t told = world.port.told.size();
+        world.pass(Milliseconds { 100 });
+        world.lookFails();
+        world.lookFails();
+        CHECK_FALSE(world.owner.nextLook("u1", world.now)->leaseEnd);
+        world.owner.tick(world.now);
+        CHECK(world.port.told.size() == told);
+        world.pass(world.limits.lease + Milliseconds { 200 });
+        world.owner.tick(world.now);
+        REQUIRE(world.port.told.size() == told + 1);
+        CHECK(world.lastTold().returned->reason == ReturnReason::Lost);
+    }
+
+    SECTION("an upstream that started again under its id has lost everything")
+    {
+        const TaskRun run = world.startOne("j");
+        LookReply reborn = world.reply();
+        reborn.startedAt = Milliseconds { 2'000 };
+        world.pass(Milliseconds { 10 });
+        world.look(reborn);
+        REQUIRE(world.lastTold().returned);
+        CHECK(world.lastTold().returned->run == run);
+        CHECK(world.owner.nextLook("u1", world.now)->acknowledged == 0);
+    }
+}
+
+TEST_CASE("owner settles what it finds at an upstream that it takes over")
+{
+    OwnerWorld world;
+    const TaskRun found { { "j", 0, 0 }, 1 };
+
+    SECTION("a run that its executor claims goes on")
+    {
+        world.look(world.reply({ found }));
+        world.owner.claim("x", { found, "u1" }, world.now);
+        world.pass(Milliseconds { 20 });
+        world.look(world.reply({ found }));
+        CHECK(world.port.stops.empty());
+        CHECK(world.owner.nextLook("u1", world.now)->leaseEnd);
+    }
+
+    SECTION("a run that nobody claims is stopped, and its lease is not extended before")
+    {
+        world.look(world.reply({ found }));
+        CHECK_FALSE(world.owner.nextLook("u1", world.now)->leaseEnd);
+        world.pass(world.limits.claimGrace + Milliseconds { 1 });
+        world.owner.tick(world.now);
+        REQUIRE(world.port.stops.size() == 1);
+        CHECK(world.port.stops[0].run == found);
+    }
+
+    SECTION("a claim that comes before the first look waits for it")
+    {
+        world.owner.claim("x", { found, "u1" }, world.now);
+        CHECK(world.port.told.empty());
+        world.pass(Milliseconds { 10 });
+        world.look(world.reply());
+        REQUIRE(world.lastTold().returned);
+        CHECK(world.lastTold().returned->reason == ReturnReason::Lost);
+    }
+}
+
+TEST_CASE("owner stops what nobody waits for")
+{
+    OwnerWorld world;
+    world.look(world.reply());
+    const TaskRun run = world.startOne("j");
+
+    SECTION("the runs of an executor that is gone")
+    {
+        world.owner.dropExecutor("x", world.now);
+        REQUIRE(world.port.stops.size() == 1);
+        CHECK(world.port.stops[0].run == run);
+    }
+
+    SECTION("a run that is withdrawn")
+    {
+        world.owner.withdraw("x", { run, false }, world.now);
+        CHECK(world.port.stops.size() == 1);
+    }
+
+    SECTION("but not a run at work that is to be moved only while it waits")
+    {
+        world.owner.withdraw("x", { run, true }, world.now);
+        CHECK(world.port.stops.empty());
+    }
+
+    SECTION("a run that takes far longer than expected, and its upstream is set aside")
+    {
+        world.pass(Milliseconds { 700 });
+        world.look(world.reply({ run }));
+        world.owner.tick(world.now);
+        REQUIRE(world.port.stops.size() == 1);
+        world.owner.request("x", requestFor("other", 0, world.now + Seconds { 1 }), world.now);
+        CHECK(world.port.starts.size() == 1);
+    }
+}
+
+TEST_CASE("owner obeys the fence")
+{
+    OwnerWorld world;
+    world.look(world.reply());
+    world.owner.request("x", requestFor("j", 0, world.now + Seconds { 1 }), world.now);
+    world.owner.onStartReply(world.port.starts.back(), { OrderOutcome::Fenced, std::nullopt }, world.now);
+
+    SECTION("nothing more is started at an upstream that obeys a later owner")
+    {
+        world.owner.tick(world.now);
+        CHECK(world.port.starts.size() == 1);
+        CHECK(world.owner.queued() == 1);
+    }
+
+    SECTION("a higher token starts again")
+    {
+        world.owner.own(upstreamNamed("u1"), { 6 }, world.now);
+        world.look(world.reply());
+        CHECK(world.port.starts.size() == 2);
+        CHECK(world.port.starts.back().token.value == 6);
+    }
+}
