Claim runs until the upstream's new owner answers; never say "not run" of a lost run

A start on its way when an upstream changed hands was not told to its executor at all. Change: claims wait for the ownership and are repeated until answered; an owner that gives an upstream up tells where starts were on their way; after a VM's process started again, its runs are claimed or awaited; lost runs count as started. Idle connections close once the balancer has noticed, and jobs that cannot be finished before the end are refused. Ruled out: late answers of upstreams; the runs in the logs overlap right after a view change only. Test: unit-upstream-owner, unit-job-executor, unit-http-server; the new sections fail on the code before.

--- a/packages/decision/include/egrettrestle/decision/job_executor.hpp
+++ b/packages/decision/include/egrettrestle/decision/job_executor.hpp
@@ -49,6 +49,10 @@
     /// Without word from an owner for this long, nothing that it ran for this VM is at work any more: it stops the runs of
     /// a silent executor, and its leases lapse.
     Milliseconds ownerLostAfter { 1'700 };
+    /// What a dead life of an owner has started ends within this time: its lease, and what stops take.
+    Milliseconds orphanTime { 850 };
+    /// A claim is repeated until the new owner answers.
+    Milliseconds claimRepeat { 200 };
     /// Distance to a run number that another executor of the same job cannot have reached.
     RunNumber runNumberStride = 16;
 };
@@ -116,6 +120,9 @@
 
     /// An owner is silent for so long that nothing it ran for this VM is at work.
     void onOwnerLost(const VmId& owner, TimePoint now);
+
+    /// An owner's process has started again: runs whose upstream is known are claimed, the others end with their lease.
+    void onOwnerReborn(const VmId& owner, TimePoint now);
     /// @}
 
     void tick(TimePoint now);
@@ -148,6 +155,10 @@
         UpstreamId upstream;
         int failures = 0;
         TimePoint sentAt;
+        /// Set while a new owner has not answered a claim.
+        std::optional<TimePoint> claimedAt;
+        /// When nothing that an earlier life of the owner has started can be at work any more.
+        std::optional<TimePoint> lostAt;
         std::vector<UpstreamId> avoid;
         std::vector<VmId> unfitOwners;
     };
@@ -189,6 +200,8 @@
     Task* findTask(const TaskRun& run, const VmId& owner, Job*& job);
     TaskRun runOf(const Job& job, const Task& task) const;
     void moveWaiting(Job& job, TimePoint now);
+    void claimIfMoved(Job& job, Task& task, TimePoint now);
+    void sendClaim(Job& job, Task& task, TimePoint now);
     void noteJob(JobNote::Kind kind, const Job& job, const std::string& reason, TimePoint now);
 
     ExecutorPort& m_port;
@@ -198,6 +211,7 @@
     RunTimes m_runTimes;
     std::map<std::string, Job> m_jobs;
     std::map<CallerTicket, std::string> m_tickets;
+    std::map<UpstreamId, VmId> m_owners;
 };
 
 } // namespace egrettrestle
--- a/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
+++ b/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
@@ -34,6 +34,8 @@
     int failuresBeforePause = 3;
     /// How long ends are remembered for claims that come after them.
     Milliseconds endMemory { 5'000 };
+    /// How long a claim waits for this VM to learn that it owns the upstream.
+    Milliseconds earlyClaimWait { 1'500 };
     /// Running a task away from its data's rack takes this many times as long.
     double farFactor = 1;
 };
--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -41,7 +41,7 @@
     /// there, nothing is started. Runs that no executor claims within the claim grace are stopped.
     void own(const UpstreamInfo& info, FencingToken token, TimePoint now);
 
-    /// Gives an upstream up; its runs are the next owner's. Requests that wait stay here.
+    /// Gives an upstream up; its runs are the next owner's, and executors learn where starts were on their way. Requests that wait stay here.
     void release(const UpstreamId& upstream, TimePoint now);
 
     /// Discovery no longer lists an upstream: nothing is started there, and it is forgotten once nothing can run there.
@@ -92,6 +92,12 @@
         TimePoint since;
     };
 
+    struct EarlyClaim {
+        VmId executor;
+        RunClaim claim;
+        TimePoint since;
+    };
+
     using EndedRuns = std::map<TaskRun, RunEnded>;
 
     void startWaiting(TimePoint now);
@@ -111,6 +117,7 @@
     void checkClaims(OwnedUpstream& upstream, TimePoint now);
     void expireWaiting(TimePoint now);
     void noteNeed(const Resources& need);
+    void takeEarlyClaims(const UpstreamId& upstream, TimePoint now);
     OwnedUpstream* find(const UpstreamId& upstream);
     void insertWaiting(Waiting waiting);
 
@@ -123,6 +130,8 @@
     /// Runs that ended lately, for claims that arrive after the end.
     EndedRuns m_recentEnds;
     std::vector<std::pair<TimePoint, TaskRun>> m_recentOrder;
+    /// Claims for upstreams that this VM does not own yet.
+    std::vector<EarlyClaim> m_earlyClaims;
     Resources m_ordinaryNeed;
     bool m_starting = true;
 };
--- a/packages/decision/src/dispatcher.cpp
+++ b/packages/decision/src/dispatcher.cpp
@@ -112,6 +112,7 @@
     m_peers[vm] = { now, now };
     m_rooms.forget(vm);
     m_owner.dropExecutor(vm, now);
+    m_executor.onOwnerReborn(vm, now);
     deliverLocal(now);
 }
 
--- a/packages/decision/src/job_executor.cpp
+++ b/packages/decision/src/job_executor.cpp
@@ -148,6 +148,8 @@
     task.state = TaskState::Sent;
     task.owner = owner;
     task.upstream.clear();
+    task.claimedAt.reset();
+    task.lostAt.reset();
     task.sentAt = now;
     RunRequest request;
     request.run = runOf(job, task);
@@ -210,7 +212,7 @@
     return nullptr;
 }
 
-void JobExecutor::onStarted(const VmId& owner, const RunStarted& started, TimePoint)
+void JobExecutor::onStarted(const VmId& owner, const RunStarted& started, TimePoint now)
 {
     Job* job = nullptr;
     Task* task = findTask(started.run, owner, job);
@@ -218,9 +220,15 @@
         return;
     job->anyStarted = true;
     task->upstream = started.upstream;
+    task->lostAt.reset();
+    const bool claimAnswered = task->claimedAt.has_value();
+    task->claimedAt.reset();
+    if (claimAnswered && task->state == TaskState::Withdrawn && job->ending)
+        withdrawTask(*job, *task, false);
     const bool moveCameLate = task->state == TaskState::Withdrawn && !job->ending;
     if (task->state == TaskState::Sent || moveCameLate)
         task->state = TaskState::Running;
+    claimIfMoved(*job, *task, now);
 }
 
 void JobExecutor::onEnded(const VmId& owner, const RunEnded& ended, TimePoint now)
@@ -258,6 +266,9 @@
     if (!task || task->state == TaskState::Done)
         return;
     task->state = TaskState::Unsent;
+    // The order to start may have been carried out before the run was lost.
+    if (returned.reason == ReturnReason::Lost)
+        job->anyStarted = true;
     if (returned.reason == ReturnReason::Superseded)
         task->run += m_limits.runNumberStride;
     if (returned.reason == ReturnReason::Impossible)
@@ -278,23 +289,32 @@
 
 void JobExecutor::onOwnersChanged(const std::map<UpstreamId, VmId>& owners, TimePoint now)
 {
+    m_owners = owners;
     for (auto& entry : m_jobs) {
-        for (Task& task : entry.second.tasks) {
-            const bool out = task.state == TaskState::Running || task.state == TaskState::Withdrawn;
-            if (!out || task.upstream.empty())
-                continue;
-            const auto owner = owners.find(task.upstream);
-            if (owner == owners.end() || owner->second == task.owner)
-                continue;
-            task.owner = owner->second;
-            noteJob(JobNote::Kind::ClaimSent, entry.second, task.upstream, now);
-            m_port.send(task.owner, { {}, {}, {}, {}, {}, RunClaim { runOf(entry.second, task), task.upstream } });
-            if (task.state == TaskState::Withdrawn)
-                withdrawTask(entry.second, task, false);
-        }
+        for (Task& task : entry.second.tasks)
+            claimIfMoved(entry.second, task, now);
     }
 }
 
+void JobExecutor::claimIfMoved(Job& job, Task& task, TimePoint now)
+{
+    const bool out = task.state == TaskState::Running || task.state == TaskState::Withdrawn;
+    const auto owner = m_owners.find(task.upstream);
+    if (!out || owner == m_owners.end() || owner->second == task.owner)
+        return;
+    task.owner = owner->second;
+    noteJob(JobNote::Kind::ClaimSent, job, task.upstream, now);
+    sendClaim(job, task, now);
+}
+
+void JobExecutor::sendClaim(Job& job, Task& task, TimePoint now)
+{
+    task.claimedAt = now;
+    m_port.send(task.owner, { {}, {}, {}, {}, {}, RunClaim { runOf(job, task), task.upstream } });
+    if (task.state == TaskState::Withdrawn)
+        withdrawTask(job, task, false);
+}
+
 void JobExecutor::onOwnerLost(const VmId& owner, TimePoint now)
 {
     std::vector<std::string> touched;
@@ -305,6 +325,7 @@
             if (!out || task.owner != owner)
                 continue;
             task.state = TaskState::Unsent;
+            job.anyStarted = true;
             touched.push_back(entry.first);
             if (!job.ending)
                 resend(job, task, now);
@@ -314,6 +335,25 @@
         settle(id, now);
 }
 
+void JobExecutor::onOwnerReborn(const VmId& owner, TimePoint now)
+{
+    for (auto& entry : m_jobs) {
+        for (Task& task : entry.second.tasks) {
+            const bool out = task.state == TaskState::Sent || task.state == TaskState::Running || task.state == TaskState::Withdrawn;
+            if (!out || task.owner != owner)
+                continue;
+            const auto next = m_owners.find(task.upstream);
+            if (next == m_owners.end()) {
+                task.lostAt = now + m_limits.orphanTime;
+                continue;
+            }
+            task.owner = next->second;
+            noteJob(JobNote::Kind::ClaimSent, entry.second, task.upstream, now);
+            sendClaim(entry.second, task, now);
+        }
+    }
+}
+
 void JobExecutor::withdrawTask(const Job& job, Task& task, bool onlyIfWaiting)
 {
     task.state = TaskState::Withdrawn;
@@ -404,8 +444,18 @@
         }
         // An owner that never answers a withdrawal is silent; by then nothing that it ran is left.
         for (Task& task : job.tasks) {
-            if (job.ending && task.state == TaskState::Withdrawn && now - job.deadline > m_limits.ownerLostAfter)
+            if (job.ending && task.state == TaskState::Withdrawn && now - job.deadline > m_limits.ownerLostAfter) {
+                task.state = TaskState::Unsent;
+                job.anyStarted = true;
+            }
+            const bool out = task.state == TaskState::Sent || task.state == TaskState::Running || task.state == TaskState::Withdrawn;
+            if (task.lostAt && out && now > *task.lostAt) {
+                job.anyStarted = true;
                 task.state = TaskState::Unsent;
+            }
+            const bool unanswered = task.claimedAt && now - *task.claimedAt > m_limits.claimRepeat;
+            if (unanswered && (task.state == TaskState::Running || task.state == TaskState::Withdrawn))
+                sendClaim(job, task, now);
         }
         settle(id, now);
     }
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -122,6 +122,19 @@
     upstream.lapsedBy = now;
     m_upstreams.emplace(info.id, std::move(upstream));
     m_port.note({ NoteKind::Owned, info.id, {}, {}, {}, token.value });
+    takeEarlyClaims(info.id, now);
+}
+
+void UpstreamOwner::takeEarlyClaims(const UpstreamId& upstream, TimePoint now)
+{
+    std::vector<EarlyClaim> claims;
+    claims.swap(m_earlyClaims);
+    for (EarlyClaim& early : claims) {
+        if (early.claim.upstream == upstream)
+            claim(early.executor, early.claim, now);
+        else
+            m_earlyClaims.push_back(std::move(early));
+    }
 }
 
 void UpstreamOwner::release(const UpstreamId& upstream, TimePoint now)
@@ -130,6 +143,10 @@
     if (!owned)
         return;
     m_port.note({ NoteKind::Released, upstream, {}, {}, toMilliseconds(now - owned->ownedSince), owned->runs.size() });
+    for (const auto& entry : owned->runs) {
+        if (entry.second.state == RunState::Starting)
+            m_port.tell(entry.second.executor, { {}, RunStarted { entry.first, upstream }, {}, {}, {}, {} });
+    }
     m_upstreams.erase(upstream);
 }
 
@@ -172,6 +189,10 @@
             stopRun(entry.second, found->second, StopCause::Withdrawn, now);
         return;
     }
+    // The run may be at an upstream that is not yet known to be owned here; the executor claims it again.
+    const bool claimed = std::any_of(m_earlyClaims.begin(), m_earlyClaims.end(), [&run](const EarlyClaim& early) { return early.claim.run == run; });
+    if (claimed)
+        return;
     const auto ended = m_recentEnds.find(run);
     if (ended != m_recentEnds.end())
         m_port.tell(executor, { {}, {}, ended->second, {}, {}, {} });
@@ -188,12 +209,13 @@
     }
     OwnedUpstream* upstream = find(claim.upstream);
     if (!upstream) {
-        returnRun(executor, claim.run, ReturnReason::Lost);
+        m_earlyClaims.push_back({ executor, claim, now });
         return;
     }
     const auto found = upstream->runs.find(claim.run);
     if (found != upstream->runs.end()) {
         found->second.executor = executor;
+        m_port.tell(executor, { {}, RunStarted { claim.run, claim.upstream }, {}, {}, {}, {} });
         return;
     }
     if (upstream->known) {
@@ -211,6 +233,7 @@
     run.confirmedAt = upstream->ownedSince;
     upstream->used = upstream->used + run.request.need;
     upstream->runs.emplace(claim.run, std::move(run));
+    m_port.tell(executor, { {}, RunStarted { claim.run, claim.upstream }, {}, {}, {}, {} });
 }
 
 void UpstreamOwner::dropExecutor(const VmId& executor, TimePoint now)
@@ -475,6 +498,7 @@
 void UpstreamOwner::tick(TimePoint now)
 {
     expireWaiting(now);
+    m_earlyClaims.erase(std::remove_if(m_earlyClaims.begin(), m_earlyClaims.end(), [this, now](const EarlyClaim& early) { return now - early.since > m_limits.earlyClaimWait; }), m_earlyClaims.end());
     std::vector<UpstreamId> done;
     for (auto& entry : m_upstreams) {
         OwnedUpstream& upstream = entry.second;
--- a/packages/fleet/include/egrettrestle/fleet/fleet_node.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/fleet_node.hpp
@@ -22,6 +22,8 @@
     std::uint64_t life = 0;
     /// Set once the process has been asked to end.
     std::atomic<bool> leaving { false };
+    /// Once the process has been asked to end: when the last job has to be answered, by the boot clock.
+    std::atomic<TimePoint> lastAnswer { TimePoint::max() };
 };
 
 /// The names by which services find each other.
--- a/packages/fleet/include/egrettrestle/fleet/peer_links.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/peer_links.hpp
@@ -56,6 +56,7 @@
     DispatchBatch makeBatch(Peer& peer);
     void onReply(Peer& peer, const DispatchReply& reply, std::size_t sent);
     void spawn(const std::shared_ptr<Peer>& peer);
+    bool noteLife(const VmId& vm, std::uint64_t life);
     Milliseconds roomInterval() const;
 
     FleetNode& m_node;
@@ -64,7 +65,10 @@
     mutable std::mutex m_mutex;
     std::condition_variable m_ended;
     std::map<VmId, std::shared_ptr<Peer>> m_peers;
-    std::map<VmId, std::pair<std::uint64_t, std::uint64_t>> m_inbound;
+    /// The present life of each VM that has spoken.
+    std::map<VmId, std::uint64_t> m_lives;
+    /// Number of the last batch taken from each VM's present life.
+    std::map<VmId, std::uint64_t> m_lastTaken;
     std::map<VmId, TimePoint> m_heardAt;
     Epoch m_epoch;
     std::uint64_t m_roomVersion = 0;
--- a/packages/fleet/src/caller_front.cpp
+++ b/packages/fleet/src/caller_front.cpp
@@ -9,6 +9,8 @@
 
     // How often a waiting request looks whether its caller is still there.
     constexpr Milliseconds callerCheck { 150 };
+    // Another VM answers at once; the balancer sends new connections there.
+    constexpr Milliseconds comeBackAfterDrain { 1'000 };
     constexpr int mostCallers = 800;
     constexpr int mostProbes = 8;
     constexpr std::size_t largestBody = 1024 * 1024;
@@ -109,6 +111,10 @@
 HttpResponse CallerFront::answerJob(const HttpRequest& request, const CallerCall& call)
 {
     DispatchService& dispatch = m_node.kernel.find<DispatchService>(fleetServices::dispatch);
+    if (m_node.leaving && bootNow() + call.job.patience > m_node.lastAnswer.load()) {
+        m_node.log.write(events::drainingRefusal, { { "request", call.job.id }, { "route", call.route.name }, { "patienceMs", call.job.patience.count() } });
+        return m_node.site.callers->write({ JobOutcome::Refused, comeBackAfterDrain, "draining" });
+    }
     CallerTicket ticket = 0;
     const std::shared_ptr<PendingReply> pending = dispatch.submit(call.job, call.route, ticket);
     while (true) {
--- a/packages/fleet/src/fleet_daemon.cpp
+++ b/packages/fleet/src/fleet_daemon.cpp
@@ -32,6 +32,7 @@
     void finishJobs(FleetNode& node)
     {
         const TimePoint asked = bootNow();
+        node.lastAnswer = asked + node.settings.stopGrace - endMargin;
         node.leaving = true;
         node.log.write(events::draining, { { "jobs", static_cast<std::int64_t>(jobsInFlight(node.kernel)) } });
         node.kernel.find<FleetMembership>(fleetServices::membership).leave();
--- a/packages/fleet/src/peer_links.cpp
+++ b/packages/fleet/src/peer_links.cpp
@@ -225,21 +225,17 @@
     bool reborn = false;
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
-        reborn = peer.receiverLife != 0 && peer.receiverLife != reply.life;
+        reborn = noteLife(peer.id, reply.life);
         peer.receiverLife = reply.life;
         peer.mark = reply.mark;
         peer.answeredAt = bootNow();
         peer.refusals = 0;
-        if (reply.taken) {
+        if (reply.taken && !reborn) {
             const std::size_t done = std::min({ sent, peer.inBatch, peer.outbox.size() });
             peer.outbox.erase(peer.outbox.begin(), peer.outbox.begin() + static_cast<std::ptrdiff_t>(done));
             peer.inBatch = 0;
             ++peer.sequence;
         }
-        if (reborn) {
-            peer.outbox.clear();
-            peer.inBatch = 0;
-        }
     }
     if (reborn) {
         m_node.log.write(events::vmReborn, { { "peer", peer.id }, { "life", static_cast<std::int64_t>(reply.life) }, { "seen", "reply" } });
@@ -255,6 +251,26 @@
     }
 }
 
+/// Called with m_mutex held. True if an earlier life of the VM was known; what waited for that one is dropped.
+bool PeerLinks::noteLife(const VmId& vm, std::uint64_t life)
+{
+    const auto known = m_lives.find(vm);
+    const bool reborn = known != m_lives.end() && known->second != life;
+    if (known != m_lives.end() && !reborn)
+        return false;
+    m_lives[vm] = life;
+    m_lastTaken[vm] = 0;
+    const auto peer = m_peers.find(vm);
+    if (peer == m_peers.end())
+        return reborn;
+    peer->second->receiverLife = life;
+    if (reborn) {
+        peer->second->outbox.clear();
+        peer->second->inBatch = 0;
+    }
+    return reborn;
+}
+
 std::string PeerLinks::fetchConfiguration(const std::string& address)
 {
     HttpRequest request;
@@ -298,15 +314,14 @@
         reply.epoch = m_epoch;
         if (batch.receiverLife != m_node.life || reply.mark > batch.mark + static_cast<std::uint64_t>(oldestMark.count()))
             return reply;
-        const auto known = m_inbound.find(batch.from);
-        reborn = known != m_inbound.end() && known->second.first != batch.life;
-        if (reborn && batch.life < known->second.first && bootNow() - m_heardAt[batch.from] < oldestMark)
+        const auto known = m_lives.find(batch.from);
+        const bool earlierLife = known != m_lives.end() && batch.life < known->second && bootNow() - m_heardAt[batch.from] < oldestMark;
+        if (earlierLife)
             return reply;
-        if (known == m_inbound.end() || reborn)
-            m_inbound[batch.from] = { batch.life, 0 };
-        fresh = batch.sequence > m_inbound[batch.from].second;
+        reborn = noteLife(batch.from, batch.life);
+        fresh = batch.sequence > m_lastTaken[batch.from];
         if (fresh)
-            m_inbound[batch.from].second = batch.sequence;
+            m_lastTaken[batch.from] = batch.sequence;
         m_heardAt[batch.from] = bootNow();
     }
     if (reborn) {
--- a/packages/http/include/egrettrestle/http/server.hpp
+++ b/packages/http/include/egrettrestle/http/server.hpp
@@ -48,7 +48,7 @@
     /// Listens. Unavailable if the address cannot be bound.
     absl::Status start();
 
-    /// From now on each reply ends its connection, so that clients turn elsewhere.
+    /// From now on idle connections are closed and each reply ends its connection, so that clients turn elsewhere.
     void closeAfterReplies();
 
     /// Accepts no more connections, lets requests in flight finish and closes all connections.
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -75,7 +75,7 @@
         bool waitForRequest(Poco::Net::HTTPServerSession& session) const
         {
             const TimePoint idleEnd = SteadyClock::now() + m_shared->limits.idleTimeout;
-            while (!m_shared->stopping && SteadyClock::now() < idleEnd) {
+            while (!m_shared->stopping && !m_shared->closing && SteadyClock::now() < idleEnd) {
                 if (session.socket().poll(timespan(m_shared->limits.stopPoll), Poco::Net::Socket::SELECT_READ))
                     return true;
             }
--- a/tests/unit/unit-job-executor.cpp
+++ b/tests/unit/unit-job-executor.cpp
@@ -164,6 +164,35 @@
     }
 }
 
+TEST_CASE("executor does not say \"not run\" of what may have run")
+{
+    ExecutorWorld world;
+    world.submit(jobOf("j", 1));
+
+    SECTION("after a run was lost, whose start may have been carried out")
+    {
+        world.executor.onReturned("x", { world.request(0).run, ReturnReason::Lost }, world.now);
+        world.executor.onReturned("x", { world.request(1).run, ReturnReason::Expired }, world.now);
+    }
+
+    SECTION("after an owner fell silent")
+    {
+        world.executor.onOwnerLost("x", world.now);
+        world.executor.onReturned("x", { world.request(1).run, ReturnReason::Expired }, world.now);
+    }
+
+    SECTION("when an owner never says what became of it")
+    {
+        world.now += Seconds { 2 };
+        world.executor.tick(world.now);
+        world.now += Seconds { 10 };
+        world.executor.tick(world.now);
+    }
+
+    REQUIRE(world.port.replies.size() == 1);
+    CHECK(world.port.replies[0].reply.outcome == JobOutcome::GaveUp);
+}
+
 TEST_CASE("executor stops a job that nobody waits for")
 {
     ExecutorWorld world;
@@ -231,6 +260,28 @@
     CHECK(world.port.sent[1].vm == "y");
     REQUIRE(world.port.sent[1].message.claim);
 
+    SECTION("again until the new owner answers, since it may not know yet that it is the owner")
+    {
+        world.now += world.limits.claimRepeat + Milliseconds { 1 };
+        world.executor.tick(world.now);
+        REQUIRE(world.port.sent.size() == 3);
+        CHECK(world.port.sent[2].message.claim);
+        world.executor.onStarted("y", { world.request(0).run, "u" }, world.now);
+        world.now += world.limits.claimRepeat + Milliseconds { 1 };
+        world.executor.tick(world.now);
+        CHECK(world.port.sent.size() == 3);
+    }
+
+    SECTION("also a run that the old owner reports only after it gave the upstream up")
+    {
+        world.submit(jobOf("k", 1), 2);
+        const TaskRun late = world.port.sent.back().message.request->run;
+        world.executor.onStarted("x", { late, "u" }, world.now);
+        CHECK(world.port.sent.back().vm == "y");
+        REQUIRE(world.port.sent.back().message.claim);
+        CHECK(world.port.sent.back().message.claim->run == late);
+    }
+
     SECTION("and no longer listens to the old one")
     {
         world.executor.onReturned("x", { world.request(0).run, ReturnReason::Lost }, world.now);
