--- a/packages/decision/include/egrettrestle/decision/job_executor.hpp
+++ b/packages/decision/include/egrettrestle/decision/job_executor.hpp
@@ -195,7 +195,7 @@
     void withdrawTask(const Job& job, Task& task, bool onlyIfWaiting);
     void resend(Job& job, Task& task, TimePoint now);
     void end(Job& job, JobOutcome outcome, const std::string& reason, TimePoint now);
-    void reply(Job& job, JobReply reply, TimePoint now);
+    void reply(Job& job, const JobReply& reply, TimePoint now);
     void settle(const std::string& id, TimePoint now);
     Task* findTask(const TaskRun& run, const VmId& owner, Job*& job);
     TaskRun runOf(const Job& job, const Task& task) const;
--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -108,7 +108,7 @@
     void requeue(OwnedRun& run, TimePoint now);
     void forget(OwnedUpstream& upstream, const TaskRun& run);
     void returnRun(const VmId& executor, const TaskRun& run, ReturnReason reason);
-    void finishRun(OwnedUpstream& upstream, OwnedRun run, RunEnd how, TimePoint now);
+    void finishRun(OwnedUpstream& upstream, const OwnedRun& run, RunEnd how, TimePoint now);
     void takeEnds(OwnedUpstream& upstream, const LookReply& reply, TimePoint now);
     void compareRunning(OwnedUpstream& upstream, const LookReply& reply, TimePoint sentAt, TimePoint now);
     void adoptUnknown(OwnedUpstream& upstream, const TaskRun& run, TimePoint now);
--- a/packages/decision/src/job_executor.cpp
+++ b/packages/decision/src/job_executor.cpp
@@ -373,7 +373,7 @@
         reply(job, job.finalReply, now);
 }
 
-void JobExecutor::reply(Job& job, JobReply reply, TimePoint now)
+void JobExecutor::reply(Job& job, const JobReply& reply, TimePoint now)
 {
     if (job.replied)
         return;
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -313,14 +313,14 @@
             m_recentOrder.emplace_back(now, end.run);
             continue;
         }
-        OwnedRun run = std::move(found->second);
+        const OwnedRun run = std::move(found->second);
         upstream.used = upstream.used - run.request.need;
         upstream.runs.erase(found);
-        finishRun(upstream, std::move(run), end.how, now);
+        finishRun(upstream, run, end.how, now);
     }
 }
 
-void UpstreamOwner::finishRun(OwnedUpstream& upstream, OwnedRun run, RunEnd how, TimePoint now)
+void UpstreamOwner::finishRun(OwnedUpstream& upstream, const OwnedRun& run, RunEnd how, TimePoint now)
 {
     const bool measured = run.state != RunState::Starting && run.confirmedAt != TimePoint {};
     const Milliseconds took = measured ? toMilliseconds(now - run.confirmedAt) : Milliseconds { 0 };
