Claim with the view's epoch, and with every view

The executor with the older view heard from the new owner that a run was at work, looked the upstream's owner up in its own view and claimed the run there. That VM, fenced without knowing it, answered "lost", and the task was started again. Change: reports of a start and claims carry the epoch. An executor does not claim on a view older than the owner's; an owner with an older view than the claim's lets it wait. Runs are claimed with every new view, since an upstream may change hands and back between two views of an executor. A run that went to another owner is not reported as not running when it is withdrawn. Claim grace counts from the first look, as the cut may have been longer. Test: unit-upstream-owner, unit-job-executor, new sections.

--- a/packages/decision/include/egrettrestle/decision/dispatch_types.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatch_types.hpp
@@ -157,6 +157,8 @@
 struct RunStarted {
     TaskRun run;
     UpstreamId upstream;
+    /// Of the view under which the sender owns, or owned, the upstream.
+    FencingToken epoch;
 };
 
 struct RunEnded {
@@ -199,6 +201,8 @@
 struct RunClaim {
     TaskRun run;
     UpstreamId upstream;
+    /// Of the sender's view: an owner that has not adopted it yet cannot tell what runs.
+    FencingToken epoch;
 };
 
 /// Room on an owner's upstreams of one service and kind.
--- a/packages/decision/include/egrettrestle/decision/dispatcher.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatcher.hpp
@@ -129,6 +129,7 @@
     View m_view;
     std::map<UpstreamId, KnownUpstream> m_upstreams;
     std::map<UpstreamId, VmId> m_owners;
+    FencingToken m_epoch;
     std::map<VmId, PeerState> m_peers;
     std::deque<PeerMessage> m_local;
     std::uint64_t m_ownRequests = 0;
--- a/packages/decision/include/egrettrestle/decision/job_executor.hpp
+++ b/packages/decision/include/egrettrestle/decision/job_executor.hpp
@@ -115,8 +115,9 @@
     void onEnded(const VmId& owner, const RunEnded& ended, TimePoint now);
     void onReturned(const VmId& owner, const RunReturned& returned, TimePoint now);
 
-    /// Claims runs whose upstream has another owner now.
-    void onOwnersChanged(const std::map<UpstreamId, VmId>& owners, TimePoint now);
+    /// Learns who owns which upstream in the view of an epoch, and claims all runs there: an upstream may have changed
+    /// hands and back without this VM seeing it.
+    void onOwnersChanged(const std::map<UpstreamId, VmId>& owners, FencingToken epoch, TimePoint now);
 
     /// An owner is silent for so long that nothing it ran for this VM is at work.
     void onOwnerLost(const VmId& owner, TimePoint now);
@@ -153,6 +154,8 @@
         RunNumber run = 0;
         VmId owner;
         UpstreamId upstream;
+        /// Of the view under which the run was last reported at work.
+        FencingToken startEpoch;
         int failures = 0;
         TimePoint sentAt;
         /// Set while a new owner has not answered a claim.
@@ -212,6 +215,7 @@
     std::map<std::string, Job> m_jobs;
     std::map<CallerTicket, std::string> m_tickets;
     std::map<UpstreamId, VmId> m_owners;
+    FencingToken m_epoch;
 };
 
 } // namespace egrettrestle
--- a/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
+++ b/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
@@ -82,6 +82,7 @@
     std::uint64_t acknowledged = 0;
     /// Whether a look under the present ownership has shown what runs here.
     bool known = false;
+    TimePoint knownSince;
     /// Whether runs that nobody claimed are settled.
     bool claimsSettled = false;
     bool fenced = false;
--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -130,6 +130,9 @@
     /// Runs that ended lately, for claims that arrive after the end.
     EndedRuns m_recentEnds;
     std::vector<std::pair<TimePoint, TaskRun>> m_recentOrder;
+    /// Where runs were that went to another owner together with their upstream.
+    std::map<TaskRun, RunStarted> m_released;
+    std::vector<std::pair<TimePoint, TaskRun>> m_releasedOrder;
     /// Claims for upstreams that this VM does not own yet.
     std::vector<EarlyClaim> m_earlyClaims;
     Resources m_ordinaryNeed;
--- a/packages/decision/src/dispatcher.cpp
+++ b/packages/decision/src/dispatcher.cpp
@@ -57,10 +57,11 @@
             m_owner.release(entry.first, now);
         changed = changed || owned != (owner == m_self);
     }
-    const bool moved = owners != m_owners;
+    const bool moved = owners != m_owners || token > m_epoch;
     m_owners = std::move(owners);
+    m_epoch = token;
     if (moved)
-        m_executor.onOwnersChanged(m_owners, now);
+        m_executor.onOwnersChanged(m_owners, token, now);
     if (changed)
         m_port.ownedChanged();
 }
--- a/packages/decision/src/job_executor.cpp
+++ b/packages/decision/src/job_executor.cpp
@@ -148,6 +148,7 @@
     task.state = TaskState::Sent;
     task.owner = owner;
     task.upstream.clear();
+    task.startEpoch = {};
     task.claimedAt.reset();
     task.lostAt.reset();
     task.sentAt = now;
@@ -220,6 +221,7 @@
         return;
     job->anyStarted = true;
     task->upstream = started.upstream;
+    task->startEpoch = std::max(task->startEpoch, started.epoch);
     task->lostAt.reset();
     const bool claimAnswered = task->claimedAt.has_value();
     task->claimedAt.reset();
@@ -287,30 +289,41 @@
     sendUnsent(job, now);
 }
 
-void JobExecutor::onOwnersChanged(const std::map<UpstreamId, VmId>& owners, TimePoint now)
+void JobExecutor::onOwnersChanged(const std::map<UpstreamId, VmId>& owners, FencingToken epoch, TimePoint now)
 {
+    const bool newView = epoch > m_epoch;
     m_owners = owners;
+    m_epoch = epoch;
     for (auto& entry : m_jobs) {
-        for (Task& task : entry.second.tasks)
-            claimIfMoved(entry.second, task, now);
+        for (Task& task : entry.second.tasks) {
+            const auto owner = m_owners.find(task.upstream);
+            const bool atWork = task.state == TaskState::Running || task.state == TaskState::Withdrawn;
+            if (!atWork || owner == m_owners.end() || m_epoch < task.startEpoch)
+                continue;
+            if (!newView && owner->second == task.owner)
+                continue;
+            task.owner = owner->second;
+            sendClaim(entry.second, task, now);
+        }
     }
 }
 
 void JobExecutor::claimIfMoved(Job& job, Task& task, TimePoint now)
 {
-    const bool out = task.state == TaskState::Running || task.state == TaskState::Withdrawn;
+    const bool atWork = task.state == TaskState::Running || task.state == TaskState::Withdrawn;
     const auto owner = m_owners.find(task.upstream);
-    if (!out || owner == m_owners.end() || owner->second == task.owner)
+    // With an older view than the owner's, this VM does not know where the run belongs.
+    if (!atWork || owner == m_owners.end() || owner->second == task.owner || m_epoch < task.startEpoch)
         return;
     task.owner = owner->second;
-    noteJob(JobNote::Kind::ClaimSent, job, task.upstream, now);
     sendClaim(job, task, now);
 }
 
 void JobExecutor::sendClaim(Job& job, Task& task, TimePoint now)
 {
     task.claimedAt = now;
-    m_port.send(task.owner, { {}, {}, {}, {}, {}, RunClaim { runOf(job, task), task.upstream } });
+    noteJob(JobNote::Kind::ClaimSent, job, task.upstream, now);
+    m_port.send(task.owner, { {}, {}, {}, {}, {}, RunClaim { runOf(job, task), task.upstream, m_epoch } });
     if (task.state == TaskState::Withdrawn)
         withdrawTask(job, task, false);
 }
@@ -348,7 +361,6 @@
                 continue;
             }
             task.owner = next->second;
-            noteJob(JobNote::Kind::ClaimSent, entry.second, task.upstream, now);
             sendClaim(entry.second, task, now);
         }
     }
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -110,6 +110,7 @@
             if (token > upstream.token) {
                 upstream.token = token;
                 upstream.fenced = false;
+                takeEarlyClaims(info.id, now);
             }
             return;
         }
@@ -144,8 +145,11 @@
         return;
     m_port.note({ NoteKind::Released, upstream, {}, {}, toMilliseconds(now - owned->ownedSince), owned->runs.size() });
     for (const auto& entry : owned->runs) {
+        const RunStarted started { entry.first, upstream, owned->token };
+        m_released[entry.first] = started;
+        m_releasedOrder.emplace_back(now, entry.first);
         if (entry.second.state == RunState::Starting)
-            m_port.tell(entry.second.executor, { {}, RunStarted { entry.first, upstream }, {}, {}, {}, {} });
+            m_port.tell(entry.second.executor, { {}, started, {}, {}, {}, {} });
     }
     m_upstreams.erase(upstream);
 }
@@ -194,8 +198,11 @@
     if (claimed)
         return;
     const auto ended = m_recentEnds.find(run);
+    const auto released = m_released.find(run);
     if (ended != m_recentEnds.end())
         m_port.tell(executor, { {}, {}, ended->second, {}, {}, {} });
+    else if (released != m_released.end())
+        m_port.tell(executor, { {}, released->second, {}, {}, {}, {} });
     else
         returnRun(executor, run, ReturnReason::Withdrawn);
 }
@@ -208,14 +215,14 @@
         return;
     }
     OwnedUpstream* upstream = find(claim.upstream);
-    if (!upstream) {
+    if (!upstream || upstream->token < claim.epoch) {
         m_earlyClaims.push_back({ executor, claim, now });
         return;
     }
     const auto found = upstream->runs.find(claim.run);
     if (found != upstream->runs.end()) {
         found->second.executor = executor;
-        m_port.tell(executor, { {}, RunStarted { claim.run, claim.upstream }, {}, {}, {}, {} });
+        m_port.tell(executor, { {}, RunStarted { claim.run, claim.upstream, upstream->token }, {}, {}, {}, {} });
         return;
     }
     if (upstream->known) {
@@ -233,7 +240,7 @@
     run.confirmedAt = upstream->ownedSince;
     upstream->used = upstream->used + run.request.need;
     upstream->runs.emplace(claim.run, std::move(run));
-    m_port.tell(executor, { {}, RunStarted { claim.run, claim.upstream }, {}, {}, {}, {} });
+    m_port.tell(executor, { {}, RunStarted { claim.run, claim.upstream, upstream->token }, {}, {}, {}, {} });
 }
 
 void UpstreamOwner::dropExecutor(const VmId& executor, TimePoint now)
@@ -295,6 +302,8 @@
     owned->blocked = false;
     takeEnds(*owned, reply, now);
     compareRunning(*owned, reply, sentAt, now);
+    if (!owned->known)
+        owned->knownSince = now;
     owned->known = true;
     checkClaims(*owned, now);
     startWaiting(now);
@@ -364,7 +373,7 @@
             owned.state = RunState::Running;
             owned.doubtful = false;
             owned.confirmedAt = now;
-            m_port.tell(owned.executor, { {}, RunStarted { run, upstream.info.id }, {}, {}, {}, {} });
+            m_port.tell(owned.executor, { {}, RunStarted { run, upstream.info.id, upstream.token }, {}, {}, {}, {} });
         }
     }
     if (reply.ended.size() >= endPageSize)
@@ -412,7 +421,7 @@
 {
     if (upstream.claimsSettled || !upstream.known)
         return;
-    const bool graceOver = now - upstream.ownedSince >= m_limits.claimGrace;
+    const bool graceOver = now - upstream.knownSince >= m_limits.claimGrace;
     bool open = false;
     for (auto& entry : upstream.runs) {
         if (!entry.second.executor.empty())
@@ -439,7 +448,7 @@
         if (run.state == RunState::Stopping)
             return;
         run.state = RunState::Running;
-        m_port.tell(run.executor, { {}, RunStarted { order.run, order.upstream }, {}, {}, {}, {} });
+        m_port.tell(run.executor, { {}, RunStarted { order.run, order.upstream, upstream->token }, {}, {}, {}, {} });
         return;
     }
     if (reply.outcome == OrderOutcome::Unknown) {
@@ -518,6 +527,10 @@
         m_recentEnds.erase(m_recentOrder.front().second);
         m_recentOrder.erase(m_recentOrder.begin());
     }
+    while (!m_releasedOrder.empty() && now - m_releasedOrder.front().first > m_limits.endMemory) {
+        m_released.erase(m_releasedOrder.front().second);
+        m_releasedOrder.erase(m_releasedOrder.begin());
+    }
     startWaiting(now);
 }
 
--- a/packages/wire/src/dispatch_messages.cpp
+++ b/packages/wire/src/dispatch_messages.cpp
@@ -89,6 +89,7 @@
         if (message.started) {
             json value = runJson("started", message.started->run);
             value["upstream"] = message.started->upstream;
+            value["epoch"] = message.started->epoch.value;
             return value;
         }
         if (message.ended) {
@@ -107,6 +108,7 @@
         if (message.claim) {
             json value = runJson("claim", message.claim->run);
             value["upstream"] = message.claim->upstream;
+            value["epoch"] = message.claim->epoch.value;
             return value;
         }
         json value = runJson("withdrawn", message.withdrawn->run);
@@ -121,13 +123,13 @@
         if (kind == "request")
             message.request = readRequest(reader, now);
         else if (kind == "started")
-            message.started = RunStarted { readRun(reader), reader.text("upstream") };
+            message.started = RunStarted { readRun(reader), reader.text("upstream"), { reader.number("epoch") } };
         else if (kind == "ended")
             message.ended = RunEnded { readRun(reader), reader.text("upstream"), readEnum(reader, "how", RunEnd::Lapsed, faults), reader.milliseconds("tookMs"), reader.text("kind") };
         else if (kind == "returned")
             message.returned = RunReturned { readRun(reader), readEnum(reader, "reason", ReturnReason::Impossible, faults) };
         else if (kind == "claim")
-            message.claim = RunClaim { readRun(reader), reader.text("upstream") };
+            message.claim = RunClaim { readRun(reader), reader.text("upstream"), { reader.number("epoch") } };
         else if (kind == "withdrawn")
             message.withdrawn = RunWithdrawn { readRun(reader), reader.flag("onlyIfWaiting") };
         else
--- a/tests/unit/unit-job-executor.cpp
+++ b/tests/unit/unit-job-executor.cpp
@@ -146,7 +146,7 @@
     {
         ExecutorWorld world;
         world.submit(jobOf("j", 2));
-        world.executor.onStarted("x", { world.request(0).run, "u" }, world.now);
+        world.executor.onStarted("x", { world.request(0).run, "u", { 1 } }, world.now);
         world.executor.onReturned("x", { world.request(1).run, ReturnReason::Expired }, world.now);
         REQUIRE(world.port.replies.size() == 1);
         CHECK(world.port.replies[0].reply.outcome == JobOutcome::GaveUp);
@@ -157,7 +157,7 @@
         ExecutorWorld world;
         world.submit(jobOf("j", 2));
         world.executor.onReturned("x", { world.request(0).run, ReturnReason::Expired }, world.now);
-        world.executor.onStarted("x", { world.request(1).run, "u" }, world.now);
+        world.executor.onStarted("x", { world.request(1).run, "u", { 1 } }, world.now);
         world.executor.onEnded("x", { world.request(1).run, "u", RunEnd::Stopped, {}, "a" }, world.now);
         REQUIRE(world.port.replies.size() == 1);
         CHECK(world.port.replies[0].reply.outcome == JobOutcome::GaveUp);
@@ -254,8 +254,8 @@
 {
     ExecutorWorld world;
     world.submit(jobOf("j", 1));
-    world.executor.onStarted("x", { world.request(0).run, "u" }, world.now);
-    world.executor.onOwnersChanged({ { "u", "y" } }, world.now);
+    world.executor.onStarted("x", { world.request(0).run, "u", { 1 } }, world.now);
+    world.executor.onOwnersChanged({ { "u", "y" } }, { 2 }, world.now);
     REQUIRE(world.port.sent.size() == 2);
     CHECK(world.port.sent[1].vm == "y");
     REQUIRE(world.port.sent[1].message.claim);
@@ -266,7 +266,7 @@
         world.executor.tick(world.now);
         REQUIRE(world.port.sent.size() == 3);
         CHECK(world.port.sent[2].message.claim);
-        world.executor.onStarted("y", { world.request(0).run, "u" }, world.now);
+        world.executor.onStarted("y", { world.request(0).run, "u", { 1 } }, world.now);
         world.now += world.limits.claimRepeat + Milliseconds { 1 };
         world.executor.tick(world.now);
         CHECK(world.port.sent.size() == 3);
@@ -276,7 +276,7 @@
     {
         world.submit(jobOf("k", 1), 2);
         const TaskRun late = world.port.sent.back().message.request->run;
-        world.executor.onStarted("x", { late, "u" }, world.now);
+        world.executor.onStarted("x", { late, "u", { 1 } }, world.now);
         CHECK(world.port.sent.back().vm == "y");
         REQUIRE(world.port.sent.back().message.claim);
         CHECK(world.port.sent.back().message.claim->run == late);
@@ -295,11 +295,42 @@
     }
 }
 
+TEST_CASE("executor with an older view than an owner")
+{
+    ExecutorWorld world;
+    world.executor.onOwnersChanged({ { "u", "x" } }, { 6 }, world.now);
+    world.submit(jobOf("j", 1));
+    world.rooms.update("y", roomFor(4, 8));
+
+    SECTION("leaves a run where it was started, though its own view names another owner")
+    {
+        world.executor.onOwnersChanged({ { "u", "z" } }, { 7 }, world.now);
+        const std::size_t before = world.port.sent.size();
+        world.executor.onStarted("x", { world.request(0).run, "u", { 10 } }, world.now);
+        CHECK(world.port.sent.size() == before);
+        world.executor.onOwnersChanged({ { "u", "z" } }, { 10 }, world.now);
+        REQUIRE(world.port.sent.size() == before + 1);
+        CHECK(world.port.sent.back().message.claim->epoch == FencingToken { 10 });
+    }
+}
+
+TEST_CASE("executor claims its runs with every view, since an upstream may have changed hands and back")
+{
+    ExecutorWorld world;
+    world.executor.onOwnersChanged({ { "u", "x" } }, { 6 }, world.now);
+    world.submit(jobOf("j", 1));
+    world.executor.onStarted("x", { world.request(0).run, "u", { 6 } }, world.now);
+    const std::size_t before = world.port.sent.size();
+    world.executor.onOwnersChanged({ { "u", "x" } }, { 8 }, world.now);
+    REQUIRE(world.port.sent.size() == before + 1);
+    CHECK(world.port.sent.back().message.claim);
+}
+
 TEST_CASE("executor gives a job up when its caller's patience ends")
 {
     ExecutorWorld world;
     world.submit(jobOf("j", 1));
-    world.executor.onStarted("x", { world.request(0).run, "u" }, world.now);
+    world.executor.onStarted("x", { world.request(0).run, "u", { 1 } }, world.now);
     world.now += Milliseconds { 1'480 };
     world.executor.tick(world.now);
     REQUIRE(world.port.replies.size() == 1);
--- a/tests/unit/unit-upstream-owner.cpp
+++ b/tests/unit/unit-upstream-owner.cpp
@@ -246,7 +246,7 @@
     SECTION("a run that its executor claims goes on")
     {
         world.look(world.reply({ found }));
-        world.owner.claim("x", { found, "u1" }, world.now);
+        world.owner.claim("x", { found, "u1", token }, world.now);
         world.pass(Milliseconds { 20 });
         world.look(world.reply({ found }));
         CHECK(world.port.stops.empty());
@@ -263,9 +263,17 @@
         CHECK(world.port.stops[0].run == found);
     }
 
+    SECTION("claims have their time also where the first look came late")
+    {
+        world.pass(Seconds { 5 });
+        world.look(world.reply({ found }));
+        world.owner.tick(world.now);
+        CHECK(world.port.stops.empty());
+    }
+
     SECTION("a claim that comes before the first look waits for it")
     {
-        world.owner.claim("x", { found, "u1" }, world.now);
+        world.owner.claim("x", { found, "u1", token }, world.now);
         REQUIRE(world.port.told.size() == 1);
         CHECK(world.lastTold().started);
         world.pass(Milliseconds { 10 });
@@ -284,7 +292,7 @@
 
     SECTION("a claim that comes before the ownership waits for it; the run is not said to be lost")
     {
-        owner.claim("x", { run, "u1" }, now);
+        owner.claim("x", { run, "u1", token }, now);
         CHECK(port.told.empty());
         owner.own(upstreamNamed("u1"), token, now);
         LookReply look;
@@ -299,9 +307,20 @@
         CHECK(port.told[0].message.started);
     }
 
+    SECTION("a claim from a later view than this VM has waits for that view")
+    {
+        OwnerWorld world;
+        world.look(world.reply());
+        world.owner.claim("x", { run, "u1", { 6 } }, world.now);
+        CHECK(world.port.told.empty());
+        world.owner.own(upstreamNamed("u1"), { 6 }, world.now);
+        REQUIRE(world.port.told.size() == 1);
+        CHECK(world.lastTold().returned);
+    }
+
     SECTION("a claim for an upstream that is never owned is forgotten without a word")
     {
-        owner.claim("x", { run, "u1" }, now);
+        owner.claim("x", { run, "u1", token }, now);
         now += Seconds { 10 };
         owner.tick(now);
         CHECK(port.told.empty());
@@ -319,6 +338,17 @@
     CHECK(world.lastTold().started->upstream == "u1");
 }
 
+TEST_CASE("owner that gave an upstream up does not say that its runs are not at work")
+{
+    OwnerWorld world;
+    world.look(world.reply());
+    const TaskRun run = world.startOne("j");
+    world.owner.release("u1", world.now);
+    world.owner.withdraw("x", { run, false }, world.now);
+    REQUIRE(world.lastTold().started);
+    CHECK(world.lastTold().started->epoch == token);
+}
+
 TEST_CASE("owner stops what nobody waits for")
 {
     OwnerWorld world;
