--- a/packages/decision/include/egrettrestle/decision/dispatch_types.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatch_types.hpp
@@ -114,7 +114,7 @@
 };
 
 /// A job that is answered when it has ended and stored nowhere.
-struct JobRequest {
+struct DispatchJob {
     std::string id;
     std::string spec;
     std::vector<JobStep> steps;
@@ -228,6 +228,8 @@
 
 /// What an owner can take, as of one moment.
 struct RoomReport {
+    /// What a task of ordinary size needs; all zero until one has been seen.
+    Resources ordinaryNeed;
     std::vector<KindRoom> kinds;
     std::vector<QueueLength> queues;
     /// How many run requests of the report's receiver had arrived.
--- a/packages/decision/include/egrettrestle/decision/dispatcher.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatcher.hpp
@@ -33,7 +33,7 @@
     virtual void stop(const StopOrder& order) = 0;
     virtual void lookNow(const UpstreamId& upstream) = 0;
     virtual void send(const VmId& vm, PeerMessage message) = 0;
-    virtual void reply(CallerTicket ticket, const JobReply& reply) = 0;
+    virtual void reply(CallerTicket ticket, const JobAnswer& reply) = 0;
     virtual void note(const OwnerNote& note) = 0;
     virtual void note(const JobNote& note) = 0;
     /// The upstreams that this VM owns have changed.
@@ -57,7 +57,7 @@
     /// @}
     /// @name callers
     /// @{
-    void submit(CallerTicket ticket, const JobRequest& request, const Route& route, TimePoint now);
+    void submit(CallerTicket ticket, const DispatchJob& request, const Route& route, TimePoint now);
     void callerLeft(CallerTicket ticket, TimePoint now);
     bool cancel(const std::string& job, TimePoint now);
     /// @}
@@ -110,7 +110,7 @@
     void tell(const VmId& executor, PeerMessage message) override { send(executor, std::move(message)); }
     void note(const OwnerNote& note) override { m_port.note(note); }
     void note(const JobNote& note) override { m_port.note(note); }
-    void reply(CallerTicket ticket, const JobReply& reply) override { m_port.reply(ticket, reply); }
+    void reply(CallerTicket ticket, const JobAnswer& reply) override { m_port.reply(ticket, reply); }
     void send(const VmId& vm, PeerMessage message) override;
 
     void assignOwners(TimePoint now);
--- a/packages/decision/include/egrettrestle/decision/job_executor.hpp
+++ b/packages/decision/include/egrettrestle/decision/job_executor.hpp
@@ -27,7 +27,7 @@
     GaveUp,
 };
 
-struct JobReply {
+struct JobAnswer {
     JobOutcome outcome = JobOutcome::Refused;
     /// When the caller may come again; only for a refusal.
     Milliseconds retryAfter { 0 };
@@ -86,7 +86,7 @@
     virtual ~ExecutorPort() = default;
 
     virtual void send(const VmId& owner, PeerMessage message) = 0;
-    virtual void reply(CallerTicket ticket, const JobReply& reply) = 0;
+    virtual void reply(CallerTicket ticket, const JobAnswer& reply) = 0;
     virtual void note(const JobNote& note) = 0;
 };
 
@@ -100,7 +100,7 @@
     /// @{
 
     /// Takes a job in. A job that is at work here already is joined; one that is being stopped starts over afterwards.
-    void submit(CallerTicket ticket, const JobRequest& request, const Route& route, TimePoint now);
+    void submit(CallerTicket ticket, const DispatchJob& request, const Route& route, TimePoint now);
 
     /// A caller no longer waits; a job that nobody waits for is stopped.
     void callerLeft(CallerTicket ticket, TimePoint now);
@@ -167,7 +167,7 @@
     };
 
     struct Job {
-        JobRequest request;
+        DispatchJob request;
         Route route;
         TimePoint receivedAt;
         TimePoint deadline;
@@ -177,10 +177,10 @@
         /// Set once the answer is decided: what is still out is taken back.
         bool ending = false;
         std::size_t resent = 0;
-        JobReply finalReply;
+        JobAnswer finalReply;
         bool replied = false;
         /// Callers that sent the job again while it was being stopped.
-        std::vector<std::pair<CallerTicket, JobRequest>> restarts;
+        std::vector<std::pair<CallerTicket, DispatchJob>> restarts;
     };
 
     struct Forecast {
@@ -189,16 +189,16 @@
         RoomTotals room;
     };
 
-    Forecast forecast(const JobRequest& request, const Route& route) const;
-    bool isTimely(const Forecast& forecast, const JobRequest& request, const Route& route) const;
-    void refuse(CallerTicket ticket, const JobRequest& request, const Route& route, const Forecast& forecast, const std::string& reason);
+    Forecast forecast(const DispatchJob& request, const Route& route) const;
+    bool isTimely(const Forecast& forecast, const DispatchJob& request, const Route& route) const;
+    void refuse(CallerTicket ticket, const DispatchJob& request, const Route& route, const Forecast& forecast, const std::string& reason);
     void unblockSteps(Job& job);
     void sendUnsent(Job& job, TimePoint now);
     void sendTask(Job& job, Task& task, const VmId& owner, TimePoint now);
     void withdrawTask(const Job& job, Task& task, bool onlyIfWaiting);
     void resend(Job& job, Task& task, TimePoint now);
     void end(Job& job, JobOutcome outcome, const std::string& reason, TimePoint now);
-    void reply(Job& job, const JobReply& reply, TimePoint now);
+    void reply(Job& job, const JobAnswer& reply, TimePoint now);
     void settle(const std::string& id, TimePoint now);
     Task* findTask(const TaskRun& run, const VmId& owner, Job*& job);
     TaskRun runOf(const Job& job, const Task& task) const;
--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -75,6 +75,9 @@
     /// Acts on what time alone decides: lapsed leases, expired requests, hanging runs, claim grace.
     void tick(TimePoint now);
 
+    /// Takes over from another owner what a task of ordinary size needs, until this one has seen tasks itself.
+    void learnNeed(const Resources& need);
+
     /// What can be taken now. The report's `requestsSeen` is left to the caller.
     RoomReport room(TimePoint now) const;
 
--- a/packages/decision/src/dispatcher.cpp
+++ b/packages/decision/src/dispatcher.cpp
@@ -31,6 +31,9 @@
     if (!changed)
         return;
     assignOwners(now);
+    // A new life may have another address.
+    if (m_owner.owns(upstream.id))
+        m_port.ownedChanged();
     deliverLocal(now);
 }
 
@@ -66,7 +69,7 @@
         m_port.ownedChanged();
 }
 
-void Dispatcher::submit(CallerTicket ticket, const JobRequest& request, const Route& route, TimePoint now)
+void Dispatcher::submit(CallerTicket ticket, const DispatchJob& request, const Route& route, TimePoint now)
 {
     refreshOwnRoom(now);
     m_executor.submit(ticket, request, route, now);
@@ -91,6 +94,7 @@
     PeerState& peer = m_peers.emplace(vm, PeerState { now, now }).first->second;
     peer.heardAt = now;
     peer.dropped = false;
+    m_owner.learnNeed(room.ordinaryNeed);
     m_rooms.update(vm, room);
     for (const PeerMessage& message : messages) {
         if (message.request)
--- a/packages/decision/src/job_executor.cpp
+++ b/packages/decision/src/job_executor.cpp
@@ -11,7 +11,7 @@
         return Milliseconds { static_cast<std::int64_t>(static_cast<double>(time.count()) * factor) };
     }
 
-    std::uint32_t taskCount(const JobRequest& request)
+    std::uint32_t taskCount(const DispatchJob& request)
     {
         std::uint32_t count = 0;
         for (const JobStep& step : request.steps)
@@ -29,7 +29,7 @@
 {
 }
 
-void JobExecutor::submit(CallerTicket ticket, const JobRequest& request, const Route& route, TimePoint now)
+void JobExecutor::submit(CallerTicket ticket, const DispatchJob& request, const Route& route, TimePoint now)
 {
     const auto known = m_jobs.find(request.id);
     if (known != m_jobs.end()) {
@@ -66,7 +66,7 @@
     settle(request.id, now);
 }
 
-JobExecutor::Forecast JobExecutor::forecast(const JobRequest& request, const Route& route) const
+JobExecutor::Forecast JobExecutor::forecast(const DispatchJob& request, const Route& route) const
 {
     Forecast result;
     std::vector<Milliseconds> ends;
@@ -91,7 +91,7 @@
     return result;
 }
 
-bool JobExecutor::isTimely(const Forecast& forecast, const JobRequest& request, const Route& route) const
+bool JobExecutor::isTimely(const Forecast& forecast, const DispatchJob& request, const Route& route) const
 {
     if (forecast.room.totalTasks == 0)
         return false;
@@ -101,9 +101,9 @@
     return forecast.wait + forecast.run <= std::min(objective, request.patience - m_limits.replyMargin);
 }
 
-void JobExecutor::refuse(CallerTicket ticket, const JobRequest& request, const Route& route, const Forecast& forecast, const std::string& reason)
+void JobExecutor::refuse(CallerTicket ticket, const DispatchJob& request, const Route& route, const Forecast& forecast, const std::string& reason)
 {
-    const JobReply reply { JobOutcome::Refused, std::max(m_limits.shortestRetry, forecast.wait), reason };
+    const JobAnswer reply { JobOutcome::Refused, std::max(m_limits.shortestRetry, forecast.wait), reason };
     JobNote note;
     note.kind = JobNote::Kind::Refused;
     note.job = request.id;
@@ -385,7 +385,7 @@
         reply(job, job.finalReply, now);
 }
 
-void JobExecutor::reply(Job& job, const JobReply& reply, TimePoint now)
+void JobExecutor::reply(Job& job, const JobAnswer& reply, TimePoint now)
 {
     if (job.replied)
         return;
@@ -417,7 +417,7 @@
     if (job.finalReply.outcome == JobOutcome::Refused && job.anyStarted)
         job.finalReply = { JobOutcome::GaveUp, Milliseconds { 0 }, job.finalReply.reason };
     reply(job, job.finalReply, now);
-    const std::vector<std::pair<CallerTicket, JobRequest>> restarts = std::move(job.restarts);
+    const std::vector<std::pair<CallerTicket, DispatchJob>> restarts = std::move(job.restarts);
     const Route route = job.route;
     m_jobs.erase(entry);
     for (const auto& restart : restarts) {
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -676,6 +676,12 @@
     upstream.used = {};
 }
 
+void UpstreamOwner::learnNeed(const Resources& need)
+{
+    if (m_ordinaryNeed == Resources {})
+        m_ordinaryNeed = need;
+}
+
 void UpstreamOwner::noteNeed(const Resources& need)
 {
     const auto follow = [](std::int64_t& mean, std::int64_t value) {
@@ -703,6 +709,7 @@
         kind.totalTasks += unseen ? 1 : tasksThatFit(upstream.info.capacity, m_ordinaryNeed);
     }
     RoomReport report;
+    report.ordinaryNeed = m_ordinaryNeed;
     for (auto& kind : kinds)
         report.kinds.push_back(kind.second);
     std::map<std::pair<std::string, int>, QueueLength> queues;
--- a/packages/fleet/include/egrettrestle/fleet/dispatch_service.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/dispatch_service.hpp
@@ -14,14 +14,14 @@
 /// A caller's wait for the answer to its job.
 class PendingReply {
 public:
-    void set(const JobReply& reply);
+    void set(const JobAnswer& reply);
     /// The answer, or nothing if it is not there in time.
-    std::optional<JobReply> wait(Milliseconds time);
+    std::optional<JobAnswer> wait(Milliseconds time);
 
 private:
     std::mutex m_mutex;
     std::condition_variable m_set;
-    std::optional<JobReply> m_reply;
+    std::optional<JobAnswer> m_reply;
 };
 
 /// Holds the dispatcher and the configuration in force, and hands decisions to the links. Safe for use by several threads.
@@ -43,7 +43,7 @@
     }
 
     /// Hands a job in; the ticket names the wait.
-    std::shared_ptr<PendingReply> submit(const JobRequest& request, const Route& route, CallerTicket& ticket);
+    std::shared_ptr<PendingReply> submit(const DispatchJob& request, const Route& route, CallerTicket& ticket);
     void callerLeft(CallerTicket ticket);
 
     /// @name configuration
@@ -62,7 +62,7 @@
     void stop(const StopOrder& order) override;
     void lookNow(const UpstreamId& upstream) override;
     void send(const VmId& vm, PeerMessage message) override;
-    void reply(CallerTicket ticket, const JobReply& reply) override;
+    void reply(CallerTicket ticket, const JobAnswer& reply) override;
     void note(const OwnerNote& note) override;
     void note(const JobNote& note) override;
     void ownedChanged() override;
--- a/packages/fleet/include/egrettrestle/fleet/site.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/site.hpp
@@ -41,7 +41,7 @@
     };
 
     Kind kind = Kind::Unknown;
-    JobRequest job;
+    DispatchJob job;
     Route route;
     std::string detail;
 };
@@ -52,7 +52,7 @@
     virtual ~CallerProtocol() = default;
 
     virtual CallerCall read(const HttpRequest& request, const Configuration& configuration) const = 0;
-    virtual HttpResponse write(const JobReply& reply) const = 0;
+    virtual HttpResponse write(const JobAnswer& reply) const = 0;
     virtual HttpResponse writeQueueLength(std::size_t jobs) const = 0;
     /// The reply to a cancellation; the job was at work here or is not known.
     virtual HttpResponse writeCancelled(bool known) const = 0;
--- a/packages/fleet/src/caller_front.cpp
+++ b/packages/fleet/src/caller_front.cpp
@@ -118,7 +118,7 @@
     CallerTicket ticket = 0;
     const std::shared_ptr<PendingReply> pending = dispatch.submit(call.job, call.route, ticket);
     while (true) {
-        if (const std::optional<JobReply> reply = pending->wait(callerCheck))
+        if (const std::optional<JobAnswer> reply = pending->wait(callerCheck))
             return m_node.site.callers->write(*reply);
         if (request.clientConnected && !request.clientConnected()) {
             dispatch.callerLeft(ticket);
--- a/packages/fleet/src/dispatch_service.cpp
+++ b/packages/fleet/src/dispatch_service.cpp
@@ -75,7 +75,7 @@
 
 }
 
-void PendingReply::set(const JobReply& reply)
+void PendingReply::set(const JobAnswer& reply)
 {
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
@@ -84,7 +84,7 @@
     m_set.notify_all();
 }
 
-std::optional<JobReply> PendingReply::wait(Milliseconds time)
+std::optional<JobAnswer> PendingReply::wait(Milliseconds time)
 {
     std::unique_lock<std::mutex> lock(m_mutex);
     m_set.wait_for(lock, time, [this] { return m_reply.has_value(); });
@@ -123,7 +123,7 @@
     }
 }
 
-std::shared_ptr<PendingReply> DispatchService::submit(const JobRequest& request, const Route& route, CallerTicket& ticket)
+std::shared_ptr<PendingReply> DispatchService::submit(const DispatchJob& request, const Route& route, CallerTicket& ticket)
 {
     const std::shared_ptr<PendingReply> pending = std::make_shared<PendingReply>();
     const std::lock_guard<std::mutex> lock(m_mutex);
@@ -186,7 +186,7 @@
     m_node.kernel.find<PeerLinks>(fleetServices::peerLinks).send(vm, std::move(message));
 }
 
-void DispatchService::reply(CallerTicket ticket, const JobReply& reply)
+void DispatchService::reply(CallerTicket ticket, const JobAnswer& reply)
 {
     const auto found = m_pending.find(ticket);
     if (found == m_pending.end())
--- a/packages/wire/src/dispatch_messages.cpp
+++ b/packages/wire/src/dispatch_messages.cpp
@@ -60,6 +60,11 @@
         return value;
     }
 
+    Resources readResources(ObjectReader& reader)
+    {
+        return { static_cast<std::int64_t>(reader.number("cpu")), static_cast<std::int64_t>(reader.number("memory")), static_cast<std::int64_t>(reader.number("accelerators")) };
+    }
+
     RunRequest readRequest(ObjectReader& reader, TimePoint now)
     {
         RunRequest request;
@@ -67,9 +72,7 @@
         request.spec = reader.text("spec");
         request.service = reader.text("service");
         request.route = reader.text("route");
-        request.need.milliCores = static_cast<std::int64_t>(reader.number("cpu"));
-        request.need.memoryMb = static_cast<std::int64_t>(reader.number("memory"));
-        request.need.accelerators = static_cast<std::int64_t>(reader.number("accelerators"));
+        request.need = readResources(reader);
         request.priority = static_cast<int>(reader.number("priority"));
         request.estimate = reader.milliseconds("estimateMs");
         request.expected = reader.milliseconds("expectedMs");
@@ -145,13 +148,18 @@
         json queues = json::array();
         for (const QueueLength& queue : room.queues)
             queues.push_back({ { "service", queue.service }, { "priority", queue.priority }, { "tasks", queue.tasks }, { "workMs", queue.work.count() } });
-        return { { "kinds", std::move(kinds) }, { "queues", std::move(queues) }, { "seen", room.requestsSeen } };
+        const json need { { "cpu", room.ordinaryNeed.milliCores }, { "memory", room.ordinaryNeed.memoryMb }, { "accelerators", room.ordinaryNeed.accelerators } };
+        return { { "need", need }, { "kinds", std::move(kinds) }, { "queues", std::move(queues) }, { "seen", room.requestsSeen } };
     }
 
     RoomReport readRoom(ObjectReader& reader, std::vector<Fault>& faults)
     {
         RoomReport room;
         room.requestsSeen = reader.number("seen");
+        if (const json* need = reader.any("need")) {
+            ObjectReader item(*need, reader.pointer("need"), dispatchFamily, faults);
+            room.ordinaryNeed = readResources(item);
+        }
         for (const json& element : reader.array("kinds")) {
             ObjectReader item(element, reader.pointer("kinds", room.kinds.size()), dispatchFamily, faults);
             room.kinds.push_back({ item.text("service"), item.text("kind"), static_cast<std::uint32_t>(item.number("free")), static_cast<std::uint32_t>(item.number("total")), item.real("slowness") });
--- a/tests/unit/fake_ports.hpp
+++ b/tests/unit/fake_ports.hpp
@@ -29,13 +29,13 @@
 
 struct Replied {
     CallerTicket ticket;
-    JobReply reply;
+    JobAnswer reply;
 };
 
 class RecordingExecutorPort : public ExecutorPort {
 public:
     void send(const VmId& owner, PeerMessage message) override { sent.push_back({ owner, std::move(message) }); }
-    void reply(CallerTicket ticket, const JobReply& reply) override { replies.push_back({ ticket, reply }); }
+    void reply(CallerTicket ticket, const JobAnswer& reply) override { replies.push_back({ ticket, reply }); }
     void note(const JobNote& note) override { notes.push_back(note); }
 
     std::vector<Told> sent;
@@ -86,9 +86,9 @@
     return route;
 }
 
-inline JobRequest jobOf(const std::string& id, std::uint32_t tasks)
+inline DispatchJob jobOf(const std::string& id, std::uint32_t tasks)
 {
-    JobRequest job;
+    DispatchJob job;
     job.id = id;
     job.spec = "spec";
     job.patience = Milliseconds { 1'500 };
@@ -103,6 +103,7 @@
 inline RoomReport roomFor(std::uint32_t free, std::uint32_t total, std::uint32_t queued = 0)
 {
     RoomReport room;
+    room.ordinaryNeed = { 27'000, 64, 0 };
     room.kinds.push_back({ "print", "a", free, total, 1 });
     if (queued > 0)
         room.queues.push_back({ "print", 0, queued, Milliseconds { 100 } * queued });
--- a/tests/unit/unit-job-executor.cpp
+++ b/tests/unit/unit-job-executor.cpp
@@ -24,7 +24,7 @@
         rooms.update("y", roomFor(free, 8));
     }
 
-    void submit(const JobRequest& job, CallerTicket ticket = 1) { executor.submit(ticket, job, route, now); }
+    void submit(const DispatchJob& job, CallerTicket ticket = 1) { executor.submit(ticket, job, route, now); }
 
     const RunRequest& request(std::size_t index) const { return *port.sent.at(index).message.request; }
 
@@ -99,7 +99,7 @@
 TEST_CASE("executor starts the tasks of a step when the steps before it are done")
 {
     ExecutorWorld world;
-    JobRequest job = jobOf("j", 1);
+    DispatchJob job = jobOf("j", 1);
     job.steps.push_back(job.steps[0]);
     job.steps[1].after = { 0 };
     world.submit(job);
--- a/tests/unit/unit-wire.cpp
+++ b/tests/unit/unit-wire.cpp
@@ -1,6 +1,7 @@
 #include <catch2/catch.hpp>
 
 #include <egrettrestle/base/span.hpp>
+#include <egrettrestle/wire/dispatch_messages.hpp>
 #include <egrettrestle/wire/job.hpp>
 #include <egrettrestle/wire/peer_messages.hpp>
 #include <egrettrestle/wire/upstream_messages.hpp>
@@ -132,3 +133,55 @@
             CHECK(parseTraceParent(header).traceId != trace);
     }
 }
+
+TEST_CASE("dispatch batches")
+{
+    const TimePoint now { std::chrono::hours { 1 } };
+    DispatchBatch batch;
+    batch.from = "a";
+    batch.life = 7;
+    batch.sequence = 3;
+    batch.mark = 99;
+    batch.room.ordinaryNeed = { 27'000, 64, 1 };
+    batch.room.kinds.push_back({ "print", "a", 2, 8, 1.5 });
+    batch.room.queues.push_back({ "print", 1, 4, Milliseconds { 400 } });
+    RunRequest request;
+    request.run = { { "j", 1, 2 }, 3 };
+    request.spec = "text";
+    request.need = { 1, 2, 3 };
+    request.latestStart = now + Milliseconds { 250 };
+    request.avoid = { "u1" };
+    const TaskRun run { { "j", 1, 2 }, 3 };
+    batch.messages.push_back({ request, {}, {}, {}, {}, {} });
+    batch.messages.push_back({ {}, RunStarted { run, "u", { 5 } }, {}, {}, {}, {} });
+    batch.messages.push_back({ {}, {}, RunEnded { run, "u", RunEnd::Failed, Milliseconds { 20 }, "a" }, {}, {}, {} });
+    batch.messages.push_back({ {}, {}, {}, RunReturned { run, ReturnReason::Superseded }, {}, {} });
+    batch.messages.push_back({ {}, {}, {}, {}, RunWithdrawn { run, true }, {} });
+    batch.messages.push_back({ {}, {}, {}, {}, {}, RunClaim { run, "u", { 6 } } });
+
+    SECTION("survive a round trip, times counted from the receiver's now")
+    {
+        const TimePoint later = now + Seconds { 100 };
+        const std::optional<DispatchBatch> again = parseDispatchBatch(toText(batch, now), later);
+        REQUIRE(again);
+        REQUIRE(again->messages.size() == 6);
+        CHECK(again->messages[0].request->latestStart == later + Milliseconds { 250 });
+        CHECK(again->messages[0].request->need == request.need);
+        CHECK(again->messages[1].started->epoch.value == 5);
+        CHECK(again->messages[2].ended->how == RunEnd::Failed);
+        CHECK(again->messages[3].returned->reason == ReturnReason::Superseded);
+        CHECK(again->messages[4].withdrawn->onlyIfWaiting);
+        CHECK(again->messages[5].claim->epoch.value == 6);
+        CHECK(again->room.kinds[0].slowness == Approx(1.5));
+        CHECK(again->room.ordinaryNeed == batch.room.ordinaryNeed);
+    }
+
+    SECTION("a text that is none is refused whole")
+    {
+        CHECK_FALSE(parseDispatchBatch("", now));
+        CHECK_FALSE(parseDispatchBatch("{}", now));
+        std::string text = toText(batch, now);
+        text.replace(text.find("\"withdrawn\""), 11, "\"something\"");
+        CHECK_FALSE(parseDispatchBatch(text, now));
+    }
+}
