Take jobs only once the room of the others is known

Cause: a VM that had just joined said it was ready before it had heard any other VM's room, so it refused jobs that had room elsewhere (503 in the test of a killed VM; "free 0, total 2" in its log line). Change: ready once its own upstreams have been looked at and every member has told its room, or 0.8 s after joining. Test: unit-dispatcher; the fleet test of a killed VM passes (2 of 2).

--- a/packages/decision/include/egrettrestle/decision/dispatcher.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatcher.hpp
@@ -20,6 +20,8 @@
     Milliseconds discoveryGrace { 2'500 };
     /// The runs of an executor that is silent for this long are stopped: before its callers send their jobs again.
     Milliseconds executorSilence { 600 };
+    /// How long a VM that has just learned of a view waits for the others before it takes jobs without knowing their room.
+    Milliseconds settleTime { 800 };
     /// A VM that has not answered for this long gets no new work.
     Milliseconds peerSilence { 350 };
 };
@@ -81,6 +83,10 @@
 
     void tick(TimePoint now);
 
+    /// Whether this VM knows enough to take jobs: its own upstreams have been looked at and every member of the view has
+    /// told its room, or the time for that is over.
+    bool isSettled(TimePoint now) const;
+
     RoomReport room(TimePoint now) const { return m_owner.room(now); }
     std::vector<UpstreamInfo> ownedUpstreams() const;
     const UpstreamInfo* upstream(const UpstreamId& id) const;
@@ -127,6 +133,8 @@
     UpstreamOwner m_owner;
     JobExecutor m_executor;
     View m_view;
+    /// When the first view with this VM in it was adopted.
+    std::optional<TimePoint> m_memberSince;
     std::map<UpstreamId, KnownUpstream> m_upstreams;
     std::map<UpstreamId, VmId> m_owners;
     FencingToken m_epoch;
--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -84,6 +84,9 @@
     /// Whether an upstream of the service could ever take such a task.
     bool couldEverRun(const std::string& service, const Resources& need) const;
 
+    /// Whether a look has shown what runs at each upstream.
+    bool knowsAll() const;
+
     std::size_t queued() const { return m_queue.size(); }
     std::size_t running() const;
     const RunTimes& runTimes() const { return m_runTimes; }
--- a/packages/decision/src/dispatcher.cpp
+++ b/packages/decision/src/dispatcher.cpp
@@ -18,6 +18,8 @@
     if (view.epoch < m_view.epoch)
         return;
     m_view = view;
+    if (!m_memberSince && findMember(view, m_self))
+        m_memberSince = now;
     assignOwners(now);
     deliverLocal(now);
 }
@@ -160,6 +162,16 @@
     deliverLocal(now);
 }
 
+bool Dispatcher::isSettled(TimePoint now) const
+{
+    if (!m_memberSince)
+        return false;
+    if (now - *m_memberSince > m_limits.settleTime)
+        return true;
+    const bool peersHeard = std::all_of(m_view.members.begin(), m_view.members.end(), [this](const Member& member) { return member.id == m_self || m_peers.count(member.id) > 0; });
+    return peersHeard && m_owner.knowsAll();
+}
+
 void Dispatcher::checkPeers(TimePoint now)
 {
     for (auto& entry : m_peers) {
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -732,6 +732,11 @@
     });
 }
 
+bool UpstreamOwner::knowsAll() const
+{
+    return std::all_of(m_upstreams.begin(), m_upstreams.end(), [](const auto& entry) { return entry.second.known; });
+}
+
 std::size_t UpstreamOwner::running() const
 {
     std::size_t count = 0;
--- a/packages/fleet/src/caller_front.cpp
+++ b/packages/fleet/src/caller_front.cpp
@@ -74,8 +74,8 @@
     if (m_node.leaving)
         return false;
     DispatchService& dispatch = m_node.kernel.find<DispatchService>(fleetServices::dispatch);
-    const bool upstreams = dispatch.with([](Dispatcher& dispatcher, TimePoint) { return dispatcher.knownUpstreams() > 0; });
-    return upstreams && dispatch.configuration() != nullptr && m_node.kernel.find<FleetMembership>(fleetServices::membership).isMember();
+    const bool settled = dispatch.with([](Dispatcher& dispatcher, TimePoint now) { return dispatcher.knownUpstreams() > 0 && dispatcher.isSettled(now); });
+    return settled && dispatch.configuration() != nullptr && m_node.kernel.find<FleetMembership>(fleetServices::membership).isMember();
 }
 
 HttpResponse CallerFront::answerReady(const HttpRequest& request) const
--- /dev/null
+++ b/tests/unit/unit-dispatcher.cpp
@@ -0,0 +1,164 @@
+#include <catch2/catch.hpp>
+
+#include <egrettrestle/decision/dispatcher.hpp>
+
+#include "fake_ports.hpp"
+
+using namespace egrettrestle;
+using namespace egrettrestle::fakes;
+
+namespace {
+
+class RecordingDispatcherPort : public DispatcherPort {
+public:
+    void start(const StartOrder& order) override { starts.push_back(order); }
+    void stop(const StopOrder& order) override { stops.push_back(order); }
+    void lookNow(const UpstreamId&) override { }
+    void send(const VmId& vm, PeerMessage message) override { sent.push_back({ vm, std::move(message) }); }
+    void reply(CallerTicket ticket, const JobAnswer& answer) override { replies.push_back({ ticket, answer }); }
+    void note(const OwnerNote&) override { }
+    void note(const JobNote&) override { }
+    void ownedChanged() override { ++ownedChanges; }
+    void peerLost(const VmId& vm) override { lost.push_back(vm); }
+
+    std::vector<StartOrder> starts;
+    std::vector<StopOrder> stops;
+    std::vector<Told> sent;
+    std::vector<Replied> replies;
+    std::vector<VmId> lost;
+    int ownedChanges = 0;
+};
+
+View viewOf(std::uint64_t epoch, const std::vector<VmId>& members)
+{
+    View view;
+    view.epoch.value = epoch;
+    for (const VmId& member : members)
+        view.members.push_back({ member, "p", "c", { 1 }, "dc1" });
+    return view;
+}
+
+/// Dispatcher `x` with one upstream, which it owns and knows.
+struct DispatcherWorld {
+    RecordingDispatcherPort port;
+    Dispatcher dispatcher { port, "x", {} };
+    TimePoint now { std::chrono::hours { 1 } };
+    UpstreamId upstream;
+
+    void look(std::vector<TaskRun> running = {}, std::vector<ListedEnd> ended = {})
+    {
+        LookReply reply;
+        reply.outcome = OrderOutcome::Accepted;
+        reply.clock = toMilliseconds(now.time_since_epoch());
+        reply.running = std::move(running);
+        reply.ended = std::move(ended);
+        const LookOrder order = *dispatcher.nextLook(upstream, now);
+        dispatcher.onLook(order, reply, now, now);
+    }
+
+    /// An upstream that `x` owns among the members, as `u1` where it is alone.
+    void begin(const std::vector<VmId>& members = { "x" })
+    {
+        int number = 1;
+        while (ownerOf(viewOf(1, members), upstreamNamed("u" + std::to_string(number))) != "x")
+            ++number;
+        upstream = "u" + std::to_string(number);
+        dispatcher.setUpstream(upstreamNamed(upstream), now);
+        dispatcher.setView(viewOf(1, members), now);
+    }
+};
+
+}
+
+TEST_CASE("a VM alone runs a job on its own upstream")
+{
+    DispatcherWorld world;
+    world.begin();
+    world.look();
+    world.dispatcher.submit(1, jobOf("j", 2), routeNamed("proof"), world.now);
+    REQUIRE(world.port.starts.size() == 2);
+    std::vector<ListedEnd> ended;
+    for (const StartOrder& order : world.port.starts) {
+        world.dispatcher.onStartReply(order, { OrderOutcome::Accepted, std::nullopt }, world.now);
+        ended.push_back({ ended.size() + 1, order.run, RunEnd::Done });
+    }
+    world.now += Milliseconds { 90 };
+    world.look({}, ended);
+    REQUIRE(world.port.replies.size() == 1);
+    CHECK(world.port.replies[0].reply.outcome == JobOutcome::Succeeded);
+}
+
+TEST_CASE("a VM that has just come up takes no jobs before it knows the room")
+{
+    DispatcherWorld world;
+    CHECK_FALSE(world.dispatcher.isSettled(world.now));
+    world.begin({ "x", "y" });
+    CHECK_FALSE(world.dispatcher.isSettled(world.now));
+    world.look();
+    CHECK_FALSE(world.dispatcher.isSettled(world.now));
+
+    SECTION("but once all others have told theirs")
+    {
+        world.dispatcher.onPeerMessages("y", {}, roomFor(1, 2), world.now);
+        CHECK(world.dispatcher.isSettled(world.now));
+    }
+
+    SECTION("or when the time for that is over")
+    {
+        world.now += Seconds { 1 };
+        CHECK(world.dispatcher.isSettled(world.now));
+    }
+}
+
+TEST_CASE("an upstream's new address reaches the links")
+{
+    DispatcherWorld world;
+    world.begin();
+    const int before = world.port.ownedChanges;
+    UpstreamInfo moved = upstreamNamed("u1");
+    moved.startedAt = Milliseconds { 2'000 };
+    moved.address = "10.0.0.2:80";
+    world.dispatcher.setUpstream(moved, world.now);
+    CHECK(world.port.ownedChanges == before + 1);
+    CHECK(world.dispatcher.ownedUpstreams().at(0).address == "10.0.0.2:80");
+}
+
+TEST_CASE("the runs of a VM that falls silent are stopped before its callers send again")
+{
+    DispatcherWorld world;
+    world.begin({ "x", "y" });
+    world.look();
+    PeerMessage request;
+    request.request = requestFor("j", 0, world.now + Seconds { 1 });
+    world.dispatcher.onPeerMessages("y", { request }, roomFor(0, 0), world.now);
+    REQUIRE(world.port.starts.size() == 1);
+    world.now += Milliseconds { 650 };
+    world.dispatcher.tick(world.now);
+    REQUIRE(world.port.stops.size() == 1);
+    CHECK(world.port.stops[0].run == request.request->run);
+}
+
+TEST_CASE("an older view changes nothing")
+{
+    DispatcherWorld world;
+    world.begin();
+    world.dispatcher.setView(viewOf(5, { "x" }), world.now);
+    world.dispatcher.setView(viewOf(4, { "y" }), world.now);
+    CHECK(world.dispatcher.ownedUpstreams().size() == 1);
+    CHECK(world.dispatcher.nextLook("u1", world.now)->token.value == 5);
+}
+
+TEST_CASE("an upstream that discovery no longer lists is used on for a moment, then given up")
+{
+    DispatcherWorld world;
+    world.begin();
+    world.look();
+    world.dispatcher.upstreamMissing("u1", world.now);
+    world.dispatcher.tick(world.now);
+    world.dispatcher.submit(1, jobOf("j", 1), routeNamed("proof"), world.now);
+    CHECK(world.port.starts.size() == 1);
+    world.now += Seconds { 3 };
+    world.dispatcher.tick(world.now);
+    world.dispatcher.tick(world.now);
+    CHECK(world.dispatcher.ownedUpstreams().empty());
+}
