Explore the dispatchers' decisions under seeded faults; mend four faults that it found

tests/model/dispatch_world: three dispatchers, five upstreams with leases, fences, run numbers and ends, callers that send again, stale views; orders lost, unanswered and carried out late, VMs killed, VMs cut off, upstreams silent. Checks: no task runs twice at a time, no refusal after a start. Test: unit-upstream-owner, unit-job-executor, unit-dispatch-rules.

--- a/packages/decision/include/egrettrestle/decision/dispatch_types.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatch_types.hpp
@@ -195,6 +195,8 @@
     TaskRun run;
     /// Leave the run alone if it is no longer waiting.
     bool onlyIfWaiting = false;
+    /// Where it was last reported at work; empty for a run that was not.
+    UpstreamId upstream = {};
 };
 
 /// Tells a new owner of an upstream that a run there belongs to the sender.
--- a/packages/decision/src/job_executor.cpp
+++ b/packages/decision/src/job_executor.cpp
@@ -268,6 +268,9 @@
     Task* task = findTask(returned.run, owner, job);
     if (!task || task->state == TaskState::Done)
         return;
+    // A new life of the owner does not know what the one before had started.
+    if (task->lostAt && returned.reason == ReturnReason::Withdrawn)
+        return;
     task->state = TaskState::Unsent;
     // The order to start may have been carried out before the run was lost.
     if (returned.reason == ReturnReason::Lost)
@@ -336,7 +339,8 @@
         Job& job = entry.second;
         for (Task& task : job.tasks) {
             const bool out = task.state == TaskState::Sent || task.state == TaskState::Running || task.state == TaskState::Withdrawn;
-            if (!out || task.owner != owner)
+            // A run that is being claimed came from another owner, who may keep it at work.
+            if (!out || task.owner != owner || task.claimedAt)
                 continue;
             task.state = TaskState::Unsent;
             job.anyStarted = true;
@@ -370,7 +374,7 @@
 void JobExecutor::withdrawTask(const Job& job, Task& task, bool onlyIfWaiting)
 {
     task.state = TaskState::Withdrawn;
-    m_port.send(task.owner, { {}, {}, {}, {}, RunWithdrawn { runOf(job, task), onlyIfWaiting }, {} });
+    m_port.send(task.owner, { {}, {}, {}, {}, RunWithdrawn { runOf(job, task), onlyIfWaiting, task.upstream }, {} });
 }
 
 void JobExecutor::end(Job& job, JobOutcome outcome, const std::string& reason, TimePoint now)
@@ -430,7 +434,7 @@
 void JobExecutor::moveWaiting(Job& job, TimePoint now)
 {
     for (Task& task : job.tasks) {
-        if (task.state != TaskState::Sent || now - task.sentAt < m_limits.moveAfter || m_rooms.freeAt(task.owner, job.route.service) > 0)
+        if (task.state != TaskState::Sent || task.lostAt || now - task.sentAt < m_limits.moveAfter || m_rooms.freeAt(task.owner, job.route.service) > 0)
             continue;
         if (!m_rooms.withRoom(job.route.service, task.owner))
             return;
@@ -449,12 +453,6 @@
         if (entry == m_jobs.end())
             continue;
         Job& job = entry->second;
-        if (!job.ending && now >= job.deadline) {
-            end(job, job.anyStarted ? JobOutcome::GaveUp : JobOutcome::Refused, "deadline", now);
-        } else if (!job.ending) {
-            sendUnsent(job, now);
-            moveWaiting(job, now);
-        }
         // An owner that never answers a withdrawal is silent; by then nothing that it ran is left.
         for (Task& task : job.tasks) {
             if (job.ending && task.state == TaskState::Withdrawn && now - job.deadline > m_limits.ownerLostAfter) {
@@ -470,6 +468,12 @@
             if (unanswered && (task.state == TaskState::Running || task.state == TaskState::Withdrawn))
                 sendClaim(job, task, now);
         }
+        if (!job.ending && now >= job.deadline) {
+            end(job, job.anyStarted ? JobOutcome::GaveUp : JobOutcome::Refused, "deadline", now);
+        } else if (!job.ending) {
+            sendUnsent(job, now);
+            moveWaiting(job, now);
+        }
         settle(id, now);
     }
 }
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -48,7 +48,7 @@
 
     void noteLease(OwnedUpstream& upstream, const OwnerLimits& limits, TimePoint now)
     {
-        const Duration sampleAge = now - upstream.clockSeenAt;
+        const Duration sampleAge = upstream.clockOffset ? now - upstream.clockSeenAt : Duration { 0 };
         const Duration drift = std::chrono::duration_cast<Duration>((limits.lease + sampleAge) * limits.clockDrift);
         upstream.lapsedBy = std::max(upstream.lapsedBy, now + limits.lease + drift + limits.lapseMargin);
     }
@@ -120,7 +120,7 @@
     upstream.token = token;
     upstream.ownedSince = now;
     upstream.lastGoodLook = now;
-    upstream.lapsedBy = now;
+    noteLease(upstream, m_limits, now);
     m_upstreams.emplace(info.id, std::move(upstream));
     m_port.note({ NoteKind::Owned, info.id, {}, {}, {}, token.value });
     takeEarlyClaims(info.id, now);
@@ -172,6 +172,9 @@
 void UpstreamOwner::request(const VmId& executor, const RunRequest& request, TimePoint now)
 {
     noteNeed(request.need);
+    // Of an earlier submission of the job, whose numbers began at 1 too.
+    m_recentEnds.erase(request.run);
+    m_released.erase(request.run);
     insertWaiting({ executor, request, now });
     startWaiting(now);
 }
@@ -185,9 +188,10 @@
         returnRun(executor, run, ReturnReason::Withdrawn);
         return;
     }
+    const auto isMeant = [&withdrawn](const UpstreamId& upstream) { return withdrawn.upstream.empty() || withdrawn.upstream == upstream; };
     for (auto& entry : m_upstreams) {
         const auto found = entry.second.runs.find(run);
-        if (found == entry.second.runs.end())
+        if (found == entry.second.runs.end() || !isMeant(entry.first) || found->second.executor != executor)
             continue;
         if (!withdrawn.onlyIfWaiting)
             stopRun(entry.second, found->second, StopCause::Withdrawn, now);
@@ -199,9 +203,9 @@
         return;
     const auto ended = m_recentEnds.find(run);
     const auto released = m_released.find(run);
-    if (ended != m_recentEnds.end())
+    if (ended != m_recentEnds.end() && isMeant(ended->second.upstream))
         m_port.tell(executor, { {}, {}, ended->second, {}, {}, {} });
-    else if (released != m_released.end())
+    else if (released != m_released.end() && isMeant(released->second.upstream))
         m_port.tell(executor, { {}, released->second, {}, {}, {}, {} });
     else
         returnRun(executor, run, ReturnReason::Withdrawn);
@@ -209,8 +213,9 @@
 
 void UpstreamOwner::claim(const VmId& executor, const RunClaim& claim, TimePoint now)
 {
+    // The same number may have ended elsewhere, in an earlier submission of the job.
     const auto ended = m_recentEnds.find(claim.run);
-    if (ended != m_recentEnds.end()) {
+    if (ended != m_recentEnds.end() && ended->second.upstream == claim.upstream) {
         m_port.tell(executor, { {}, {}, ended->second, {}, {}, {} });
         return;
     }
@@ -364,7 +369,8 @@
     for (const TaskRun& run : reply.running) {
         const auto found = upstream.runs.find(run);
         if (found == upstream.runs.end()) {
-            if (m_recentEnds.count(run) == 0)
+            const auto ended = m_recentEnds.find(run);
+            if (ended == m_recentEnds.end() || ended->second.upstream != upstream.info.id)
                 adoptUnknown(upstream, run, now);
             continue;
         }
@@ -515,7 +521,8 @@
         OwnedUpstream& upstream = entry.second;
         checkClaims(upstream, now);
         checkRuns(upstream, now);
-        const bool silent = upstream.failedLooks >= failedLooksBeforeSilence || upstream.gone;
+        // Until a look has fenced it, the owner before may still extend the lease.
+        const bool silent = (upstream.known && upstream.failedLooks >= failedLooksBeforeSilence) || upstream.gone;
         if (silent && now > upstream.lapsedBy && !upstream.runs.empty()) {
             m_port.note({ NoteKind::RunsLost, entry.first, {}, "lease-lapsed", toMilliseconds(now - upstream.lastGoodLook), upstream.runs.size() });
             loseRuns(upstream);
--- a/packages/wire/src/dispatch_messages.cpp
+++ b/packages/wire/src/dispatch_messages.cpp
@@ -116,6 +116,8 @@
         }
         json value = runJson("withdrawn", message.withdrawn->run);
         value["onlyIfWaiting"] = message.withdrawn->onlyIfWaiting;
+        if (!message.withdrawn->upstream.empty())
+            value["upstream"] = message.withdrawn->upstream;
         return value;
     }
 
@@ -134,7 +136,7 @@
         else if (kind == "claim")
             message.claim = RunClaim { readRun(reader), reader.text("upstream"), { reader.number("epoch") } };
         else if (kind == "withdrawn")
-            message.withdrawn = RunWithdrawn { readRun(reader), reader.flag("onlyIfWaiting") };
+            message.withdrawn = RunWithdrawn { readRun(reader), reader.flag("onlyIfWaiting"), reader.textOr("upstream", "") };
         else
             faults.push_back({ dispatchFamily.outOfRange(), reader.pointer("is"), kind, "a kind of message" });
         return message;
--- /dev/null
+++ b/tests/model/dispatch_world.cpp
@@ -0,0 +1,572 @@
+#include "dispatch_world.hpp"
+
+#include <algorithm>
+
+namespace egrettrestle::model {
+
+namespace {
+
+    constexpr int vmCount = 3;
+    constexpr int upstreamCount = 5;
+    constexpr int jobCount = 60;
+    constexpr Seconds worldLength { 14 };
+    constexpr Milliseconds tickInterval { 20 };
+    constexpr Milliseconds orderTimeout { 120 };
+    constexpr Milliseconds lookSlack { 160 };
+    constexpr Milliseconds longestLease { 1'000 };
+    constexpr Milliseconds resendAfter { 1'300 };
+    constexpr Milliseconds longestViewDelay { 300 };
+    constexpr std::size_t places = 2;
+
+    VmId vmId(int number) { return "vm" + std::to_string(number); }
+
+}
+
+struct DispatchWorld::Upstream {
+    struct Running {
+        TaskRun run;
+        TimePoint doneAt;
+    };
+
+    UpstreamInfo info;
+    FencingToken token;
+    UpstreamClock leaseEnd { 0 };
+    std::vector<Running> running;
+    std::vector<ListedEnd> ended;
+    std::map<TaskRef, RunNumber> highestEnded;
+    std::uint64_t ends = 0;
+    TimePoint silentUntil;
+};
+
+struct DispatchWorld::Vm : DispatcherPort {
+    Vm(DispatchWorld& owner, int vmNumber, std::uint64_t vmLife)
+        : world(owner)
+        , number(vmNumber)
+        , life(vmLife)
+        , dispatcher(*this, vmId(vmNumber), limits())
+    {
+    }
+
+    static DispatcherLimits limits()
+    {
+        DispatcherLimits result;
+        result.owner.lease = Milliseconds { 600 };
+        return result;
+    }
+
+    void start(const StartOrder& order) override
+    {
+        world.sendOrder(
+            number, order.upstream, [this, order](Upstream& upstream) { return world.startAt(upstream, order); },
+            [this, order](const OrderReply& reply) { dispatcher.onStartReply(order, reply, world.m_now); });
+    }
+
+    void stop(const StopOrder& order) override
+    {
+        world.sendOrder(
+            number, order.upstream, [this, order](Upstream& upstream) { return world.stopAt(upstream, order); },
+            [this, order](const OrderReply& reply) { dispatcher.onStopReply(order, reply, world.m_now); });
+    }
+
+    void lookNow(const UpstreamId& upstream) override
+    {
+        const std::uint64_t mine = life;
+        world.after(Milliseconds { 0 }, [this, mine, upstream] {
+            if (Vm* vm = world.alive(number, mine)) {
+                if (std::optional<LookOrder> order = vm->dispatcher.nextLook(upstream, world.m_now)) {
+                    order->wait = Milliseconds { 0 };
+                    world.sendLook(number, *order, [](bool) {});
+                }
+            }
+        });
+    }
+
+    void send(const VmId& vm, PeerMessage message) override
+    {
+        outboxes[vm].push_back(std::move(message));
+        const std::uint64_t mine = life;
+        world.after(Milliseconds { 0 }, [this, mine, vm] {
+            if (Vm* sender = world.alive(number, mine))
+                world.flush(*sender, vm);
+        });
+    }
+
+    void reply(CallerTicket ticket, const JobAnswer& answer) override { world.onReply(number, ticket, answer); }
+    void note(const OwnerNote&) override { }
+    void note(const JobNote&) override { }
+    void ownedChanged() override
+    {
+        const std::uint64_t mine = life;
+        world.after(Milliseconds { 0 }, [this, mine] {
+            if (world.alive(number, mine))
+                world.followOwned(number);
+        });
+    }
+    void peerLost(const VmId& vm) override { outboxes[vm].clear(); }
+
+    DispatchWorld& world;
+    int number;
+    std::uint64_t life;
+    Dispatcher dispatcher;
+    bool up = true;
+    bool cut = false;
+    Epoch epoch;
+    std::map<VmId, std::vector<PeerMessage>> outboxes;
+    std::map<VmId, std::uint64_t> knownLives;
+    std::set<UpstreamId> looked;
+    std::map<CallerTicket, std::string> tickets;
+    CallerTicket lastTicket = 0;
+};
+
+DispatchWorld::DispatchWorld(std::uint64_t seed, DispatchFaults faults)
+    : m_random(seed)
+    , m_faults(faults)
+{
+}
+
+DispatchWorld::~DispatchWorld() = default;
+
+void DispatchWorld::after(Milliseconds delay, Action action)
+{
+    m_events.push({ m_now + delay, ++m_order, std::move(action) });
+}
+
+Milliseconds DispatchWorld::between(int least, int most)
+{
+    return Milliseconds { std::uniform_int_distribution<int>(least, most)(m_random) };
+}
+
+bool DispatchWorld::chance(double probability) { return std::uniform_real_distribution<double>(0, 1)(m_random) < probability; }
+
+DispatchWorld::Vm* DispatchWorld::alive(int number, std::uint64_t life)
+{
+    Vm& vm = *m_vms[static_cast<std::size_t>(number)];
+    return vm.up && vm.life == life ? &vm : nullptr;
+}
+
+DispatchWorld::Upstream& DispatchWorld::upstream(const UpstreamId& id)
+{
+    return **std::find_if(m_upstreams.begin(), m_upstreams.end(), [&id](const auto& entry) { return entry->info.id == id; });
+}
+
+void DispatchWorld::startVm(int number)
+{
+    const std::uint64_t life = m_vms[static_cast<std::size_t>(number)] ? m_vms[static_cast<std::size_t>(number)]->life + 1 : 1;
+    // Events on their way still refer to the earlier life.
+    m_ended.push_back(std::move(m_vms[static_cast<std::size_t>(number)]));
+    m_vms[static_cast<std::size_t>(number)] = std::make_unique<Vm>(*this, number, life);
+    Vm& vm = *m_vms[static_cast<std::size_t>(number)];
+    for (const auto& entry : m_upstreams)
+        vm.dispatcher.setUpstream(entry->info, m_now);
+    View next = withJoined(m_view, vmId(number), "p", "c");
+    next.past.clear();
+    for (Member& member : next.members)
+        member.dataCentre = "dc1";
+    publishView(next);
+    const auto tick = std::make_shared<std::function<void()>>();
+    *tick = [this, number, life, tick] {
+        Vm* present = alive(number, life);
+        if (!present)
+            return;
+        present->dispatcher.tick(m_now);
+        for (int other = 0; other < vmCount; ++other) {
+            if (other != number)
+                flush(*present, vmId(other));
+        }
+        after(tickInterval, *tick);
+    };
+    after(between(0, 20), *tick);
+}
+
+void DispatchWorld::killVm(int number)
+{
+    Vm& vm = *m_vms[static_cast<std::size_t>(number)];
+    if (!vm.up)
+        return;
+    vm.up = false;
+    for (const auto& ticket : vm.tickets)
+        after(resendAfter, [this, job = ticket.second, number] { submitJob(std::stoi(job), (number + 1) % vmCount); });
+    vm.tickets.clear();
+    after(between(300, 1'500), [this, number] {
+        if (m_vms[static_cast<std::size_t>(number)]->up)
+            return;
+        const Member* member = findMember(m_view, vmId(number));
+        if (!member)
+            return;
+        View next = withRemoved(m_view, member->incarnation);
+        next.past.clear();
+        publishView(next);
+    });
+    after(between(100, 2'500), [this, number] {
+        if (!m_vms[static_cast<std::size_t>(number)]->up)
+            startVm(number);
+    });
+}
+
+void DispatchWorld::cutVm(int number)
+{
+    Vm& vm = *m_vms[static_cast<std::size_t>(number)];
+    if (!vm.up)
+        return;
+    vm.cut = true;
+    const std::uint64_t life = vm.life;
+    after(between(700, 1'500), [this, number, life] {
+        const Member* member = findMember(m_view, vmId(number));
+        Vm* cut = alive(number, life);
+        if (!cut || !cut->cut || !member)
+            return;
+        View next = withRemoved(m_view, member->incarnation);
+        next.past.clear();
+        publishView(next);
+    });
+    after(between(1'000, 4'000), [this, number, life] {
+        Vm* healed = alive(number, life);
+        if (!healed)
+            return;
+        healed->cut = false;
+        const View view = m_view;
+        after(between(1, static_cast<int>(longestViewDelay.count())), [this, number, life, view] {
+            Vm* present = alive(number, life);
+            if (!present || present->cut)
+                return;
+            if (view.epoch > present->epoch) {
+                present->epoch = view.epoch;
+                present->dispatcher.setView(view, m_now);
+            }
+            if (findMember(m_view, vmId(number)))
+                return;
+            View next = withJoined(m_view, vmId(number), "p", "c");
+            next.past.clear();
+            for (Member& member : next.members)
+                member.dataCentre = "dc1";
+            publishView(next);
+        });
+    });
+}
+
+void DispatchWorld::publishView(const View& view)
+{
+    m_view = view;
+    for (int number = 0; number < vmCount; ++number) {
+        if (!m_vms[static_cast<std::size_t>(number)])
+            continue;
+        const std::uint64_t life = m_vms[static_cast<std::size_t>(number)]->life;
+        after(between(1, static_cast<int>(longestViewDelay.count())), [this, number, life, view] {
+            Vm* vm = alive(number, life);
+            if (!vm || vm->cut || view.epoch <= vm->epoch)
+                return;
+            vm->epoch = view.epoch;
+            vm->dispatcher.setView(view, m_now);
+        });
+    }
+}
+
+bool DispatchWorld::reachable(int left, int right) const
+{
+    const Vm& first = *m_vms[static_cast<std::size_t>(left)];
+    const Vm& second = *m_vms[static_cast<std::size_t>(right)];
+    return first.up && second.up && !first.cut && !second.cut;
+}
+
+/// Hands everything that waits for a VM over, if it is reachable; in order, and once.
+void DispatchWorld::flush(Vm& from, const VmId& to)
+{
+    const int number = to.back() - '0';
+    if (!m_vms[static_cast<std::size_t>(number)] || !reachable(from.number, number))
+        return;
+    Vm& receiver = *m_vms[static_cast<std::size_t>(number)];
+    std::uint64_t& known = from.knownLives[to];
+    if (known != 0 && known != receiver.life) {
+        known = receiver.life;
+        from.outboxes[to].clear();
+        from.dispatcher.onPeerReborn(to, m_now);
+        return;
+    }
+    known = receiver.life;
+    std::uint64_t& knownSender = receiver.knownLives[vmId(from.number)];
+    if (knownSender != 0 && knownSender != from.life) {
+        receiver.outboxes[vmId(from.number)].clear();
+        receiver.dispatcher.onPeerReborn(vmId(from.number), m_now);
+    }
+    knownSender = from.life;
+    std::vector<PeerMessage> messages;
+    messages.swap(from.outboxes[to]);
+    RoomReport room = from.dispatcher.room(m_now);
+    room.requestsSeen = from.dispatcher.requestsSeen(to);
+    receiver.dispatcher.onPeerMessages(vmId(from.number), messages, room, m_now);
+    from.dispatcher.onPeerAnswered(to, m_now);
+}
+
+void DispatchWorld::followOwned(int number)
+{
+    Vm& vm = *m_vms[static_cast<std::size_t>(number)];
+    std::set<UpstreamId> owned;
+    for (const UpstreamInfo& info : vm.dispatcher.ownedUpstreams()) {
+        owned.insert(info.id);
+        if (vm.looked.insert(info.id).second)
+            lookLoop(number, vm.life, info.id);
+    }
+    for (auto looked = vm.looked.begin(); looked != vm.looked.end();)
+        looked = owned.count(*looked) > 0 ? std::next(looked) : vm.looked.erase(looked);
+}
+
+void DispatchWorld::lookLoop(int number, std::uint64_t life, const UpstreamId& id)
+{
+    Vm* vm = alive(number, life);
+    if (!vm || vm->looked.count(id) == 0)
+        return;
+    const std::optional<LookOrder> order = vm->dispatcher.nextLook(id, m_now);
+    if (!order)
+        return;
+    const bool waits = order->wait.count() > 0;
+    sendLook(number, *order, [this, number, life, id, waits](bool answered) {
+        const Milliseconds pause { answered && waits ? 0 : 35 };
+        after(pause, [this, number, life, id] { lookLoop(number, life, id); });
+    });
+}
+
+void DispatchWorld::sendOrder(int number, const UpstreamId& id, const std::function<OrderReply(Upstream&)>& execute, const std::function<void(const OrderReply&)>& onOrderReply)
+{
+    const std::uint64_t life = m_vms[static_cast<std::size_t>(number)]->life;
+    const auto answer = [this, number, life, onOrderReply](const OrderReply& reply) {
+        if (alive(number, life))
+            onOrderReply(reply);
+    };
+    const bool silent = upstream(id).silentUntil > m_now;
+    const bool late = chance(m_faults.lateOrder);
+    if (late || silent || chance(m_faults.lostOrder)) {
+        if (late && !silent)
+            after(between(2'000, 6'000), [this, id, execute] { execute(upstream(id)); });
+        after(orderTimeout, [answer] { answer({}); });
+        return;
+    }
+    const bool lost = chance(m_faults.lostReply);
+    after(between(1, 5), [this, id, execute, answer, lost] {
+        const OrderReply reply = execute(upstream(id));
+        after(lost ? orderTimeout : between(1, 5), [answer, reply, lost] { answer(lost ? OrderReply {} : reply); });
+    });
+}
+
+void DispatchWorld::sendLook(int number, const LookOrder& order, const std::function<void(bool)>& done)
+{
+    const std::uint64_t life = m_vms[static_cast<std::size_t>(number)]->life;
+    const TimePoint sentAt = m_now;
+    const auto answer = [this, number, life, order, sentAt, done](const LookReply& reply) {
+        if (Vm* vm = alive(number, life))
+            vm->dispatcher.onLook(order, reply, sentAt, m_now);
+        done(reply.outcome == OrderOutcome::Accepted);
+    };
+    const bool silent = upstream(order.upstream).silentUntil > m_now;
+    if (silent || chance(m_faults.lostOrder)) {
+        after(order.wait + lookSlack, [answer] { answer(LookReply {}); });
+        return;
+    }
+    const bool lost = chance(m_faults.lostReply);
+    after(between(1, 5), [this, order, answer, lost] {
+        const LookReply first = lookAt(upstream(order.upstream), order);
+        const bool waits = order.wait.count() > 0 && first.outcome == OrderOutcome::Accepted && first.ended.empty();
+        if (lost) {
+            after(order.wait + lookSlack, [answer] { answer(LookReply {}); });
+            return;
+        }
+        if (!waits) {
+            after(between(1, 5), [answer, first] { answer(first); });
+            return;
+        }
+        // The upstream answers at its next end, or when the wait is over.
+        const TimePoint end = m_now + order.wait;
+        const auto poll = std::make_shared<std::function<void()>>();
+        *poll = [this, order, answer, end, poll] {
+            LookOrder again = order;
+            again.leaseEnd.reset();
+            const LookReply reply = lookAt(upstream(order.upstream), again);
+            if (m_now < end && reply.ended.empty() && reply.outcome == OrderOutcome::Accepted) {
+                after(Milliseconds { 5 }, *poll);
+                return;
+            }
+            after(between(1, 5), [answer, reply] { answer(reply); });
+        };
+        after(Milliseconds { 5 }, *poll);
+    });
+}
+
+void DispatchWorld::endRun(Upstream& upstream, std::size_t index, RunEnd how)
+{
+    const TaskRun run = upstream.running[index].run;
+    upstream.running.erase(upstream.running.begin() + static_cast<std::ptrdiff_t>(index));
+    upstream.ended.push_back({ ++upstream.ends, run, how });
+    RunNumber& highest = upstream.highestEnded[run.task];
+    highest = std::max(highest, run.run);
+}
+
+void DispatchWorld::settle(Upstream& upstream)
+{
+    const UpstreamClock clock = toMilliseconds(m_now.time_since_epoch());
+    for (std::size_t index = upstream.running.size(); index > 0; --index) {
+        if (upstream.running[index - 1].doneAt <= m_now)
+            endRun(upstream, index - 1, RunEnd::Done);
+    }
+    while (clock >= upstream.leaseEnd && !upstream.running.empty())
+        endRun(upstream, 0, RunEnd::Lapsed);
+}
+
+OrderReply DispatchWorld::startAt(Upstream& target, const StartOrder& order)
+{
+    const UpstreamClock clock = toMilliseconds(m_now.time_since_epoch());
+    settle(target);
+    if (order.token < target.token)
+        return { OrderOutcome::Fenced, clock };
+    target.token = order.token;
+    const auto highest = target.highestEnded.find(order.run.task);
+    if (highest != target.highestEnded.end() && order.run.run <= highest->second)
+        return { OrderOutcome::Superseded, clock };
+    if (order.leaseEnd <= clock)
+        return { OrderOutcome::Late, clock };
+    target.leaseEnd = std::max(target.leaseEnd, std::min(order.leaseEnd, clock + longestLease));
+    const bool there = std::any_of(target.running.begin(), target.running.end(), [&order](const Upstream::Running& running) { return running.run == order.run; });
+    if (there)
+        return { OrderOutcome::Accepted, clock };
+    if (target.running.size() >= places)
+        return { OrderOutcome::NoRoom, clock };
+    for (const auto& entry : m_upstreams) {
+        settle(*entry);
+        for (const Upstream::Running& running : entry->running) {
+            if (running.run.task == order.run.task)
+                m_verdict.overlaps.push_back(order.run.task.job + '.' + std::to_string(order.run.task.index) + " run " + std::to_string(running.run.run) + " on " + entry->info.id + " and run " + std::to_string(order.run.run) + " on " + target.info.id);
+        }
+    }
+    ++m_verdict.started;
+    m_startedJobs.insert(order.run.task.job);
+    target.running.push_back({ order.run, m_now + between(30, 400) });
+    return { OrderOutcome::Accepted, clock };
+}
+
+OrderReply DispatchWorld::stopAt(Upstream& target, const StopOrder& order)
+{
+    const UpstreamClock clock = toMilliseconds(m_now.time_since_epoch());
+    settle(target);
+    if (order.token < target.token)
+        return { OrderOutcome::Fenced, clock };
+    target.token = order.token;
+    for (std::size_t index = 0; index < target.running.size(); ++index) {
+        if (target.running[index].run == order.run) {
+            endRun(target, index, RunEnd::Stopped);
+            break;
+        }
+    }
+    RunNumber& highest = target.highestEnded[order.run.task];
+    highest = std::max(highest, order.run.run);
+    return { OrderOutcome::Accepted, clock };
+}
+
+LookReply DispatchWorld::lookAt(Upstream& target, const LookOrder& order)
+{
+    const UpstreamClock clock = toMilliseconds(m_now.time_since_epoch());
+    settle(target);
+    LookReply reply;
+    reply.clock = clock;
+    if (order.token < target.token) {
+        reply.outcome = OrderOutcome::Fenced;
+        return reply;
+    }
+    target.token = order.token;
+    reply.outcome = OrderOutcome::Accepted;
+    if (order.leaseEnd)
+        target.leaseEnd = std::max(target.leaseEnd, std::min(*order.leaseEnd, clock + longestLease));
+    target.ended.erase(std::remove_if(target.ended.begin(), target.ended.end(), [&order](const ListedEnd& end) { return end.number <= order.acknowledged; }), target.ended.end());
+    for (const Upstream::Running& running : target.running)
+        reply.running.push_back(running.run);
+    reply.ended = target.ended;
+    return reply;
+}
+
+void DispatchWorld::submitJob(int number, int vm)
+{
+    const std::string id = std::to_string(number);
+    if (m_answered.count(id) > 0)
+        return;
+    Vm& target = *m_vms[static_cast<std::size_t>(vm)];
+    if (!target.up) {
+        after(between(50, 200), [this, number, vm] { submitJob(number, (vm + 1) % vmCount); });
+        return;
+    }
+    DispatchJob job;
+    job.id = id;
+    job.patience = Milliseconds { 3'000 };
+    JobStep step;
+    step.count = static_cast<std::uint32_t>(1 + number % 4);
+    step.need = { 27'000, 64, 0 };
+    step.estimate = Milliseconds { 200 };
+    job.steps.push_back(step);
+    Route route;
+    route.name = "proof";
+    route.service = "print";
+    route.maxAttempts = 3;
+    route.stretch = 6;
+    route.targetLatency = Milliseconds { 500 };
+    const CallerTicket ticket = ++target.lastTicket;
+    target.tickets[ticket] = id;
+    ++m_attempts[id];
+    target.dispatcher.submit(ticket, job, route, m_now);
+}
+
+void DispatchWorld::onReply(int number, CallerTicket ticket, const JobAnswer& answer)
+{
+    Vm& vm = *m_vms[static_cast<std::size_t>(number)];
+    const std::string job = vm.tickets[ticket];
+    vm.tickets.erase(ticket);
+    m_answered.insert(job);
+    switch (answer.outcome) {
+    case JobOutcome::Refused:
+        ++m_verdict.refused;
+        // A job that came again may have run through the VM that was killed.
+        if (m_attempts[job] == 1 && m_startedJobs.count(job) > 0)
+            m_verdict.falseRefusals.push_back(job);
+        return;
+    case JobOutcome::GaveUp:
+        ++m_verdict.gaveUp;
+        return;
+    default:
+        ++m_verdict.succeeded;
+        return;
+    }
+}
+
+DispatchVerdict DispatchWorld::run()
+{
+    for (int number = 0; number < upstreamCount; ++number) {
+        m_upstreams.push_back(std::make_unique<Upstream>());
+        UpstreamInfo& info = m_upstreams.back()->info;
+        info.id = "u" + std::to_string(number);
+        info.startedAt = Milliseconds { 1 };
+        info.service = "print";
+        info.dataCentre = "dc1";
+        info.capacity = { 64'000, 100'000, 0 };
+        info.kind = "a";
+    }
+    m_vms.resize(vmCount);
+    for (int number = 0; number < vmCount; ++number)
+        startVm(number);
+    for (int number = 0; number < jobCount; ++number)
+        after(between(1'000, 10'000), [this, number] { submitJob(number, number % vmCount); });
+    for (int kill = 0; kill < m_faults.kills; ++kill)
+        after(between(1'500, 10'000), [this] { killVm(static_cast<int>(between(0, vmCount - 1).count())); });
+    for (int cut = 0; cut < m_faults.cuts; ++cut)
+        after(between(1'500, 9'000), [this] { cutVm(static_cast<int>(between(0, vmCount - 1).count())); });
+    for (int silence = 0; silence < m_faults.silences; ++silence) {
+        after(between(1'500, 10'000), [this] {
+            Upstream& silent = *m_upstreams[static_cast<std::size_t>(between(0, upstreamCount - 1).count())];
+            silent.silentUntil = m_now + between(200, 2'000);
+        });
+    }
+    const TimePoint end = m_now + worldLength;
+    while (!m_events.empty() && m_events.top().at < end) {
+        const Scheduled next = m_events.top();
+        m_events.pop();
+        m_now = next.at;
+        next.action();
+    }
+    return m_verdict;
+}
+
+} // namespace egrettrestle::model
--- /dev/null
+++ b/tests/model/unit-dispatch-rules.cpp
@@ -0,0 +1,61 @@
+#include <catch2/catch.hpp>
+
+#include "dispatch_world.hpp"
+
+using namespace egrettrestle;
+using namespace egrettrestle::model;
+
+namespace {
+
+struct FaultCase {
+    const char* name;
+    DispatchFaults faults;
+    std::uint64_t firstSeed;
+};
+
+constexpr int schedulesPerCase = 40;
+
+}
+
+TEST_CASE("dispatchers under seeded faults start no task twice at a time and refuse truly")
+{
+    const FaultCase cases[] = {
+        { "calm", {}, 1 },
+        { "orders lost, unanswered and late", { 0.03, 0.03, 0.03, 0, 0, 0 }, 10'000 },
+        { "upstreams silent", { 0, 0, 0, 0, 0, 4 }, 20'000 },
+        { "VMs killed", { 0, 0, 0, 3, 0, 0 }, 30'000 },
+        { "VMs cut off", { 0, 0, 0, 0, 3, 0 }, 40'000 },
+        { "everything", { 0.03, 0.03, 0.03, 3, 2, 3 }, 50'000 },
+    };
+    for (const FaultCase& example : cases) {
+        for (std::uint64_t seed = example.firstSeed; seed < example.firstSeed + schedulesPerCase; ++seed) {
+            DispatchWorld world(seed, example.faults);
+            const DispatchVerdict verdict = world.run();
+            CAPTURE(example.name, seed, verdict.overlaps, verdict.falseRefusals);
+            CHECK(verdict.started > 0);
+            CHECK(verdict.overlaps.empty());
+            CHECK(verdict.falseRefusals.empty());
+        }
+    }
+}
+
+TEST_CASE("schedules that once started a task twice at a time")
+{
+    // Lost claim before the first look; a withdrawal answered by a new life; an end of an earlier submission; a claim to a
+    // silent owner.
+    const std::uint64_t seeds[] = { 50'026, 100'090, 101'124, 101'834, 101'849, 102'191, 102'679, 103'406 };
+    for (const std::uint64_t seed : seeds) {
+        DispatchWorld world(seed, { 0.03, 0.03, 0.03, 3, 2, 3 });
+        const DispatchVerdict verdict = world.run();
+        CAPTURE(seed, verdict.overlaps);
+        CHECK(verdict.overlaps.empty());
+    }
+}
+
+TEST_CASE("dispatchers without faults serve every job")
+{
+    DispatchWorld world(7, {});
+    const DispatchVerdict verdict = world.run();
+    CHECK(verdict.succeeded + verdict.refused == 60);
+    CHECK(verdict.succeeded >= 55);
+}
--- a/tests/unit/unit-job-executor.cpp
+++ b/tests/unit/unit-job-executor.cpp
@@ -282,6 +282,12 @@
         CHECK(world.port.sent.back().message.claim->run == late);
     }
 
+    SECTION("and does not start it elsewhere when the new owner proves to be silent, since the old one may keep it at work")
+    {
+        world.executor.onOwnerLost("y", world.now);
+        CHECK(world.port.sent.size() == 2);
+    }
+
     SECTION("and no longer listens to the old one")
     {
         world.executor.onReturned("x", { world.request(0).run, ReturnReason::Lost }, world.now);
@@ -326,6 +332,27 @@
     CHECK(world.port.sent.back().message.claim);
 }
 
+TEST_CASE("executor whose owner has started again")
+{
+    ExecutorWorld world;
+    world.submit(jobOf("j", 1));
+    world.executor.onOwnerReborn("x", world.now);
+
+    SECTION("does not take the new life's word for what the old one had started")
+    {
+        world.executor.onReturned("x", { world.request(0).run, ReturnReason::Withdrawn }, world.now);
+        CHECK(world.port.sent.size() == 1);
+    }
+
+    SECTION("sends the task anew once nothing of the old life can be at work")
+    {
+        world.now += world.limits.orphanTime + Milliseconds { 1 };
+        world.executor.tick(world.now);
+        REQUIRE(world.port.sent.size() == 2);
+        CHECK(world.request(1).run.run == 2);
+    }
+}
+
 TEST_CASE("executor gives a job up when its caller's patience ends")
 {
     ExecutorWorld world;
--- a/tests/unit/unit-upstream-owner.cpp
+++ b/tests/unit/unit-upstream-owner.cpp
@@ -263,6 +263,20 @@
         CHECK(world.port.stops[0].run == found);
     }
 
+    SECTION("a claimed run is not lost while no look has fenced the owner before, who may extend its lease")
+    {
+        world.owner.claim("x", { found, "u1", token }, world.now);
+        for (int failure = 0; failure < 5; ++failure) {
+            world.pass(Milliseconds { 400 });
+            world.lookFails();
+            world.owner.tick(world.now);
+        }
+        CHECK(world.port.told.size() == 1);
+        world.owner.markGone("u1");
+        world.owner.tick(world.now);
+        CHECK(world.lastTold().returned);
+    }
+
     SECTION("claims have their time also where the first look came late")
     {
         world.pass(Seconds { 5 });
@@ -344,7 +358,7 @@
     world.look(world.reply());
     const TaskRun run = world.startOne("j");
     world.owner.release("u1", world.now);
-    world.owner.withdraw("x", { run, false }, world.now);
+    world.owner.withdraw("x", { run, false, "u1" }, world.now);
     REQUIRE(world.lastTold().started);
     CHECK(world.lastTold().started->epoch == token);
 }
@@ -364,13 +378,13 @@
 
     SECTION("a run that is withdrawn")
     {
-        world.owner.withdraw("x", { run, false }, world.now);
+        world.owner.withdraw("x", { run, false, "u1" }, world.now);
         CHECK(world.port.stops.size() == 1);
     }
 
     SECTION("but not a run at work that is to be moved only while it waits")
     {
-        world.owner.withdraw("x", { run, true }, world.now);
+        world.owner.withdraw("x", { run, true, "u1" }, world.now);
         CHECK(world.port.stops.empty());
     }
 
@@ -410,6 +424,28 @@
     }
 }
 
+TEST_CASE("owner tells submissions of one job apart, whose run numbers both begin at 1")
+{
+    OwnerWorld world;
+    world.look(world.reply());
+    const TaskRun run = world.startOne("j");
+    world.pass(Milliseconds { 10 });
+    world.look(world.reply({}, { world.end(run, RunEnd::Stopped) }));
+    world.owner.own(upstreamNamed("u2"), token, world.now);
+
+    SECTION("the end of the earlier one does not answer a claim for a run elsewhere")
+    {
+        world.owner.claim("y", { run, "u2", token }, world.now);
+        CHECK_FALSE(world.lastTold().ended);
+    }
+
+    SECTION("nor a withdrawal")
+    {
+        world.owner.withdraw("y", { run, false, "u2" }, world.now);
+        CHECK_FALSE(world.lastTold().ended);
+    }
+}
+
 TEST_CASE("owner obeys the fence")
 {
     OwnerWorld world;
