--- a/tests/model/explore.cpp
+++ b/tests/model/explore.cpp
@@ -7,9 +7,15 @@
 #include "claim_world.hpp"
 #include "rule_switch.hpp"
 
-int main(int argc, char** argv)
+namespace {
+
+using namespace egrettrestle::model;
+
+/// Exit codes: 0 no bad schedule, 1 a bad one, 2 arguments that cannot be used.
+constexpr int badArguments = 2;
+
+int run(int argc, char** argv)
 {
-    using namespace egrettrestle::model;
     cxxopts::Options options("explore-claims");
     options.add_options()("vms", "VMs", cxxopts::value<std::size_t>()->default_value("3"))("seed", "first seed", cxxopts::value<std::uint64_t>()->default_value("1"))(
         "count", "schedules", cxxopts::value<int>()->default_value("10000"))("steps", "steps a schedule", cxxopts::value<std::size_t>()->default_value("90"))(
@@ -25,3 +31,15 @@
               << result.doubleStarts << ", false refusals " << result.falseRefusals << ", first bad seed " << result.firstBadSeed << '\n';
     return result.doubleStarts + result.falseRefusals == 0 ? 0 : 1;
 }
+
+}
+
+int main(int argc, char** argv)
+{
+    try {
+        return run(argc, argv);
+    } catch (const cxxopts::exceptions::exception& error) {
+        std::cerr << "explore-claims: " << error.what() << '\n';
+        return badArguments;
+    }
+}
