Halve the processor time: room is told at an interval, not at each change

Change: room travels with each batch and every 100 ms at least (up to 400 ms between VMs that share no tasks, where there are many); word of a start, and of a task that is done while others of its job go on at the same owner, waits up to 50 ms for other messages; tasks that spill over fill one owner before the next; connections are looked at by one system call.

--- a/packages/decision/include/egrettrestle/decision/dispatch_types.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatch_types.hpp
@@ -238,7 +238,7 @@
     std::uint64_t requestsSeen = 0;
 };
 
-/// What may be sent from one VM to another; exactly one of the fields is set.
+/// What may be sent from one VM to another; exactly one of the optional fields is set.
 struct PeerMessage {
     std::optional<RunRequest> request;
     std::optional<RunStarted> started;
@@ -246,6 +246,8 @@
     std::optional<RunReturned> returned;
     std::optional<RunWithdrawn> withdrawn;
     std::optional<RunClaim> claim;
+    /// Nobody acts on it at once, so it may travel with a later message. Not sent itself.
+    bool mayWait = false;
 };
 
 } // namespace egrettrestle
--- a/packages/decision/include/egrettrestle/decision/dispatcher.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatcher.hpp
@@ -70,6 +70,8 @@
     void onPeerAnswered(const VmId& vm, TimePoint now);
     /// Another life of a VM speaks: everything before is gone.
     void onPeerReborn(const VmId& vm, TimePoint now);
+    /// Whether tasks of this VM are at the other one, or the other way round.
+    bool sharesTasks(const VmId& vm) const { return m_owner.hasRunsOf(vm) || m_executor.hasTasksAt(vm); }
     /// How many run requests of a VM have arrived.
     std::uint64_t requestsSeen(const VmId& vm) const;
     /// @}
--- a/packages/decision/include/egrettrestle/decision/job_executor.hpp
+++ b/packages/decision/include/egrettrestle/decision/job_executor.hpp
@@ -40,11 +40,12 @@
     Milliseconds replyMargin { 25 };
     /// A task is not started with less time left than this share of its expected duration: forecasts err by as much.
     double shortestShare = 0.75;
-    /// A task that waits this long at a full owner is moved to one that has room.
-    Milliseconds moveAfter { 40 };
+    /// A task that waits this long at a full owner is moved to one that has room: longer than word of its start may wait
+    /// for other messages.
+    Milliseconds moveAfter { 65 };
     /// The longest task of a job lasts about this many times the expected duration.
     double longestTask = 1.1;
-    /// A forecast of the wait errs by about this factor: room told by others is some tens of milliseconds old, and more
+    /// A forecast of the wait errs by about this factor: room told by others is up to a tenth of a second old, and more
     /// urgent tasks come in between.
     double waitError = 1.3;
     /// A job whose tasks do not find room at once runs partly on slower upstreams.
@@ -134,6 +135,8 @@
     void tick(TimePoint now);
 
     bool contains(const std::string& job) const { return m_jobs.count(job) > 0; }
+    /// Whether a task is at an owner, waiting or at work.
+    bool hasTasksAt(const VmId& owner) const;
     std::size_t jobs() const { return m_jobs.size(); }
     /// Jobs of a route of which no task has started.
     std::size_t notStarted(const std::string& route) const;
@@ -171,6 +174,9 @@
         std::vector<VmId> unfitOwners;
     };
 
+    /// Whether a task is with an owner that has not told its end.
+    static bool isOut(const Task& task) { return task.state == TaskState::Sent || task.state == TaskState::Running || task.state == TaskState::Withdrawn; }
+
     struct Job {
         DispatchJob request;
         Route route;
--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -87,6 +87,9 @@
     /// Whether a look has shown what runs at each upstream.
     bool knowsAll() const;
 
+    /// Whether a run of the executor is at work or waits here.
+    bool hasRunsOf(const VmId& executor) const;
+
     std::size_t queued() const { return m_queue.size(); }
     std::size_t running() const;
     const RunTimes& runTimes() const { return m_runTimes; }
@@ -115,6 +118,8 @@
     void forget(OwnedUpstream& upstream, const TaskRun& run);
     void returnRun(const VmId& executor, const TaskRun& run, ReturnReason reason);
     void finishRun(OwnedUpstream& upstream, const OwnedRun& run, RunEnd how, TimePoint now);
+    /// Whether another run of the same job and executor is at work or waits here.
+    bool hasMoreOf(const OwnedRun& run) const;
     void takeEnds(OwnedUpstream& upstream, const LookReply& reply, TimePoint now);
     void compareRunning(OwnedUpstream& upstream, const LookReply& reply, TimePoint sentAt, TimePoint now);
     void adoptUnknown(OwnedUpstream& upstream, const TaskRun& run, TimePoint now);
--- a/packages/decision/src/job_executor.cpp
+++ b/packages/decision/src/job_executor.cpp
@@ -133,10 +133,14 @@
 
 void JobExecutor::sendUnsent(Job& job, TimePoint now)
 {
+    // Tasks that go to one owner share their messages, so an owner is filled before the next is picked.
+    std::optional<VmId> owner;
     for (Task& task : job.tasks) {
         if (task.state != TaskState::Unsent || job.ending)
             continue;
-        const std::optional<VmId> owner = m_rooms.pick(m_self, job.route.service, task.unfitOwners);
+        const bool unfit = owner && std::find(task.unfitOwners.begin(), task.unfitOwners.end(), *owner) != task.unfitOwners.end();
+        if (!owner || unfit || m_rooms.freeAt(*owner, job.route.service) <= 0)
+            owner = m_rooms.pick(m_self, job.route.service, task.unfitOwners);
         if (owner)
             sendTask(job, task, *owner, now);
     }
@@ -338,9 +342,8 @@
     for (auto& entry : m_jobs) {
         Job& job = entry.second;
         for (Task& task : job.tasks) {
-            const bool out = task.state == TaskState::Sent || task.state == TaskState::Running || task.state == TaskState::Withdrawn;
             // A run that is being claimed came from another owner, who may keep it at work.
-            if (!out || task.owner != owner || task.claimedAt)
+            if (!isOut(task) || task.owner != owner || task.claimedAt)
                 continue;
             task.state = TaskState::Unsent;
             job.anyStarted = true;
@@ -357,8 +360,7 @@
 {
     for (auto& entry : m_jobs) {
         for (Task& task : entry.second.tasks) {
-            const bool out = task.state == TaskState::Sent || task.state == TaskState::Running || task.state == TaskState::Withdrawn;
-            if (!out || task.owner != owner)
+            if (!isOut(task) || task.owner != owner)
                 continue;
             const auto next = m_owners.find(task.upstream);
             if (next == m_owners.end()) {
@@ -414,9 +416,7 @@
         job.ending = true;
         job.finalReply = { JobOutcome::Succeeded, Milliseconds { 0 }, "done" };
     }
-    const bool anyOut = std::any_of(job.tasks.begin(), job.tasks.end(), [](const Task& task) {
-        return task.state == TaskState::Sent || task.state == TaskState::Running || task.state == TaskState::Withdrawn;
-    });
+    const bool anyOut = std::any_of(job.tasks.begin(), job.tasks.end(), [](const Task& task) { return isOut(task); });
     if (!job.ending || anyOut)
         return;
     if (job.finalReply.outcome == JobOutcome::Refused && job.anyStarted)
@@ -459,8 +459,7 @@
                 task.state = TaskState::Unsent;
                 job.anyStarted = true;
             }
-            const bool out = task.state == TaskState::Sent || task.state == TaskState::Running || task.state == TaskState::Withdrawn;
-            if (task.lostAt && out && now > *task.lostAt) {
+            if (task.lostAt && isOut(task) && now > *task.lostAt) {
                 job.anyStarted = true;
                 task.state = TaskState::Unsent;
             }
@@ -478,6 +477,13 @@
     }
 }
 
+bool JobExecutor::hasTasksAt(const VmId& owner) const
+{
+    return std::any_of(m_jobs.begin(), m_jobs.end(), [&owner](const auto& entry) {
+        return std::any_of(entry.second.tasks.begin(), entry.second.tasks.end(), [&owner](const Task& task) { return isOut(task) && task.owner == owner; });
+    });
+}
+
 std::size_t JobExecutor::notStarted(const std::string& route) const
 {
     return static_cast<std::size_t>(std::count_if(m_jobs.begin(), m_jobs.end(), [&route](const auto& entry) {
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -359,8 +359,21 @@
             m_port.note({ NoteKind::Paused, upstream.info.id, run.request.run, "failed-runs", toMilliseconds(upstream.pausedUntil - now), static_cast<std::uint64_t>(upstream.pauses) });
         }
     }
+    // The executor acts on a task that is done only once the others of the job are done too.
     if (!run.executor.empty())
-        m_port.tell(run.executor, { {}, {}, ended, {}, {}, {} });
+        m_port.tell(run.executor, { {}, {}, ended, {}, {}, {}, how == RunEnd::Done && hasMoreOf(run) });
+}
+
+bool UpstreamOwner::hasMoreOf(const OwnedRun& run) const
+{
+    const std::string& job = run.request.run.task.job;
+    const bool waits = std::any_of(m_queue.begin(), m_queue.end(), [&](const Waiting& waiting) { return waiting.executor == run.executor && waiting.request.run.task.job == job; });
+    return waits || std::any_of(m_upstreams.begin(), m_upstreams.end(), [&](const auto& upstream) {
+        const std::map<TaskRun, OwnedRun>& runs = upstream.second.runs;
+        // Runs are ordered by job first.
+        const auto first = runs.lower_bound(TaskRun { { job, 0, 0 }, 0 });
+        return first != runs.end() && first->first.task.job == job && first->second.executor == run.executor;
+    });
 }
 
 void UpstreamOwner::compareRunning(OwnedUpstream& upstream, const LookReply& reply, TimePoint sentAt, TimePoint now)
@@ -380,7 +393,7 @@
             owned.state = RunState::Running;
             owned.doubtful = false;
             owned.confirmedAt = now;
-            m_port.tell(owned.executor, { {}, RunStarted { run, upstream.info.id, upstream.token }, {}, {}, {}, {} });
+            m_port.tell(owned.executor, { {}, RunStarted { run, upstream.info.id, upstream.token }, {}, {}, {}, {}, true });
         }
     }
     if (reply.ended.size() >= endPageSize)
@@ -455,7 +468,7 @@
         if (run.state == RunState::Stopping)
             return;
         run.state = RunState::Running;
-        m_port.tell(run.executor, { {}, RunStarted { order.run, order.upstream, upstream->token }, {}, {}, {}, {} });
+        m_port.tell(run.executor, { {}, RunStarted { order.run, order.upstream, upstream->token }, {}, {}, {}, {}, true });
         return;
     }
     if (reply.outcome == OrderOutcome::Unknown) {
@@ -742,6 +755,14 @@
     });
 }
 
+bool UpstreamOwner::hasRunsOf(const VmId& executor) const
+{
+    const bool waits = std::any_of(m_queue.begin(), m_queue.end(), [&executor](const Waiting& waiting) { return waiting.executor == executor; });
+    return waits || std::any_of(m_upstreams.begin(), m_upstreams.end(), [&executor](const auto& upstream) {
+        return std::any_of(upstream.second.runs.begin(), upstream.second.runs.end(), [&executor](const auto& run) { return run.second.executor == executor; });
+    });
+}
+
 bool UpstreamOwner::knowsAll() const
 {
     return std::all_of(m_upstreams.begin(), m_upstreams.end(), [](const auto& entry) { return entry.second.known; });
--- a/packages/fleet/include/egrettrestle/fleet/peer_links.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/peer_links.hpp
@@ -39,8 +39,6 @@
     void send(const VmId& vm, PeerMessage message);
     /// Drops what waits for a VM.
     void dropMessages(const VmId& vm);
-    /// Tells the links that the room here has changed.
-    void roomChanged();
 
     std::vector<SilentPeer> silentPeers() const;
 
@@ -57,7 +55,7 @@
     void onReply(Peer& peer, const DispatchReply& reply, std::size_t sent);
     void spawn(const std::shared_ptr<Peer>& peer);
     bool noteLife(const VmId& vm, std::uint64_t life);
-    Milliseconds roomInterval() const;
+    Milliseconds keepAliveInterval(const Peer& peer) const;
 
     FleetNode& m_node;
     HttpClient m_client;
@@ -71,7 +69,6 @@
     std::map<VmId, std::uint64_t> m_lastTaken;
     std::map<VmId, TimePoint> m_heardAt;
     Epoch m_epoch;
-    std::uint64_t m_roomVersion = 0;
     int m_threads = 0;
     std::atomic<bool> m_stopping { false };
 };
--- a/packages/fleet/src/dispatch_service.cpp
+++ b/packages/fleet/src/dispatch_service.cpp
@@ -24,11 +24,6 @@
         return limits;
     }
 
-    bool hasRoom(const RoomReport& report)
-    {
-        return std::any_of(report.kinds.begin(), report.kinds.end(), [](const KindRoom& kind) { return kind.freeTasks > 0; });
-    }
-
     std::string runText(const TaskRun& run)
     {
         if (run.task.job.empty())
@@ -123,16 +118,8 @@
 
 void DispatchService::run()
 {
-    bool hadRoom = false;
     while (!m_stopping) {
-        const bool room = with([](Dispatcher& dispatcher, TimePoint now) {
-            dispatcher.tick(now);
-            return hasRoom(dispatcher.room(now));
-        });
-        // The others act at once on whether there is room; how much is told with the next message.
-        if (room != hadRoom)
-            m_node.kernel.find<PeerLinks>(fleetServices::peerLinks).roomChanged();
-        hadRoom = room;
+        with([](Dispatcher& dispatcher, TimePoint now) { dispatcher.tick(now); });
         std::this_thread::sleep_for(tickInterval);
     }
 }
--- a/packages/fleet/src/peer_links.cpp
+++ b/packages/fleet/src/peer_links.cpp
@@ -13,18 +13,20 @@
     constexpr const char* configurationPath = "/v1/configuration";
     // A VM may be held off its processor for a tenth of a second, and a packet may be lost once.
     constexpr HttpCallTimes peerTimes { Milliseconds { 200 }, Milliseconds { 350 } };
-    // Several fit into the silence after which a VM's runs are stopped.
-    constexpr Milliseconds keepAlive { 120 };
+    // Room is told and a VM shown to be alive at this interval at least; several fit into the silence after which a VM's
+    // runs are stopped.
+    constexpr Milliseconds keepAlive { 100 };
+    // With many peers the interval grows, so that telling room costs a VM the same; a peer with which tasks are shared is
+    // told at the short interval.
+    constexpr int peersAtKeepAlive = 5;
+    constexpr Milliseconds longestKeepAlive { 400 };
     constexpr Milliseconds retryPause { 40 };
     // Messages older than this by the receiver's own clock are not acted on: the silence after which runs are stopped.
     constexpr Milliseconds oldestMark { 600 };
     // Links to VMs that are no longer members go on for so long after the last word from them.
     constexpr Milliseconds formerMember { 3'000 };
-    // Room is told at most this often to few peers, and less often to many, so that its cost for a VM stays the same.
-    constexpr Milliseconds shortestRoomInterval { 30 };
-    // Word that a run is at work can wait for other messages this long: nobody acts on it at once.
-    constexpr Milliseconds startedWait { 20 };
-    constexpr int peersAtShortestInterval = 5;
+    // What nobody acts on at once can wait this long for other messages: about as long as a short task lasts.
+    constexpr Milliseconds patientWait { 50 };
     constexpr int mostConnections = 200;
 
     std::uint64_t markNow()
@@ -46,7 +48,8 @@
     std::uint64_t receiverLife = 0;
     std::uint64_t mark = 0;
     std::uint64_t sequence = 1;
-    std::uint64_t roomVersion = 0;
+    /// Whether tasks of one VM were at the other when the last batch was made.
+    bool sharesTasks = false;
     /// Messages of the batch that is on its way or has to be repeated.
     std::size_t inBatch = 0;
     TimePoint lastSent;
@@ -134,7 +137,7 @@
     const auto found = m_peers.find(vm);
     if (found == m_peers.end())
         return;
-    const bool urgent = !message.started;
+    const bool urgent = !message.mayWait;
     found->second->outbox.push_back(std::move(message));
     found->second->urgent = found->second->urgent || urgent;
     if (urgent)
@@ -152,18 +155,13 @@
     ++found->second->sequence;
 }
 
-void PeerLinks::roomChanged()
-{
-    const std::lock_guard<std::mutex> lock(m_mutex);
-    ++m_roomVersion;
-    for (const auto& entry : m_peers)
-        entry.second->wake.notify_one();
-}
-
-Milliseconds PeerLinks::roomInterval() const
+/// Called with m_mutex held.
+Milliseconds PeerLinks::keepAliveInterval(const Peer& peer) const
 {
     const int peers = static_cast<int>(m_peers.size());
-    return shortestRoomInterval * std::max(1, peers / peersAtShortestInterval);
+    if (peer.sharesTasks)
+        return keepAlive;
+    return std::min(longestKeepAlive, keepAlive * std::max(1, peers / peersAtKeepAlive));
 }
 
 DispatchBatch PeerLinks::makeBatch(Peer& peer)
@@ -175,7 +173,9 @@
     batch.address = m_node.settings.peerAddress;
     const std::shared_ptr<const Configuration> configuration = dispatch.configuration();
     batch.configurationVersion = configuration ? configuration->version : 0;
+    bool sharesTasks = false;
     dispatch.with([&](Dispatcher& dispatcher, TimePoint now) {
+        sharesTasks = dispatcher.sharesTasks(peer.id);
         batch.room = dispatcher.room(now);
         batch.room.requestsSeen = dispatcher.requestsSeen(peer.id);
     });
@@ -187,8 +187,8 @@
     peer.inBatch = peer.outbox.size();
     batch.messages.assign(peer.outbox.begin(), peer.outbox.end());
     peer.urgent = false;
-    peer.roomVersion = m_roomVersion;
     peer.lastSent = bootNow();
+    peer.sharesTasks = sharesTasks;
     return batch;
 }
 
@@ -207,11 +207,8 @@
                 peer->wake.wait_for(lock, retryPause, [this] { return m_stopping.load(); });
             } else {
                 const Milliseconds sinceSent = toMilliseconds(now - peer->lastSent);
-                const std::uint64_t roomVersion = peer->roomVersion;
-                Milliseconds interval = roomVersion != m_roomVersion ? roomInterval() : keepAlive;
-                if (!peer->outbox.empty())
-                    interval = std::min(interval, startedWait);
-                peer->wake.wait_for(lock, std::max(Milliseconds { 0 }, interval - sinceSent), [&] { return m_stopping || peer->urgent || (interval > roomInterval() && m_roomVersion != roomVersion); });
+                const Milliseconds interval = peer->outbox.empty() ? keepAliveInterval(*peer) : patientWait;
+                peer->wake.wait_for(lock, std::max(Milliseconds { 0 }, interval - sinceSent), [&] { return m_stopping || peer->urgent; });
             }
             address = peer->address;
         }
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -10,6 +10,8 @@
 #include <Poco/Net/HTTPResponse.h>
 #include <Poco/Net/NetException.h>
 
+#include "detail/socket_input.hpp"
+
 namespace egrettrestle {
 
 namespace {
@@ -42,6 +44,16 @@
         /// Whether more than the end of the last chunk (CR LF) has been received already.
         bool hasBufferedChunk() const { return buffered() > 2; }
 
+        /// Bounds each wait of the next call; the kernel is told only of a change.
+        void setWaits(Milliseconds time)
+        {
+            if (time == m_waits)
+                return;
+            socket().setSendTimeout(timespan(time));
+            socket().setReceiveTimeout(timespan(time));
+            m_waits = time;
+        }
+
     protected:
         int write(const char* buffer, std::streamsize length) override
         {
@@ -53,6 +65,7 @@
 
     private:
         std::size_t m_bytesSent = 0;
+        Milliseconds m_waits { 0 };
     };
 
     HttpResult failed(HttpFailure failure)
@@ -164,7 +177,7 @@
             }
             try {
                 // Input on an idle connection is its end, or a reply nobody waits for.
-                if (session->connected() && !session->hasBufferedInput() && !session->socket().poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ))
+                if (session->connected() && !session->hasBufferedInput() && detail::peekInput(session->socket()) == detail::SocketInput::None)
                     return session;
             } catch (const Poco::Exception&) {
                 continue;
@@ -192,6 +205,7 @@
 {
     const TimePoint deadline = SteadyClock::now() + times.total;
     std::unique_ptr<Session> session = m_pool->take(address);
+    Milliseconds waits = times.total;
     if (!session) {
         try {
             session = std::make_unique<Session>(Poco::Net::SocketAddress(address));
@@ -201,10 +215,9 @@
         const HttpFailure opened = openSession(*session, times);
         if (opened != HttpFailure::None)
             return failed(opened);
+        waits = std::max(shortestWait, toMilliseconds(deadline - SteadyClock::now()));
     }
-    const Milliseconds left = std::max(shortestWait, toMilliseconds(deadline - SteadyClock::now()));
-    session->socket().setSendTimeout(timespan(left));
-    session->socket().setReceiveTimeout(timespan(left));
+    session->setWaits(waits);
     const HttpFailure sent = sendOn(*session, request);
     if (sent != HttpFailure::None)
         return failed(sent);
@@ -231,7 +244,7 @@
         copyHead(incoming, result.response);
         std::string line;
         while (!stop && SteadyClock::now() < deadline) {
-            const bool ready = stream.rdbuf()->in_avail() > 0 || session.hasBufferedChunk() || session.socket().poll(timespan(stopPollInterval), Poco::Net::Socket::SELECT_READ);
+            const bool ready = stream.rdbuf()->in_avail() > 0 || session.hasBufferedChunk() || detail::waitForInput(session.socket(), stopPollInterval);
             if (!ready)
                 continue;
             if (!std::getline(stream, line))
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -15,6 +15,8 @@
 
 #include <egrettrestle/base/fault.hpp>
 
+#include "detail/socket_input.hpp"
+
 namespace egrettrestle {
 
 namespace {
@@ -76,7 +78,7 @@
         {
             const TimePoint idleEnd = SteadyClock::now() + m_shared->limits.idleTimeout;
             while (!m_shared->stopping && !m_shared->closing && SteadyClock::now() < idleEnd) {
-                if (session.socket().poll(timespan(m_shared->limits.stopPoll), Poco::Net::Socket::SELECT_READ))
+                if (detail::waitForInput(session.socket(), m_shared->limits.stopPoll))
                     return true;
             }
             return false;
@@ -92,7 +94,8 @@
                 const HttpRequestFault fault = read(request, plain);
                 if (fault.status != 0)
                     return sendFault(response, fault);
-                plain.clientConnected = [&session] { return isConnected(session.socket()); };
+                // Input that waits is the next request; the end of input is a client that has left.
+                plain.clientConnected = [&session] { return detail::peekInput(session.socket()) != detail::SocketInput::End; };
                 const HttpResponse answer = m_shared->handler(plain);
                 const bool keepAlive = request.getKeepAlive() && !m_shared->stopping && !m_shared->closing;
                 response.setKeepAlive(keepAlive);
@@ -110,17 +113,6 @@
             }
         }
 
-        /// Input that waits is the next request; the end of input is a client that has left.
-        static bool isConnected(Poco::Net::StreamSocket& socket)
-        {
-            try {
-                char byte = 0;
-                return !socket.poll(Poco::Timespan(0), Poco::Net::Socket::SELECT_READ) || socket.receiveBytes(&byte, 1, MSG_PEEK) > 0;
-            } catch (const Poco::Exception&) {
-                return false;
-            }
-        }
-
         HttpRequestFault read(Poco::Net::HTTPServerRequestImpl& request, HttpRequest& plain)
         {
             plain.method = request.getMethod();
@@ -171,7 +163,7 @@
             char buffer[16 * 1024];
             const TimePoint end = SteadyClock::now() + longestDrain;
             while (SteadyClock::now() < end) {
-                if (!socket().poll(timespan(drainWait), Poco::Net::Socket::SELECT_READ) || socket().receiveBytes(buffer, sizeof(buffer)) <= 0)
+                if (!detail::waitForInput(socket(), drainWait) || socket().receiveBytes(buffer, sizeof(buffer)) <= 0)
                     return;
             }
         }
--- a/tests/unit/unit-job-executor.cpp
+++ b/tests/unit/unit-job-executor.cpp
@@ -233,6 +233,30 @@
             CHECK(told.vm == "x");
     }
 
+    SECTION("tasks that spill over fill one owner before the next")
+    {
+        // Load: wide jobs on VMs whose own upstreams are busy; spread over all owners, each job cost messages to all.
+        ExecutorWorld world(1);
+        world.rooms.update("y", roomFor(4, 8));
+        world.rooms.update("z", roomFor(4, 8));
+        world.submit(jobOf("j", 5));
+        std::map<VmId, int> tasks;
+        for (const Told& told : world.port.sent)
+            ++tasks[told.vm];
+        CHECK(tasks.size() == 2);
+        CHECK(tasks["x"] == 1);
+    }
+
+    SECTION("an owner is known to have tasks until their ends are told")
+    {
+        ExecutorWorld world(1);
+        world.submit(jobOf("j", 1));
+        CHECK(world.executor.hasTasksAt("x"));
+        CHECK_FALSE(world.executor.hasTasksAt("y"));
+        world.endAll(RunEnd::Done);
+        CHECK_FALSE(world.executor.hasTasksAt("x"));
+    }
+
     SECTION("a task that waits at a full owner is moved to one that has room")
     {
         ExecutorWorld world(1);
--- a/tests/unit/unit-upstream-owner.cpp
+++ b/tests/unit/unit-upstream-owner.cpp
@@ -468,3 +468,65 @@
         CHECK(world.port.starts.back().token.value == 6);
     }
 }
+
+TEST_CASE("owner marks word that may travel with other messages")
+{
+    // Load: wide jobs of short tasks, a few of them at each owner; a message of its own for each end doubled the traffic.
+    OwnerWorld world;
+    world.look(world.reply());
+    const TaskRun first = world.startOne("j");
+    world.owner.request("x", requestFor("j", 1, world.now + Seconds { 1 }), world.now);
+    const TaskRun second = world.port.starts.back().run;
+    world.owner.onStartReply(world.port.starts.back(), { OrderOutcome::Accepted, std::nullopt }, world.now);
+
+    SECTION("a start always may")
+    {
+        REQUIRE(world.lastTold().started);
+        CHECK(world.lastTold().mayWait);
+    }
+
+    SECTION("a task that is done may while another of its job is here, the last one may not")
+    {
+        world.look(world.reply({ second }, { world.end(first, RunEnd::Done) }));
+        REQUIRE(world.lastTold().ended);
+        CHECK(world.lastTold().mayWait);
+        world.look(world.reply({}, { world.end(second, RunEnd::Done) }));
+        REQUIRE(world.lastTold().ended);
+        CHECK_FALSE(world.lastTold().mayWait);
+    }
+
+    SECTION("a task that failed may not: it is started again at once")
+    {
+        world.look(world.reply({ second }, { world.end(first, RunEnd::Failed) }));
+        REQUIRE(world.lastTold().ended);
+        CHECK_FALSE(world.lastTold().mayWait);
+    }
+
+    SECTION("a task of another executor's submission does not make it wait")
+    {
+        world.look(world.reply({}, { world.end(second, RunEnd::Done), world.end(first, RunEnd::Done) }));
+        world.startOne("j");
+        world.owner.request("y", requestFor("j", 5, world.now + Seconds { 1 }), world.now);
+        const TaskRun own = world.port.starts[2].run;
+        world.look(world.reply({ world.port.starts[3].run }, { world.end(own, RunEnd::Done) }));
+        bool waits = true;
+        for (const Told& told : world.port.told) {
+            if (told.message.ended && told.message.ended->run == own)
+                waits = told.message.mayWait;
+        }
+        CHECK_FALSE(waits);
+    }
+}
+
+TEST_CASE("owner knows whose runs it has")
+{
+    OwnerWorld world;
+    CHECK_FALSE(world.owner.hasRunsOf("x"));
+    world.owner.request("x", requestFor("j", 0, world.now + Seconds { 1 }), world.now);
+    CHECK(world.owner.hasRunsOf("x"));
+    CHECK_FALSE(world.owner.hasRunsOf("y"));
+    world.look(world.reply());
+    CHECK(world.owner.hasRunsOf("x"));
+    world.look(world.reply({}, { world.end(world.port.starts.back().run, RunEnd::Done) }));
+    CHECK_FALSE(world.owner.hasRunsOf("x"));
+}
