Grant no lease for an executor that is silent, whenever that is noticed

Also a batch's age was checked before the wait for the lock: a process that stood still in between acted on it. Change: the owner checks the executor's silence when it starts a run or extends a lease; the bound is worked out from its parts (ownerLostAfter); the age is checked again under the lock. Tests: unit-upstream-owner "owner grants nothing for an executor that is silent …" and unit-dispatcher "an owner is taken for lost only when …" fail without it.

--- a/packages/decision/include/egrettrestle/decision/dispatcher.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatcher.hpp
@@ -18,14 +18,18 @@
     /// An upstream that discovery no longer lists is used on for this long: entries that lapsed while the store was away
     /// come back about two seconds after its return.
     Milliseconds discoveryGrace { 2'500 };
-    /// The runs of an executor that is silent for this long are stopped: before its callers send their jobs again.
-    Milliseconds executorSilence { 600 };
+    /// Messages that were on their way for longer, by the receiver's own clock, are not acted on.
+    Milliseconds oldestMessage { 600 };
     /// How long a VM that has just learned of a view waits for the others before it takes jobs without knowing their room.
     Milliseconds settleTime { 800 };
     /// A VM that has not answered for this long gets no new work.
     Milliseconds peerSilence { 350 };
 };
 
+/// How long after an owner's last reply nothing that it ran for this VM can be at work: it goes on taking this VM's
+/// messages for `oldestMessage` after that reply, grants leases for the silence after that, and the last one runs out.
+Milliseconds ownerLostAfter(const DispatcherLimits& limits);
+
 /// Carries out what a dispatcher decides. Calls come from within calls of the dispatcher and must not call it back.
 class DispatcherPort {
 public:
--- a/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
+++ b/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
@@ -14,6 +14,8 @@
     Milliseconds lease { 600 };
     /// How long a regular look waits for an end: several looks fit into a lease.
     Milliseconds lookWait { 200 };
+    /// The runs of an executor that is silent for this long are stopped: before its callers send their jobs again.
+    Milliseconds executorSilence { 600 };
     /// How long runs found at a new upstream wait to be claimed by their executors.
     Milliseconds claimGrace { 300 };
     /// A stop takes at most this long at the upstream.
--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -32,7 +32,8 @@
 /// at work. Not safe for use by several threads.
 class UpstreamOwner {
 public:
-    UpstreamOwner(OwnerPort& port, OwnerLimits limits);
+    /// Runs that the owner's own VM asks for, `self`, never lack an executor.
+    UpstreamOwner(OwnerPort& port, OwnerLimits limits, VmId self = {});
 
     /// @name ownership
     /// @{
@@ -58,6 +59,9 @@
     void request(const VmId& executor, const RunRequest& request, TimePoint now);
     void withdraw(const VmId& executor, const RunWithdrawn& withdrawn, TimePoint now);
     void claim(const VmId& executor, const RunClaim& claim, TimePoint now);
+    /// An executor was heard. Leases are granted only while every executor whose runs they hold was heard lately, so that
+    /// how long the runs of one that fell silent can go on does not depend on when this VM notices it.
+    void heardFrom(const VmId& executor, TimePoint now) { m_heard[executor] = now; }
     /// Stops everything of an executor that is gone.
     void dropExecutor(const VmId& executor, TimePoint now);
     /// @}
@@ -109,6 +113,8 @@
 
     using EndedRuns = std::map<TaskRun, RunEnded>;
 
+    bool isHeard(const VmId& executor, TimePoint now) const;
+    bool mayGrant(const OwnedUpstream& upstream, TimePoint now) const;
     void startWaiting(TimePoint now);
     OwnedUpstream* bestFor(const RunRequest& request, TimePoint now);
     double durationOn(const OwnedUpstream& upstream, const RunRequest& request) const;
@@ -146,6 +152,8 @@
     std::vector<std::pair<TimePoint, TaskRun>> m_releasedOrder;
     /// Claims for upstreams that this VM does not own yet.
     std::vector<EarlyClaim> m_earlyClaims;
+    VmId m_self;
+    std::map<VmId, TimePoint> m_heard;
     Resources m_ordinaryNeed;
     bool m_starting = true;
 };
--- a/packages/decision/src/dispatcher.cpp
+++ b/packages/decision/src/dispatcher.cpp
@@ -4,12 +4,29 @@
 
 namespace egrettrestle {
 
+namespace {
+
+    ExecutorLimits executorLimits(const DispatcherLimits& limits)
+    {
+        ExecutorLimits executor = limits.executor;
+        executor.ownerLostAfter = ownerLostAfter(limits);
+        return executor;
+    }
+
+}
+
+Milliseconds ownerLostAfter(const DispatcherLimits& limits)
+{
+    const Milliseconds lease = limits.owner.lease + Milliseconds { static_cast<std::int64_t>(static_cast<double>(limits.owner.lease.count()) * limits.owner.clockDrift) };
+    return limits.oldestMessage + limits.owner.executorSilence + lease + limits.owner.lapseMargin;
+}
+
 Dispatcher::Dispatcher(DispatcherPort& port, VmId self, DispatcherLimits limits)
     : m_port(port)
     , m_self(std::move(self))
     , m_limits(limits)
-    , m_owner(*this, limits.owner)
-    , m_executor(*this, m_rooms, m_self, limits.executor)
+    , m_owner(*this, limits.owner, m_self)
+    , m_executor(*this, m_rooms, m_self, executorLimits(limits))
 {
 }
 
@@ -97,6 +114,7 @@
     PeerState& peer = m_peers.emplace(vm, PeerState { now, now }).first->second;
     peer.heardAt = now;
     peer.dropped = false;
+    m_owner.heardFrom(vm, now);
     m_owner.learnNeed(room.ordinaryNeed);
     m_rooms.update(vm, room);
     // An end or a return may send tasks anew, which looks for room here first.
@@ -182,13 +200,13 @@
 {
     for (auto& entry : m_peers) {
         PeerState& peer = entry.second;
-        if (!peer.dropped && now - peer.heardAt > m_limits.executorSilence) {
+        if (!peer.dropped && now - peer.heardAt > m_limits.owner.executorSilence) {
             peer.dropped = true;
             m_owner.dropExecutor(entry.first, now);
         }
         if (now - std::min(peer.answeredAt, peer.heardAt) > m_limits.peerSilence)
             m_rooms.setReachable(entry.first, false);
-        if (!peer.lost && now - peer.answeredAt > m_limits.executor.ownerLostAfter) {
+        if (!peer.lost && now - peer.answeredAt > ownerLostAfter(m_limits)) {
             peer.lost = true;
             m_port.peerLost(entry.first);
             m_executor.onOwnerLost(entry.first, now);
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -87,12 +87,27 @@
 
 }
 
-UpstreamOwner::UpstreamOwner(OwnerPort& port, OwnerLimits limits)
+UpstreamOwner::UpstreamOwner(OwnerPort& port, OwnerLimits limits, VmId self)
     : m_port(port)
     , m_limits(limits)
+    , m_self(std::move(self))
 {
 }
 
+bool UpstreamOwner::isHeard(const VmId& executor, TimePoint now) const
+{
+    const auto heard = m_heard.find(executor);
+    return executor == m_self || heard == m_heard.end() || now - heard->second <= m_limits.executorSilence;
+}
+
+/// A lease holds for everything at an upstream, so one run without an executor keeps all from being extended.
+bool UpstreamOwner::mayGrant(const OwnedUpstream& upstream, TimePoint now) const
+{
+    return std::all_of(upstream.runs.begin(), upstream.runs.end(), [this, now](const auto& entry) {
+        return entry.second.stopAcceptedAt || isHeard(entry.second.executor, now);
+    });
+}
+
 void UpstreamOwner::own(const UpstreamInfo& info, FencingToken token, TimePoint now)
 {
     const auto found = m_upstreams.find(info.id);
@@ -268,7 +283,7 @@
     order.upstream = upstream;
     order.token = owned->token;
     order.acknowledged = owned->acknowledged;
-    const bool extends = owned->known && owned->claimsSettled && owned->failedLooks == 0 && owned->clockOffset;
+    const bool extends = owned->known && owned->claimsSettled && owned->failedLooks == 0 && owned->clockOffset && mayGrant(*owned, now);
     order.wait = extends ? m_limits.lookWait : Milliseconds { 0 };
     if (extends) {
         order.leaseEnd = clockAt(*owned, now) + m_limits.lease;
@@ -599,7 +614,8 @@
     std::vector<Waiting> queue;
     queue.swap(m_queue);
     for (Waiting& waiting : queue) {
-        OwnedUpstream* upstream = waiting.request.latestStart >= now ? bestFor(waiting.request, now) : nullptr;
+        const bool useful = waiting.request.latestStart >= now && isHeard(waiting.executor, now);
+        OwnedUpstream* upstream = useful ? bestFor(waiting.request, now) : nullptr;
         if (upstream)
             startOn(*upstream, waiting, now);
         else
@@ -622,7 +638,7 @@
     for (auto& entry : m_upstreams) {
         OwnedUpstream& upstream = entry.second;
         const bool matches = upstream.info.service == request.service && hasLabel(upstream.info, request.requiredLabel);
-        if (!matches || !takesRuns(upstream, m_limits, now) || !fits(request.need, upstream.available()))
+        if (!matches || !takesRuns(upstream, m_limits, now) || !fits(request.need, upstream.available()) || !mayGrant(upstream, now))
             continue;
         if (std::find(request.avoid.begin(), request.avoid.end(), entry.first) != request.avoid.end())
             continue;
--- a/packages/fleet/src/peer_links.cpp
+++ b/packages/fleet/src/peer_links.cpp
@@ -21,17 +21,22 @@
     constexpr int peersAtKeepAlive = 5;
     constexpr Milliseconds longestKeepAlive { 400 };
     constexpr Milliseconds retryPause { 40 };
-    // Messages older than this by the receiver's own clock are not acted on: the silence after which runs are stopped.
-    constexpr Milliseconds oldestMark { 600 };
+    // Messages older than this by the receiver's own clock are not acted on.
+    constexpr Milliseconds oldestMark = DispatcherLimits {}.oldestMessage;
     // Links to VMs that are no longer members go on for so long after the last word from them.
     constexpr Milliseconds formerMember { 3'000 };
     // What nobody acts on at once can wait this long for other messages: about as long as a short task lasts.
     constexpr Milliseconds patientWait { 50 };
     constexpr int mostConnections = 200;
 
-    std::uint64_t markNow()
+    std::uint64_t markAt(TimePoint time)
     {
-        return static_cast<std::uint64_t>(toMilliseconds(bootNow().time_since_epoch()).count());
+        return static_cast<std::uint64_t>(toMilliseconds(time.time_since_epoch()).count());
+    }
+
+    bool isRecent(std::uint64_t mark, TimePoint now)
+    {
+        return markAt(now) <= mark + static_cast<std::uint64_t>(oldestMark.count());
     }
 
 }
@@ -245,6 +250,8 @@
             peer.outbox.erase(peer.outbox.begin(), peer.outbox.begin() + static_cast<std::ptrdiff_t>(done));
             peer.inBatch = 0;
             ++peer.sequence;
+        } else {
+            peer.urgent = !peer.outbox.empty();
         }
     }
     if (reborn) {
@@ -314,7 +321,8 @@
     DispatchService& dispatch = m_node.kernel.find<DispatchService>(fleetServices::dispatch);
     DispatchReply reply;
     reply.life = m_node.life;
-    reply.mark = markNow();
+    const TimePoint receivedAt = bootNow();
+    reply.mark = markAt(receivedAt);
     const std::shared_ptr<const Configuration> configuration = dispatch.configuration();
     reply.configurationVersion = configuration ? configuration->version : 0;
     bool reborn = false;
@@ -322,7 +330,7 @@
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         reply.epoch = m_epoch;
-        if (batch.receiverLife != m_node.life || reply.mark > batch.mark + static_cast<std::uint64_t>(oldestMark.count()))
+        if (batch.receiverLife != m_node.life || !isRecent(batch.mark, receivedAt))
             return reply;
         const auto known = m_lives.find(batch.from);
         const bool earlierLife = known != m_lives.end() && batch.life < known->second && bootNow() - m_heardAt[batch.from] < oldestMark;
@@ -338,9 +346,22 @@
         m_node.log.write(events::vmReborn, { { "peer", batch.from }, { "life", static_cast<std::int64_t>(batch.life) }, { "seen", "batch" } });
         dispatch.with([&](Dispatcher& dispatcher, TimePoint now) { dispatcher.onPeerReborn(batch.from, now); });
     }
-    if (fresh)
-        dispatch.with([&](Dispatcher& dispatcher, TimePoint now) { dispatcher.onPeerMessages(batch.from, batch.messages, batch.room, now); });
-    reply.taken = true;
+    reply.taken = !fresh;
+    if (!fresh)
+        return reply;
+    // Checked once more at the moment at which it is acted on: the process may have stood still meanwhile.
+    dispatch.with([&](Dispatcher& dispatcher, TimePoint now) {
+        reply.taken = isRecent(batch.mark, now);
+        if (reply.taken)
+            dispatcher.onPeerMessages(batch.from, batch.messages, batch.room, now);
+    });
+    if (reply.taken)
+        return reply;
+    m_node.log.write(events::staleBatch, { { "peer", batch.from }, { "messages", static_cast<std::int64_t>(batch.messages.size()) } });
+    // The sender repeats it.
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    if (m_lastTaken[batch.from] == batch.sequence)
+        --m_lastTaken[batch.from];
     return reply;
 }
 
--- a/tests/model/dispatch_world.cpp
+++ b/tests/model/dispatch_world.cpp
@@ -16,6 +16,8 @@
     constexpr Milliseconds longestLease { 1'000 };
     constexpr Milliseconds resendAfter { 1'300 };
     constexpr Milliseconds longestViewDelay { 300 };
+    // How many of its ticks a strained VM gets to.
+    constexpr double strainedTickShare = 0.02;
     constexpr std::size_t places = 2;
 
     VmId vmId(int number) { return "vm" + std::to_string(number); }
@@ -110,9 +112,12 @@
     Dispatcher dispatcher;
     bool up = true;
     bool cut = false;
+    TimePoint strainedUntil;
     Epoch epoch;
     std::map<VmId, std::vector<PeerMessage>> outboxes;
     std::map<VmId, std::uint64_t> knownLives;
+    /// When a VM last answered this one.
+    std::map<VmId, TimePoint> answeredAt;
     std::set<UpstreamId> looked;
     std::map<CallerTicket, std::string> tickets;
     CallerTicket lastTicket = 0;
@@ -168,7 +173,9 @@
         Vm* present = alive(number, life);
         if (!present)
             return;
-        present->dispatcher.tick(m_now);
+        const bool strained = present->strainedUntil > m_now;
+        if (!strained || chance(strainedTickShare))
+            present->dispatcher.tick(m_now);
         for (int other = 0; other < vmCount; ++other) {
             if (other != number)
                 flush(*present, vmId(other));
@@ -244,6 +251,13 @@
     });
 }
 
+void DispatchWorld::strainVm(int number)
+{
+    Vm& vm = *m_vms[static_cast<std::size_t>(number)];
+    if (vm.up)
+        vm.strainedUntil = m_now + between(1'000, 4'000);
+}
+
 void DispatchWorld::publishView(const View& view)
 {
     m_view = view;
@@ -289,11 +303,19 @@
         receiver.dispatcher.onPeerReborn(vmId(from.number), m_now);
     }
     knownSender = from.life;
+    const bool answers = receiver.strainedUntil <= m_now;
+    TimePoint& answeredAt = from.answeredAt.emplace(to, m_now).first->second;
+    // The receiver sees by its mark in the batch that it was not heard for too long.
+    if (!answers && m_now - answeredAt > DispatcherLimits {}.oldestMessage)
+        return;
     std::vector<PeerMessage> messages;
     messages.swap(from.outboxes[to]);
     RoomReport room = from.dispatcher.room(m_now);
     room.requestsSeen = from.dispatcher.requestsSeen(to);
     receiver.dispatcher.onPeerMessages(vmId(from.number), messages, room, m_now);
+    if (!answers)
+        return;
+    answeredAt = m_now;
     from.dispatcher.onPeerAnswered(to, m_now);
 }
 
@@ -553,6 +575,8 @@
         after(between(1'500, 10'000), [this] { killVm(static_cast<int>(between(0, vmCount - 1).count())); });
     for (int cut = 0; cut < m_faults.cuts; ++cut)
         after(between(1'500, 9'000), [this] { cutVm(static_cast<int>(between(0, vmCount - 1).count())); });
+    for (int strain = 0; strain < m_faults.strains; ++strain)
+        after(between(1'500, 9'000), [this] { strainVm(static_cast<int>(between(0, vmCount - 1).count())); });
     for (int silence = 0; silence < m_faults.silences; ++silence) {
         after(between(1'500, 10'000), [this] {
             Upstream& silent = *m_upstreams[static_cast<std::size_t>(between(0, upstreamCount - 1).count())];
--- a/tests/model/dispatch_world.hpp
+++ b/tests/model/dispatch_world.hpp
@@ -25,6 +25,9 @@
     int cuts = 0;
     /// An upstream answers nothing for a while, but runs on.
     int silences = 0;
+    /// A VM is held off its processor: it hears others, whose waits for its replies end first, and decides late what time
+    /// alone decides.
+    int strains = 0;
 };
 
 struct DispatchVerdict {
@@ -67,6 +70,7 @@
     void startVm(int number);
     void killVm(int number);
     void cutVm(int number);
+    void strainVm(int number);
     void publishView(const View& view);
     void flush(Vm& from, const VmId& to);
     bool reachable(int left, int right) const;
--- a/tests/model/unit-dispatch-rules.cpp
+++ b/tests/model/unit-dispatch-rules.cpp
@@ -26,6 +26,8 @@
         { "VMs killed", { 0, 0, 0, 3, 0, 0 }, 30'000 },
         { "VMs cut off", { 0, 0, 0, 0, 3, 0 }, 40'000 },
         { "everything", { 0.03, 0.03, 0.03, 3, 2, 3 }, 50'000 },
+        { "VMs held off their processors", { 0, 0, 0, 0, 0, 0, 3 }, 60'000 },
+        { "VMs held off, orders lost and late", { 0.03, 0.03, 0.03, 1, 1, 2, 3 }, 70'000 },
     };
     for (const FaultCase& example : cases) {
         for (std::uint64_t seed = example.firstSeed; seed < example.firstSeed + schedulesPerCase; ++seed) {
--- a/tests/unit/unit-dispatcher.cpp
+++ b/tests/unit/unit-dispatcher.cpp
@@ -138,6 +138,25 @@
     CHECK(world.port.stops[0].run == request.request->run);
 }
 
+TEST_CASE("an owner is taken for lost only when the last lease it can have granted has run out")
+{
+    // The owner hears this VM for `oldestMessage` after its last reply, grants until the silence is over, and that lease
+    // lasts by a clock that may be slow.
+    const DispatcherLimits limits;
+    const double lease = static_cast<double>(limits.owner.lease.count()) * (1 + limits.owner.clockDrift);
+    CHECK(static_cast<double>(ownerLostAfter(limits).count()) >= static_cast<double>((limits.oldestMessage + limits.owner.executorSilence).count()) + lease);
+
+    DispatcherWorld world;
+    world.begin({ "x", "y" });
+    world.dispatcher.onPeerAnswered("y", world.now);
+    world.now += ownerLostAfter(limits);
+    world.dispatcher.tick(world.now);
+    CHECK(world.port.lost.empty());
+    world.now += Milliseconds { 1 };
+    world.dispatcher.tick(world.now);
+    CHECK(world.port.lost == std::vector<VmId> { "y" });
+}
+
 TEST_CASE("an older view changes nothing")
 {
     DispatcherWorld world;
--- a/tests/unit/unit-upstream-owner.cpp
+++ b/tests/unit/unit-upstream-owner.cpp
@@ -530,3 +530,40 @@
     world.look(world.reply({}, { world.end(world.port.starts.back().run, RunEnd::Done) }));
     CHECK_FALSE(world.owner.hasRunsOf("x"));
 }
+
+TEST_CASE("owner grants nothing for an executor that is silent, before any tick has noticed it")
+{
+    // Load: VMs held off their processors, whose replies come too late for an executor that they go on hearing.
+    OwnerWorld world;
+    world.look(world.reply());
+    world.owner.heardFrom("x", world.now);
+    const TaskRun run = world.startOne("j");
+
+    SECTION("its runs' lease is not extended")
+    {
+        world.pass(world.limits.executorSilence);
+        CHECK(world.owner.nextLook("u1", world.now)->leaseEnd);
+        world.pass(Milliseconds { 1 });
+        CHECK_FALSE(world.owner.nextLook("u1", world.now)->leaseEnd);
+    }
+
+    SECTION("its requests are not started, nor are others beside its runs")
+    {
+        world.pass(world.limits.executorSilence + Milliseconds { 1 });
+        world.look(world.reply({ run }));
+        const std::size_t starts = world.port.starts.size();
+        world.owner.request("x", requestFor("k", 0, world.now + Seconds { 1 }), world.now);
+        world.owner.request("y", requestFor("l", 0, world.now + Seconds { 1 }), world.now);
+        CHECK(world.port.starts.size() == starts);
+    }
+
+    SECTION("others go on once the upstream has accepted the stop")
+    {
+        world.pass(world.limits.executorSilence + Milliseconds { 1 });
+        world.owner.dropExecutor("x", world.now);
+        REQUIRE(world.port.stops.size() == 1);
+        CHECK_FALSE(world.owner.nextLook("u1", world.now)->leaseEnd);
+        world.owner.onStopReply(world.port.stops[0], { OrderOutcome::Accepted, std::nullopt }, world.now);
+        CHECK(world.owner.nextLook("u1", world.now)->leaseEnd);
+    }
+}
