Share upstreams out by the VMs' processors; ask again where a look is late

On the grown deployments VMs of 0.12 and 0.5 core own equally many upstreams, so the small ones are held up by their orders. A lost look hid all ends at an upstream for 360 ms, a lost start took two waits of a regular look until it was proved never to have run. Now a look that is 40 ms late is asked again on another connection, its failure says nothing where the second was answered, and a stopped run that may never have begun is looked for as soon as the stop has taken effect. Tests: unit-placement "a VM with a small share …", unit-upstream-owner "owner asks again where an answer is late"; both fail without the change.

--- a/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
+++ b/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
@@ -16,6 +16,9 @@
     Milliseconds lookWait { 200 };
     /// The runs of an executor that is silent for this long are stopped: before its callers send their jobs again.
     Milliseconds executorSilence { 600 };
+    /// A regular look without an answer for so long after its wait is asked again on another connection: an end is known
+    /// no later because one look is lost.
+    Milliseconds lookRepeat { 40 };
     /// How long runs found at a new upstream wait to be claimed by their executors.
     Milliseconds claimGrace { 300 };
     /// A stop takes at most this long at the upstream.
@@ -70,8 +73,11 @@
     TimePoint confirmedAt;
     /// When a look last showed the run at work.
     TimePoint listedAt;
-    /// When the upstream accepted the stop; a look sent later that does not list the run proves that it is gone.
+    /// When a stop that the upstream accepted has taken effect; a look sent later that does not list the run proves that
+    /// it is gone.
     std::optional<TimePoint> stopAcceptedAt;
+    /// Whether a look was asked for to prove that.
+    bool endSought = false;
     TimePoint stopSentAt;
     bool doubtful = false;
 };
@@ -98,6 +104,9 @@
     TimePoint clockSeenAt;
     TimePoint lastGoodLook;
     int failedLooks = 0;
+    /// When the regular look that is on its way should have been answered; nothing while none is, or after it was asked
+    /// again.
+    std::optional<TimePoint> lookDueAt;
     /// When everything under the last lease granted has surely ended.
     TimePoint lapsedBy;
     int failuresInARow = 0;
--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -130,6 +130,7 @@
     void compareRunning(OwnedUpstream& upstream, const LookReply& reply, TimePoint sentAt, TimePoint now);
     void adoptUnknown(OwnedUpstream& upstream, const TaskRun& run, TimePoint now);
     void loseRuns(OwnedUpstream& upstream);
+    void seekAnswers(OwnedUpstream& upstream, TimePoint now);
     void checkRuns(OwnedUpstream& upstream, TimePoint now);
     void checkClaims(OwnedUpstream& upstream, TimePoint now);
     void expireWaiting(TimePoint now);
--- a/packages/decision/include/egrettrestle/decision/view.hpp
+++ b/packages/decision/include/egrettrestle/decision/view.hpp
@@ -24,6 +24,8 @@
     Incarnation incarnation;
     /// Set where one view spans several data centres.
     DataCentreId dataCentre = {};
+    /// Its share of the upstreams in relation to the other members', above 0.
+    double weight = 1;
 };
 
 /// The members of an earlier view. It lets a VM that skipped views tell which pairs they had.
--- a/packages/decision/src/ownership.cpp
+++ b/packages/decision/src/ownership.cpp
@@ -1,12 +1,19 @@
 #include <egrettrestle/decision/ownership.hpp>
 
+#include <cmath>
+
 namespace egrettrestle {
 
 namespace {
 
-    std::uint64_t weightOf(const VmId& vm, const UpstreamId& upstream)
+    /// Weighted rendezvous: a member is first for a share of the upstreams in proportion to its weight.
+    double scoreOf(const Member& member, const UpstreamId& upstream)
     {
-        return rendezvousWeight(vm, rendezvousWeight(upstream, 0));
+        const std::uint64_t hash = rendezvousWeight(member.id, rendezvousWeight(upstream, 0));
+        constexpr double range = 18'446'744'073'709'551'616.0;
+        // Strictly between 0 and 1.
+        const double position = (static_cast<double>(hash >> 11) + 0.5) / (range / 2'048);
+        return -member.weight / std::log(position);
     }
 
 }
@@ -15,16 +22,16 @@
 {
     const Member* best = nullptr;
     bool bestIsNear = false;
-    std::uint64_t bestWeight = 0;
+    double bestScore = 0;
     for (const Member& member : view.members) {
         const bool near = member.dataCentre == upstream.dataCentre;
-        const std::uint64_t weight = weightOf(member.id, upstream.id);
-        const bool better = !best || (near && !bestIsNear) || (near == bestIsNear && weight > bestWeight);
+        const double score = scoreOf(member, upstream.id);
+        const bool better = !best || (near && !bestIsNear) || (near == bestIsNear && score > bestScore);
         if (!better)
             continue;
         best = &member;
         bestIsNear = near;
-        bestWeight = weight;
+        bestScore = score;
     }
     if (!best)
         return std::nullopt;
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -289,6 +289,7 @@
         order.leaseEnd = clockAt(*owned, now) + m_limits.lease;
         noteLease(*owned, m_limits, now);
     }
+    owned->lookDueAt = now + order.wait + m_limits.lookRepeat;
     return order;
 }
 
@@ -304,9 +305,12 @@
         return;
     }
     if (reply.outcome != OrderOutcome::Accepted) {
-        ++owned->failedLooks;
+        // A look that was sent later has shown that the upstream answers.
+        if (owned->lastGoodLook <= sentAt)
+            ++owned->failedLooks;
         return;
     }
+    owned->lookDueAt.reset();
     const bool reborn = reply.startedAt && owned->info.startedAt.count() > 0 && *reply.startedAt > owned->info.startedAt;
     if (reborn) {
         m_port.note({ NoteKind::Reborn, upstream, {}, "look", {}, owned->runs.size() });
@@ -549,6 +553,7 @@
         OwnedUpstream& upstream = entry.second;
         checkClaims(upstream, now);
         checkRuns(upstream, now);
+        seekAnswers(upstream, now);
         // Until a look has fenced it, the owner before may still extend the lease.
         const bool silent = (upstream.known && upstream.failedLooks >= failedLooksBeforeSilence) || upstream.gone;
         if (silent && now > upstream.lapsedBy && !upstream.runs.empty()) {
@@ -571,6 +576,22 @@
     startWaiting(now);
 }
 
+/// Asks for a look where the regular one is late, or where it would not show in time that a stopped run never began.
+void UpstreamOwner::seekAnswers(OwnedUpstream& upstream, TimePoint now)
+{
+    bool look = upstream.lookDueAt && now >= *upstream.lookDueAt;
+    for (auto& entry : upstream.runs) {
+        OwnedRun& run = entry.second;
+        const bool unproved = run.state == RunState::Stopping && run.stopCause == StopCause::Doubtful && run.stopAcceptedAt && now > *run.stopAcceptedAt;
+        look = look || (unproved && !run.endSought);
+        run.endSought = run.endSought || unproved;
+    }
+    if (!look)
+        return;
+    upstream.lookDueAt.reset();
+    m_port.lookNow(upstream.info.id);
+}
+
 void UpstreamOwner::checkRuns(OwnedUpstream& upstream, TimePoint now)
 {
     constexpr Milliseconds stopRepeat { 150 };
--- a/packages/fleet/include/egrettrestle/fleet/fleet_settings.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/fleet_settings.hpp
@@ -15,6 +15,8 @@
 struct FleetSettings {
     VmId id;
     DataCentreId dataCentre;
+    /// Share of the upstreams that this VM owns, in relation to the others' in its data centre.
+    double weight = 1;
     std::string callerAddress;
     std::string readyAddress;
     std::string peerAddress;
--- a/packages/fleet/src/fleet_settings.cpp
+++ b/packages/fleet/src/fleet_settings.cpp
@@ -12,6 +12,8 @@
 
     constexpr double longestGraceSeconds = 600;
     constexpr double largestFarFactor = 100;
+    constexpr double leastWeight = 0.001;
+    constexpr double largestWeight = 1'000;
 
     std::optional<double> realNumber(const std::string& value, double least, double most)
     {
@@ -30,6 +32,15 @@
         return {};
     }
 
+    std::string setWeight(FleetSettings& settings, const std::string& value)
+    {
+        const std::optional<double> weight = realNumber(value, leastWeight, largestWeight);
+        if (!weight)
+            return "a number from 0.001 to 1000";
+        settings.weight = *weight;
+        return {};
+    }
+
     std::string setFarFactor(FleetSettings& settings, const std::string& value)
     {
         const std::optional<double> factor = realNumber(value, 1, largestFarFactor);
@@ -44,6 +55,7 @@
         static const std::vector<SettingRule<FleetSettings>> list {
             { { "vm", "id", nullptr, "name of this VM, unlike any other's" }, nameSetter(&FleetSettings::id) },
             { { "vm", "dataCentre", nullptr, "data centre of this VM" }, nameSetter(&FleetSettings::dataCentre) },
+            { { "vm", "weight", "1", "share of the upstreams that this VM owns, in relation to the others' in its data centre" }, setWeight },
             { { "listen", "caller", nullptr, "address for callers" }, addressSetter(&FleetSettings::callerAddress, false) },
             { { "listen", "ready", nullptr, "address for the balancer's question whether this VM is ready" }, addressSetter(&FleetSettings::readyAddress, false) },
             { { "listen", "peer", nullptr, "address for other VMs" }, addressSetter(&FleetSettings::peerAddress, false) },
--- a/packages/fleet/src/membership.cpp
+++ b/packages/fleet/src/membership.cpp
@@ -144,8 +144,10 @@
     const bool removed = m_incarnation.value > 0;
     View next = withJoined(view, m_node.settings.id, m_node.settings.peerAddress, m_node.settings.callerAddress);
     for (Member& member : next.members) {
-        if (member.id == m_node.settings.id)
-            member.dataCentre = m_node.settings.dataCentre;
+        if (member.id != m_node.settings.id)
+            continue;
+        member.dataCentre = m_node.settings.dataCentre;
+        member.weight = m_node.settings.weight;
     }
     const std::uint64_t before = revision;
     if (changeView(next, revision)) {
--- a/packages/wire/src/peer_messages.cpp
+++ b/packages/wire/src/peer_messages.cpp
@@ -287,7 +287,7 @@
 {
     json value { { "epoch", view.epoch.value }, { "members", json::array() }, { "past", json::array() } };
     for (const Member& member : view.members)
-        value["members"].push_back({ { "id", member.id }, { "peerAddress", member.peerAddress }, { "callerAddress", member.callerAddress }, { "incarnation", member.incarnation.value }, { "dataCentre", member.dataCentre } });
+        value["members"].push_back({ { "id", member.id }, { "peerAddress", member.peerAddress }, { "callerAddress", member.callerAddress }, { "incarnation", member.incarnation.value }, { "dataCentre", member.dataCentre }, { "weight", member.weight } });
     for (const PastView& past : view.past)
         value["past"].push_back({ { "epoch", past.epoch.value }, { "members", past.members } });
     return value.dump();
@@ -300,7 +300,9 @@
         view.epoch.value = reader.number("epoch");
         for (const json& element : reader.array("members")) {
             detail::ObjectReader item(element, reader.pointer("members", view.members.size()), peerFamily, faults);
-            view.members.push_back({ item.text("id"), item.text("peerAddress"), item.text("callerAddress"), { item.number("incarnation") }, item.textOr("dataCentre", "") });
+            view.members.push_back({ item.text("id"), item.text("peerAddress"), item.text("callerAddress"), { item.number("incarnation") }, item.textOr("dataCentre", ""), item.has("weight") ? item.real("weight") : 1 });
+            if (view.members.back().weight <= 0)
+                faults.push_back({ peerFamily.outOfRange(), item.pointer("weight"), std::to_string(view.members.back().weight), "a number above 0" });
         }
         for (const json& element : reader.array("past")) {
             detail::ObjectReader item(element, reader.pointer("past", view.past.size()), peerFamily, faults);
--- a/tests/unit/unit-placement.cpp
+++ b/tests/unit/unit-placement.cpp
@@ -37,6 +37,19 @@
         CHECK(ownerOf(viewOf({ { "c", "dc2" } }), upstreamNamed("u")) == "c");
     }
 
+    SECTION("a VM with a small share of a processor owns fewer")
+    {
+        // Load: VMs of 0.12 and 0.5 core side by side; with equal shares the small ones were held up by their orders.
+        View mixed = viewOf({ { "a", "dc1" }, { "b", "dc1" } });
+        mixed.members[0].weight = 0.5;
+        mixed.members[1].weight = 0.125;
+        constexpr int upstreams = 2'000;
+        int large = 0;
+        for (int index = 0; index < upstreams; ++index)
+            large += ownerOf(mixed, upstreamNamed("u" + std::to_string(index))) == "a" ? 1 : 0;
+        CHECK(large == Approx(upstreams * 0.8).margin(upstreams * 0.03));
+    }
+
     SECTION("nobody without members")
     {
         CHECK_FALSE(ownerOf({}, upstreamNamed("u")));
--- a/tests/unit/unit-upstream-owner.cpp
+++ b/tests/unit/unit-upstream-owner.cpp
@@ -567,3 +567,49 @@
         CHECK(world.owner.nextLook("u1", world.now)->leaseEnd);
     }
 }
+
+TEST_CASE("owner asks again where an answer is late")
+{
+    // Load: some of the orders to upstreams get no answer; each lost look hid the ends of all runs there until it timed out.
+    OwnerWorld world;
+    world.look(world.reply());
+    const TaskRun run = world.startOne("j");
+    const LookOrder regular = *world.owner.nextLook("u1", world.now);
+    const TimePoint sentAt = world.now;
+    const std::size_t looks = world.port.looks.size();
+
+    SECTION("once the time that the look waits is over, and no sooner")
+    {
+        world.pass(regular.wait + world.limits.lookRepeat - Milliseconds { 1 });
+        world.owner.tick(world.now);
+        CHECK(world.port.looks.size() == looks);
+        world.pass(Milliseconds { 1 });
+        world.owner.tick(world.now);
+        CHECK(world.port.looks.size() == looks + 1);
+        world.owner.tick(world.now);
+        CHECK(world.port.looks.size() == looks + 1);
+    }
+
+    SECTION("the late look's failure says nothing where the second one was answered")
+    {
+        world.pass(regular.wait + world.limits.lookRepeat);
+        world.look(world.reply({ run }));
+        world.pass(Milliseconds { 100 });
+        world.owner.onLook("u1", regular, LookReply {}, sentAt, world.now);
+        CHECK(world.owner.nextLook("u1", world.now)->leaseEnd);
+    }
+
+    SECTION("a stopped run that may never have begun is sought at once")
+    {
+        world.owner.request("x", requestFor("k", 0, world.now + Seconds { 1 }), world.now);
+        world.owner.onStartReply(world.port.starts.back(), { OrderOutcome::Unknown, std::nullopt }, world.now);
+        world.pass(Milliseconds { 1 });
+        world.look(world.reply({ run }));
+        REQUIRE(world.port.stops.size() == 1);
+        world.owner.onStopReply(world.port.stops[0], { OrderOutcome::Accepted, std::nullopt }, world.now);
+        const std::size_t before = world.port.looks.size();
+        world.pass(world.limits.stopTime + Milliseconds { 1 });
+        world.owner.tick(world.now);
+        CHECK(world.port.looks.size() == before + 1);
+    }
+}
