Spill near first; do nothing for upstreams that are only known

Cause (profile of 24 daemons with 190 upstreams, and counting): with 28 peers a VM shares tasks with all of them, so room goes to each every 100 ms, about 280 batches a second out and in; 9% of the time went into going over all known upstreams at each tick; a changed entry of discovery worked the owners of all upstreams out anew, 350 x 350 x 29 at a start. Change: tasks spill to owners of the own data centre while these have room; the interval grows with the peers, to 190 ms where tasks are shared; missing upstreams are kept apart, and a changed entry concerns its own upstream only. Test: unit-job-executor "tasks that spill over stay in the data centre …".

--- a/packages/decision/include/egrettrestle/decision/dispatcher.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatcher.hpp
@@ -103,11 +103,6 @@
     std::size_t knownUpstreams() const { return m_upstreams.size(); }
 
 private:
-    struct KnownUpstream {
-        UpstreamInfo info;
-        std::optional<TimePoint> missingSince;
-    };
-
     struct PeerState {
         TimePoint heardAt {};
         TimePoint answeredAt {};
@@ -125,6 +120,7 @@
     void reply(CallerTicket ticket, const JobAnswer& reply) override { m_port.reply(ticket, reply); }
     void send(const VmId& vm, PeerMessage message) override;
 
+    std::optional<VmId> assignOwner(const UpstreamInfo& upstream, TimePoint now);
     void assignOwners(TimePoint now);
     void handle(const VmId& from, const PeerMessage& message, TimePoint now);
     void deliverLocal(TimePoint now);
@@ -141,9 +137,9 @@
     View m_view;
     /// When the first view with this VM in it was adopted.
     std::optional<TimePoint> m_memberSince;
-    std::map<UpstreamId, KnownUpstream> m_upstreams;
-    std::map<UpstreamId, VmId> m_owners;
-    FencingToken m_epoch;
+    std::map<UpstreamId, UpstreamInfo> m_upstreams;
+    /// Since when discovery has not listed an upstream that is still known.
+    std::map<UpstreamId, TimePoint> m_missing;
     std::map<VmId, PeerState> m_peers;
     std::deque<PeerMessage> m_local;
     std::uint64_t m_ownRequests = 0;
--- a/packages/decision/include/egrettrestle/decision/job_executor.hpp
+++ b/packages/decision/include/egrettrestle/decision/job_executor.hpp
@@ -123,7 +123,13 @@
 
     /// Learns who owns which upstream in the view of an epoch, and claims all runs there: an upstream may have changed
     /// hands and back without this VM seeing it.
-    void onOwnersChanged(const std::map<UpstreamId, VmId>& owners, FencingToken epoch, TimePoint now);
+    void onOwnersChanged(std::map<UpstreamId, VmId> owners, FencingToken epoch, TimePoint now);
+
+    /// Learns the owner of one upstream in the view that it knows.
+    void onOwnerChanged(const UpstreamId& upstream, const VmId& owner, TimePoint now);
+
+    /// An upstream is known no more.
+    void forgetOwner(const UpstreamId& upstream) { m_owners.erase(upstream); }
 
     /// An owner is silent for so long that nothing it ran for this VM is at work.
     void onOwnerLost(const VmId& owner, TimePoint now);
--- a/packages/decision/include/egrettrestle/decision/room_table.hpp
+++ b/packages/decision/include/egrettrestle/decision/room_table.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <optional>
 #include <string>
 #include <vector>
@@ -31,6 +32,10 @@
     /// Forgets an owner, whose count of requests starts anew.
     void forget(const VmId& owner);
 
+    /// Names the owners in this VM's data centre. They come first where they have room: few VMs then share tasks with each
+    /// other, and only VMs that do have to tell each other their room often.
+    void setNear(std::set<VmId> owners);
+
     /// An owner that does not answer keeps its report but is passed over.
     void setReachable(const VmId& owner, bool reachable);
 
@@ -39,7 +44,7 @@
 
     RoomTotals totals(const std::string& service, int priority) const;
 
-    /// The owner for one more task: `self` while it has room on a kind no slower than others have, else the one with the
+    /// The owner for one more task: `self` while it has room, else the near one with the most room, else any one with the
     /// most room, else the one with the shortest queue for its size. Owners in `except` are passed over.
     std::optional<VmId> pick(const VmId& self, const std::string& service, const std::vector<VmId>& except) const;
 
@@ -58,6 +63,7 @@
     static std::int64_t queuedIn(const Entry& entry, const std::string& service);
 
     std::map<VmId, Entry> m_owners;
+    std::set<VmId> m_near;
 };
 
 } // namespace egrettrestle
--- a/packages/decision/src/dispatcher.cpp
+++ b/packages/decision/src/dispatcher.cpp
@@ -32,58 +32,67 @@
 
 void Dispatcher::setView(const View& view, TimePoint now)
 {
-    if (view.epoch < m_view.epoch)
+    if (view.epoch <= m_view.epoch)
         return;
     m_view = view;
-    if (!m_memberSince && findMember(view, m_self))
+    const Member* self = findMember(view, m_self);
+    if (!m_memberSince && self)
         m_memberSince = now;
+    std::set<VmId> near;
+    for (const Member& member : view.members) {
+        if (self && member.dataCentre == self->dataCentre)
+            near.insert(member.id);
+    }
+    m_rooms.setNear(std::move(near));
     assignOwners(now);
     deliverLocal(now);
 }
 
 void Dispatcher::setUpstream(const UpstreamInfo& upstream, TimePoint now)
 {
-    KnownUpstream& known = m_upstreams[upstream.id];
-    const bool changed = known.info != upstream || known.missingSince;
-    known.info = upstream;
-    known.missingSince.reset();
-    if (!changed)
+    UpstreamInfo& known = m_upstreams[upstream.id];
+    const bool wasMissing = m_missing.erase(upstream.id) > 0;
+    if (known == upstream && !wasMissing)
         return;
-    assignOwners(now);
+    known = upstream;
+    const bool owned = m_owner.owns(upstream.id);
+    const std::optional<VmId> owner = assignOwner(known, now);
+    if (owner)
+        m_executor.onOwnerChanged(upstream.id, *owner, now);
     // A new life may have another address.
-    if (m_owner.owns(upstream.id))
+    if (owned || owner == m_self)
         m_port.ownedChanged();
     deliverLocal(now);
 }
 
 void Dispatcher::upstreamMissing(const UpstreamId& upstream, TimePoint now)
 {
-    const auto found = m_upstreams.find(upstream);
-    if (found != m_upstreams.end() && !found->second.missingSince)
-        found->second.missingSince = now;
+    if (m_upstreams.count(upstream) > 0)
+        m_missing.emplace(upstream, now);
+}
+
+std::optional<VmId> Dispatcher::assignOwner(const UpstreamInfo& upstream, TimePoint now)
+{
+    std::optional<VmId> owner = ownerOf(m_view, upstream);
+    if (owner == m_self)
+        m_owner.own(upstream, { m_view.epoch.value }, now);
+    else if (m_owner.owns(upstream.id))
+        m_owner.release(upstream.id, now);
+    return owner;
 }
 
 void Dispatcher::assignOwners(TimePoint now)
 {
-    const FencingToken token { m_view.epoch.value };
     std::map<UpstreamId, VmId> owners;
     bool changed = false;
     for (const auto& entry : m_upstreams) {
-        const std::optional<VmId> owner = ownerOf(m_view, entry.second.info);
-        if (owner)
-            owners[entry.first] = *owner;
         const bool owned = m_owner.owns(entry.first);
-        if (owner == m_self)
-            m_owner.own(entry.second.info, token, now);
-        else if (owned)
-            m_owner.release(entry.first, now);
+        std::optional<VmId> owner = assignOwner(entry.second, now);
         changed = changed || owned != (owner == m_self);
+        if (owner)
+            owners.emplace(entry.first, std::move(*owner));
     }
-    const bool moved = owners != m_owners || token > m_epoch;
-    m_owners = std::move(owners);
-    m_epoch = token;
-    if (moved)
-        m_executor.onOwnersChanged(m_owners, token, now);
+    m_executor.onOwnersChanged(std::move(owners), { m_view.epoch.value }, now);
     if (changed)
         m_port.ownedChanged();
 }
@@ -216,19 +225,19 @@
 
 void Dispatcher::checkMissing(TimePoint now)
 {
-    std::vector<UpstreamId> gone;
-    for (const auto& entry : m_upstreams) {
-        if (entry.second.missingSince && now - *entry.second.missingSince > m_limits.discoveryGrace)
-            gone.push_back(entry.first);
-    }
-    for (const UpstreamId& upstream : gone) {
-        if (m_owner.owns(upstream)) {
-            m_owner.markGone(upstream);
-            continue;
+    for (auto entry = m_missing.begin(); entry != m_missing.end();) {
+        const UpstreamId id = entry->first;
+        if (now - entry->second <= m_limits.discoveryGrace) {
+            ++entry;
+        } else if (m_owner.owns(id)) {
+            m_owner.markGone(id);
+            ++entry;
+        } else {
+            entry = m_missing.erase(entry);
+            m_upstreams.erase(id);
+            m_executor.forgetOwner(id);
+            m_port.ownedChanged();
         }
-        m_upstreams.erase(upstream);
-        m_owners.erase(upstream);
-        m_port.ownedChanged();
     }
 }
 
@@ -282,7 +291,7 @@
     for (const UpstreamId& id : m_owner.owned()) {
         const auto known = m_upstreams.find(id);
         if (known != m_upstreams.end())
-            owned.push_back(known->second.info);
+            owned.push_back(known->second);
     }
     return owned;
 }
@@ -290,7 +299,7 @@
 const UpstreamInfo* Dispatcher::upstream(const UpstreamId& id) const
 {
     const auto known = m_upstreams.find(id);
-    return known == m_upstreams.end() ? nullptr : &known->second.info;
+    return known == m_upstreams.end() ? nullptr : &known->second;
 }
 
 } // namespace egrettrestle
--- a/packages/decision/src/job_executor.cpp
+++ b/packages/decision/src/job_executor.cpp
@@ -297,10 +297,21 @@
     sendUnsent(job, now);
 }
 
-void JobExecutor::onOwnersChanged(const std::map<UpstreamId, VmId>& owners, FencingToken epoch, TimePoint now)
+void JobExecutor::onOwnerChanged(const UpstreamId& upstream, const VmId& owner, TimePoint now)
+{
+    m_owners[upstream] = owner;
+    for (auto& entry : m_jobs) {
+        for (Task& task : entry.second.tasks) {
+            if (task.upstream == upstream)
+                claimIfMoved(entry.second, task, now);
+        }
+    }
+}
+
+void JobExecutor::onOwnersChanged(std::map<UpstreamId, VmId> owners, FencingToken epoch, TimePoint now)
 {
     const bool newView = epoch > m_epoch;
-    m_owners = owners;
+    m_owners = std::move(owners);
     m_epoch = epoch;
     for (auto& entry : m_jobs) {
         for (Task& task : entry.second.tasks) {
--- a/packages/decision/src/room_table.cpp
+++ b/packages/decision/src/room_table.cpp
@@ -20,6 +20,11 @@
     m_owners.erase(owner);
 }
 
+void RoomTable::setNear(std::set<VmId> owners)
+{
+    m_near = std::move(owners);
+}
+
 void RoomTable::setReachable(const VmId& owner, bool reachable)
 {
     const auto found = m_owners.find(owner);
@@ -90,6 +95,7 @@
         return self;
     std::optional<VmId> roomiest;
     std::int64_t mostFree = 0;
+    bool roomiestIsNear = false;
     std::optional<VmId> shortest;
     double shortestWait = std::numeric_limits<double>::max();
     for (const auto& owner : m_owners) {
@@ -98,9 +104,12 @@
         if (!entry.reachable || total == 0 || passedOver(owner.first))
             continue;
         const std::int64_t free = freeIn(entry, service);
-        if (free > mostFree) {
+        const bool near = m_near.count(owner.first) > 0;
+        const bool better = near == roomiestIsNear ? free > mostFree : near;
+        if (free > 0 && better) {
             mostFree = free;
             roomiest = owner.first;
+            roomiestIsNear = near;
         }
         const double wait = static_cast<double>(1 - free) / static_cast<double>(total);
         if (wait < shortestWait) {
--- a/packages/fleet/src/peer_links.cpp
+++ b/packages/fleet/src/peer_links.cpp
@@ -13,13 +13,13 @@
     constexpr const char* configurationPath = "/v1/configuration";
     // A VM may be held off its processor for a tenth of a second, and a packet may be lost once.
     constexpr HttpCallTimes peerTimes { Milliseconds { 200 }, Milliseconds { 350 } };
-    // Room is told and a VM shown to be alive at this interval at least; several fit into the silence after which a VM's
-    // runs are stopped.
+    // Room is told and a VM shown to be alive at this interval at least.
     constexpr Milliseconds keepAlive { 100 };
-    // With many peers the interval grows, so that telling room costs a VM the same; a peer with which tasks are shared is
-    // told at the short interval.
+    // With many peers the interval grows, so that telling room costs a VM about the same. Where tasks are shared, three
+    // batches still fit into the silence after which a VM's runs are stopped; elsewhere one fits.
     constexpr int peersAtKeepAlive = 5;
     constexpr Milliseconds longestKeepAlive { 400 };
+    constexpr Milliseconds longestSharingKeepAlive { 190 };
     constexpr Milliseconds retryPause { 40 };
     // Messages older than this by the receiver's own clock are not acted on.
     constexpr Milliseconds oldestMark = DispatcherLimits {}.oldestMessage;
@@ -164,9 +164,8 @@
 Milliseconds PeerLinks::keepAliveInterval(const Peer& peer) const
 {
     const int peers = static_cast<int>(m_peers.size());
-    if (peer.sharesTasks)
-        return keepAlive;
-    return std::min(longestKeepAlive, keepAlive * std::max(1, peers / peersAtKeepAlive));
+    const Milliseconds longest = peer.sharesTasks ? longestSharingKeepAlive : longestKeepAlive;
+    return std::min(longest, keepAlive * std::max(1, peers / peersAtKeepAlive));
 }
 
 DispatchBatch PeerLinks::makeBatch(Peer& peer)
--- a/tests/unit/unit-job-executor.cpp
+++ b/tests/unit/unit-job-executor.cpp
@@ -247,6 +247,21 @@
         CHECK(tasks["x"] == 1);
     }
 
+    SECTION("tasks that spill over stay in the data centre while it has room")
+    {
+        // Load: many VMs in several data centres, each busier than it has upstreams at times.
+        ExecutorWorld world(1);
+        world.rooms.update("y", roomFor(4, 8));
+        world.rooms.update("far", roomFor(8, 8));
+        world.rooms.setNear({ "x", "y" });
+        world.submit(jobOf("j", 4));
+        for (const Told& told : world.port.sent)
+            CHECK(told.vm != "far");
+        world.rooms.update("y", roomFor(0, 8));
+        world.submit(jobOf("k", 2), 2);
+        CHECK(world.port.sent.back().vm == "far");
+    }
+
     SECTION("an owner is known to have tasks until their ends are told")
     {
         ExecutorWorld world(1);
