Claim only runs whose owner may have changed; take jobs that end before the VM does

A VM that ends refused every job whose caller was ready to wait longer than the VM lives. Now it takes those that need a third of the time left, and gives them up with an answer at its end if they prove longer. Also smaller read buffers on the stacks of connections' threads.

--- a/packages/decision/include/egrettrestle/decision/dispatcher.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatcher.hpp
@@ -96,6 +96,8 @@
     RoomReport room(TimePoint now) const { return m_owner.room(now); }
     std::vector<UpstreamInfo> ownedUpstreams() const;
     const UpstreamInfo* upstream(const UpstreamId& id) const;
+    /// How long a job's longest chain of steps is expected to run.
+    Milliseconds expectedRun(const DispatchJob& job, const Route& route) const { return m_executor.expectedRun(job, route); }
     std::size_t jobs() const { return m_executor.jobs(); }
     std::size_t notStarted(const std::string& route) const { return m_executor.notStarted(route); }
     std::size_t queued() const { return m_owner.queued(); }
@@ -121,7 +123,7 @@
     void send(const VmId& vm, PeerMessage message) override;
 
     std::optional<VmId> assignOwner(const UpstreamInfo& upstream, TimePoint now);
-    void assignOwners(TimePoint now);
+    void assignOwners(const std::set<VmId>& settled, TimePoint now);
     void handle(const VmId& from, const PeerMessage& message, TimePoint now);
     void deliverLocal(TimePoint now);
     void refreshOwnRoom(TimePoint now);
--- a/packages/decision/include/egrettrestle/decision/job_executor.hpp
+++ b/packages/decision/include/egrettrestle/decision/job_executor.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -121,9 +122,10 @@
     void onEnded(const VmId& owner, const RunEnded& ended, TimePoint now);
     void onReturned(const VmId& owner, const RunReturned& returned, TimePoint now);
 
-    /// Learns who owns which upstream in the view of an epoch, and claims all runs there: an upstream may have changed
-    /// hands and back without this VM seeing it.
-    void onOwnersChanged(std::map<UpstreamId, VmId> owners, FencingToken epoch, TimePoint now);
+    /// Learns who owns which upstream in the view of an epoch, and claims the runs there, but for those whose owner stays
+    /// and is among the `settled`: VMs that were members of the view just before, in the same life. With views skipped none
+    /// is: an upstream may have changed hands and back without this VM seeing it.
+    void onOwnersChanged(std::map<UpstreamId, VmId> owners, FencingToken epoch, const std::set<VmId>& settled, TimePoint now);
 
     /// Learns the owner of one upstream in the view that it knows.
     void onOwnerChanged(const UpstreamId& upstream, const VmId& owner, TimePoint now);
@@ -141,6 +143,9 @@
     void tick(TimePoint now);
 
     bool contains(const std::string& job) const { return m_jobs.count(job) > 0; }
+    /// How long a job's longest chain of steps is expected to run.
+    Milliseconds expectedRun(const DispatchJob& job, const Route& route) const { return forecast(job, route).run; }
+
     /// Whether a task is at an owner, waiting or at work.
     bool hasTasksAt(const VmId& owner) const;
     std::size_t jobs() const { return m_jobs.size(); }
--- a/packages/decision/include/egrettrestle/decision/room_table.hpp
+++ b/packages/decision/include/egrettrestle/decision/room_table.hpp
@@ -1,8 +1,8 @@
 #pragma once
 
 #include <map>
-#include <set>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
--- a/packages/decision/src/dispatcher.cpp
+++ b/packages/decision/src/dispatcher.cpp
@@ -13,6 +13,20 @@
         return executor;
     }
 
+    /// Members of both views in the same life, if the later view follows the earlier one at once.
+    std::set<VmId> settledMembers(const View& earlier, const View& later)
+    {
+        std::set<VmId> settled;
+        if (later.epoch.value != earlier.epoch.value + 1)
+            return settled;
+        for (const Member& member : later.members) {
+            const Member* before = findMember(earlier, member.id);
+            if (before && before->incarnation == member.incarnation)
+                settled.insert(member.id);
+        }
+        return settled;
+    }
+
 }
 
 Milliseconds ownerLostAfter(const DispatcherLimits& limits)
@@ -34,6 +48,7 @@
 {
     if (view.epoch <= m_view.epoch)
         return;
+    const std::set<VmId> settled = settledMembers(m_view, view);
     m_view = view;
     const Member* self = findMember(view, m_self);
     if (!m_memberSince && self)
@@ -44,7 +59,7 @@
             near.insert(member.id);
     }
     m_rooms.setNear(std::move(near));
-    assignOwners(now);
+    assignOwners(settled, now);
     deliverLocal(now);
 }
 
@@ -81,7 +96,7 @@
     return owner;
 }
 
-void Dispatcher::assignOwners(TimePoint now)
+void Dispatcher::assignOwners(const std::set<VmId>& settled, TimePoint now)
 {
     std::map<UpstreamId, VmId> owners;
     bool changed = false;
@@ -92,7 +107,7 @@
         if (owner)
             owners.emplace(entry.first, std::move(*owner));
     }
-    m_executor.onOwnersChanged(std::move(owners), { m_view.epoch.value }, now);
+    m_executor.onOwnersChanged(std::move(owners), { m_view.epoch.value }, settled, now);
     if (changed)
         m_port.ownedChanged();
 }
--- a/packages/decision/src/job_executor.cpp
+++ b/packages/decision/src/job_executor.cpp
@@ -308,7 +308,7 @@
     }
 }
 
-void JobExecutor::onOwnersChanged(std::map<UpstreamId, VmId> owners, FencingToken epoch, TimePoint now)
+void JobExecutor::onOwnersChanged(std::map<UpstreamId, VmId> owners, FencingToken epoch, const std::set<VmId>& settled, TimePoint now)
 {
     const bool newView = epoch > m_epoch;
     m_owners = std::move(owners);
@@ -319,7 +319,8 @@
             const bool atWork = task.state == TaskState::Running || task.state == TaskState::Withdrawn;
             if (!atWork || owner == m_owners.end() || m_epoch < task.startEpoch)
                 continue;
-            if (!newView && owner->second == task.owner)
+            const bool stays = owner->second == task.owner;
+            if (stays && (!newView || settled.count(task.owner) > 0))
                 continue;
             task.owner = owner->second;
             sendClaim(entry.second, task, now);
--- a/packages/fleet/src/caller_front.cpp
+++ b/packages/fleet/src/caller_front.cpp
@@ -11,6 +11,9 @@
     constexpr Milliseconds callerCheck { 150 };
     // Another VM answers at once; the balancer sends new connections there.
     constexpr Milliseconds comeBackAfterDrain { 1'000 };
+    // A VM that ends takes a job only if this many times its expected duration is left: durations vary by about half, and a
+    // task that fails is run again.
+    constexpr int drainSafety = 3;
     constexpr int mostCallers = 800;
     constexpr int mostProbes = 8;
     constexpr std::size_t largestBody = 1024 * 1024;
@@ -111,12 +114,19 @@
 HttpResponse CallerFront::answerJob(const HttpRequest& request, const CallerCall& call)
 {
     DispatchService& dispatch = m_node.kernel.find<DispatchService>(fleetServices::dispatch);
-    if (m_node.leaving && bootNow() + call.job.patience > m_node.lastAnswer.load()) {
-        m_node.log.write(events::drainingRefusal, { { "request", call.job.id }, { "route", call.route.name }, { "patienceMs", call.job.patience.count() } });
-        return m_node.site.callers->write({ JobOutcome::Refused, comeBackAfterDrain, "draining" });
+    DispatchJob job = call.job;
+    if (m_node.leaving) {
+        // Other VMs have more time for a job that could not surely end here.
+        const Milliseconds left = toMilliseconds(m_node.lastAnswer.load() - bootNow());
+        const Milliseconds needed = dispatch.with([&job, &call](Dispatcher& dispatcher, TimePoint) { return dispatcher.expectedRun(job, call.route); }) * drainSafety;
+        if (needed > left) {
+            m_node.log.write(events::drainingRefusal, { { "request", job.id }, { "route", call.route.name }, { "neededMs", needed.count() }, { "leftMs", left.count() } });
+            return m_node.site.callers->write({ JobOutcome::Refused, comeBackAfterDrain, "draining" });
+        }
+        job.patience = std::min(job.patience, left);
     }
     CallerTicket ticket = 0;
-    const std::shared_ptr<PendingReply> pending = dispatch.submit(call.job, call.route, ticket);
+    const std::shared_ptr<PendingReply> pending = dispatch.submit(job, call.route, ticket);
     while (true) {
         if (const std::optional<JobAnswer> reply = pending->wait(callerCheck))
             return m_node.site.callers->write(*reply);
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -134,7 +134,7 @@
             Poco::Net::HTTPResponse incoming;
             std::istream& stream = session.receiveResponse(incoming);
             copyHead(incoming, result.response);
-            char buffer[16 * 1024];
+            char buffer[detail::readSize];
             while (stream.read(buffer, sizeof(buffer)) || stream.gcount() > 0) {
                 result.response.body.append(buffer, static_cast<std::size_t>(stream.gcount()));
                 if (SteadyClock::now() > deadline)
--- a/packages/http/src/detail/socket_input.hpp
+++ b/packages/http/src/detail/socket_input.hpp
@@ -1,11 +1,16 @@
 #pragma once
 
+#include <cstddef>
+
 #include <Poco/Net/StreamSocket.h>
 
 #include <egrettrestle/base/clock.hpp>
 
 namespace egrettrestle::detail {
 
+/// Bytes read at a time, on the stack of each connection's thread: most messages are smaller.
+inline constexpr std::size_t readSize = 4 * 1024;
+
 /// What a connection holds for its reader.
 enum class SocketInput {
     /// Nothing yet; the connection is open.
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -126,7 +126,7 @@
             const bool lengthKnown = request.hasContentLength();
             if (lengthKnown && request.getContentLength64() > static_cast<Poco::Int64>(m_shared->limits.maxBodyBytes))
                 return tooLarge;
-            char buffer[16 * 1024];
+            char buffer[detail::readSize];
             std::istream& stream = request.stream();
             while (stream.read(buffer, sizeof(buffer)) || stream.gcount() > 0) {
                 plain.body.append(buffer, static_cast<std::size_t>(stream.gcount()));
@@ -160,7 +160,7 @@
             constexpr Milliseconds drainWait { 50 };
             constexpr Milliseconds longestDrain { 2'000 };
             socket().shutdownSend();
-            char buffer[16 * 1024];
+            char buffer[detail::readSize];
             const TimePoint end = SteadyClock::now() + longestDrain;
             while (SteadyClock::now() < end) {
                 if (!detail::waitForInput(socket(), drainWait) || socket().receiveBytes(buffer, sizeof(buffer)) <= 0)
--- a/tests/unit/unit-job-executor.cpp
+++ b/tests/unit/unit-job-executor.cpp
@@ -289,12 +289,30 @@
     }
 }
 
+TEST_CASE("executor claims no run whose owner stays in the view that follows at once")
+{
+    // Load: VMs that join one after another, after all of them were dark or while they are restarted in turn; with every
+    // run claimed at each change, claims were half as many as starts.
+    ExecutorWorld world;
+    world.submit(jobOf("j", 1));
+    world.executor.onStarted("x", { world.request(0).run, "u", { 1 } }, world.now);
+    const std::size_t before = world.port.sent.size();
+    world.executor.onOwnersChanged({ { "u", "x" } }, { 2 }, { "x", "y" }, world.now);
+    CHECK(world.port.sent.size() == before);
+    world.executor.onOwnersChanged({ { "u", "x" } }, { 3 }, { "y" }, world.now);
+    REQUIRE(world.port.sent.size() == before + 1);
+    CHECK(world.port.sent.back().message.claim);
+    world.executor.onOwnersChanged({ { "u", "y" } }, { 4 }, { "x", "y" }, world.now);
+    REQUIRE(world.port.sent.size() == before + 2);
+    CHECK(world.port.sent.back().vm == "y");
+}
+
 TEST_CASE("executor claims runs at an upstream's new owner")
 {
     ExecutorWorld world;
     world.submit(jobOf("j", 1));
     world.executor.onStarted("x", { world.request(0).run, "u", { 1 } }, world.now);
-    world.executor.onOwnersChanged({ { "u", "y" } }, { 2 }, world.now);
+    world.executor.onOwnersChanged({ { "u", "y" } }, { 2 }, {}, world.now);
     REQUIRE(world.port.sent.size() == 2);
     CHECK(world.port.sent[1].vm == "y");
     REQUIRE(world.port.sent[1].message.claim);
@@ -343,17 +361,17 @@
 TEST_CASE("executor with an older view than an owner")
 {
     ExecutorWorld world;
-    world.executor.onOwnersChanged({ { "u", "x" } }, { 6 }, world.now);
+    world.executor.onOwnersChanged({ { "u", "x" } }, { 6 }, {}, world.now);
     world.submit(jobOf("j", 1));
     world.rooms.update("y", roomFor(4, 8));
 
     SECTION("leaves a run where it was started, though its own view names another owner")
     {
-        world.executor.onOwnersChanged({ { "u", "z" } }, { 7 }, world.now);
+        world.executor.onOwnersChanged({ { "u", "z" } }, { 7 }, {}, world.now);
         const std::size_t before = world.port.sent.size();
         world.executor.onStarted("x", { world.request(0).run, "u", { 10 } }, world.now);
         CHECK(world.port.sent.size() == before);
-        world.executor.onOwnersChanged({ { "u", "z" } }, { 10 }, world.now);
+        world.executor.onOwnersChanged({ { "u", "z" } }, { 10 }, {}, world.now);
         REQUIRE(world.port.sent.size() == before + 1);
         CHECK(world.port.sent.back().message.claim->epoch == FencingToken { 10 });
     }
@@ -362,11 +380,11 @@
 TEST_CASE("executor claims its runs with every view, since an upstream may have changed hands and back")
 {
     ExecutorWorld world;
-    world.executor.onOwnersChanged({ { "u", "x" } }, { 6 }, world.now);
+    world.executor.onOwnersChanged({ { "u", "x" } }, { 6 }, {}, world.now);
     world.submit(jobOf("j", 1));
     world.executor.onStarted("x", { world.request(0).run, "u", { 6 } }, world.now);
     const std::size_t before = world.port.sent.size();
-    world.executor.onOwnersChanged({ { "u", "x" } }, { 8 }, world.now);
+    world.executor.onOwnersChanged({ { "u", "x" } }, { 8 }, {}, world.now);
     REQUIRE(world.port.sent.size() == before + 1);
     CHECK(world.port.sent.back().message.claim);
 }
