Take jobs while the others' room is still unknown; refuse hopeless ones after it

And a job that found no owner at all was held until its deadline. Change: until a VM is settled, and for 1.5 s after its start at most, it refuses nothing for want of room; after that a job of which nothing is out and for which no owner has upstreams is refused at once. Test: unit-job-executor "executor that warms up refuses nothing …".

--- a/packages/decision/include/egrettrestle/decision/dispatcher.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatcher.hpp
@@ -22,6 +22,9 @@
     Milliseconds oldestMessage { 600 };
     /// How long a VM that has just learned of a view waits for the others before it takes jobs without knowing their room.
     Milliseconds settleTime { 800 };
+    /// For so long after its start a VM takes jobs that the room it knows cannot serve in time, until it is settled: it
+    /// knows the least of all then, and everything else that it hears adds room.
+    Milliseconds longestWarmUp { 1'500 };
     /// A VM that has not answered for this long gets no new work.
     Milliseconds peerSilence { 350 };
 };
@@ -127,6 +130,7 @@
     void handle(const VmId& from, const PeerMessage& message, TimePoint now);
     void deliverLocal(TimePoint now);
     void refreshOwnRoom(TimePoint now);
+    bool isWarmingUp(TimePoint now);
     void checkPeers(TimePoint now);
     void checkMissing(TimePoint now);
 
@@ -137,6 +141,8 @@
     UpstreamOwner m_owner;
     JobExecutor m_executor;
     View m_view;
+    /// When this VM first decided anything.
+    std::optional<TimePoint> m_begunAt;
     /// When the first view with this VM in it was adopted.
     std::optional<TimePoint> m_memberSince;
     std::map<UpstreamId, UpstreamInfo> m_upstreams;
--- a/packages/decision/include/egrettrestle/decision/job_executor.hpp
+++ b/packages/decision/include/egrettrestle/decision/job_executor.hpp
@@ -109,6 +109,9 @@
     /// Takes a job in. A job that is at work here already is joined; one that is being stopped starts over afterwards.
     void submit(CallerTicket ticket, const DispatchJob& request, const Route& route, TimePoint now);
 
+    /// While it warms up, a VM refuses no job for want of room: the others' room is not known yet.
+    void setWarmingUp(bool warmingUp) { m_warmingUp = warmingUp; }
+
     /// A caller no longer waits; a job that nobody waits for is stopped.
     void callerLeft(CallerTicket ticket, TimePoint now);
 
@@ -227,6 +230,7 @@
     void moveWaiting(Job& job, TimePoint now);
     void claimIfMoved(Job& job, Task& task, TimePoint now);
     void sendClaim(Job& job, Task& task, TimePoint now);
+    bool isHopeless(const Job& job) const;
     void noteJob(JobNote::Kind kind, const Job& job, const std::string& reason, TimePoint now);
 
     ExecutorPort& m_port;
@@ -238,6 +242,7 @@
     std::map<CallerTicket, std::string> m_tickets;
     std::map<UpstreamId, VmId> m_owners;
     FencingToken m_epoch;
+    bool m_warmingUp = false;
 };
 
 } // namespace egrettrestle
--- a/packages/decision/src/dispatcher.cpp
+++ b/packages/decision/src/dispatcher.cpp
@@ -116,6 +116,7 @@
 {
     m_owner.learnNeed(request.steps.front().need);
     refreshOwnRoom(now);
+    m_executor.setWarmingUp(isWarmingUp(now));
     m_executor.submit(ticket, request, route, now);
     deliverLocal(now);
 }
@@ -206,10 +207,18 @@
     m_owner.tick(now);
     deliverLocal(now);
     refreshOwnRoom(now);
+    m_executor.setWarmingUp(isWarmingUp(now));
     m_executor.tick(now);
     deliverLocal(now);
 }
 
+bool Dispatcher::isWarmingUp(TimePoint now)
+{
+    if (!m_begunAt)
+        m_begunAt = now;
+    return now - *m_begunAt < m_limits.longestWarmUp && !isSettled(now);
+}
+
 bool Dispatcher::isSettled(TimePoint now) const
 {
     if (!m_memberSince)
--- a/packages/decision/src/job_executor.cpp
+++ b/packages/decision/src/job_executor.cpp
@@ -41,7 +41,7 @@
         return;
     }
     const Forecast expected = forecast(request, route);
-    if (!isTimely(expected, request, route)) {
+    if (!m_warmingUp && !isTimely(expected, request, route)) {
         refuse(ticket, request, route, expected, expected.room.totalTasks == 0 ? "no-upstream" : "overloaded");
         return;
     }
@@ -484,6 +484,8 @@
         } else if (!job.ending) {
             sendUnsent(job, now);
             moveWaiting(job, now);
+            if (isHopeless(job))
+                end(job, JobOutcome::Refused, "no-upstream", now);
         }
         settle(id, now);
     }
@@ -496,6 +498,13 @@
     });
 }
 
+/// Whether nothing of a job is out and no owner has upstreams for it.
+bool JobExecutor::isHopeless(const Job& job) const
+{
+    const bool untouched = !job.anyStarted && std::none_of(job.tasks.begin(), job.tasks.end(), [](const Task& task) { return isOut(task); });
+    return untouched && !m_warmingUp && m_rooms.totals(job.route.service, job.route.priority).totalTasks == 0;
+}
+
 std::size_t JobExecutor::notStarted(const std::string& route) const
 {
     return static_cast<std::size_t>(std::count_if(m_jobs.begin(), m_jobs.end(), [&route](const auto& entry) {
--- a/tests/unit/unit-job-executor.cpp
+++ b/tests/unit/unit-job-executor.cpp
@@ -289,6 +289,38 @@
     }
 }
 
+TEST_CASE("executor that warms up refuses nothing for want of room that it cannot know yet")
+{
+    // Load: callers that come back to VMs that have all just started again; each knew a part of the room only.
+    ExecutorWorld world(0);
+    world.rooms.update("x", roomFor(0, 1, 40));
+    world.rooms.setReachable("y", false);
+
+    SECTION("a job that looks late is taken, and refused by one that is settled")
+    {
+        world.executor.setWarmingUp(true);
+        world.submit(jobOf("j", 2));
+        CHECK(world.port.replies.empty());
+        world.executor.setWarmingUp(false);
+        world.submit(jobOf("k", 2), 2);
+        REQUIRE(world.port.replies.size() == 1);
+        CHECK(world.port.replies[0].reply.outcome == JobOutcome::Refused);
+    }
+
+    SECTION("a job that found no owner is refused once warming up is over, not at its deadline")
+    {
+        world.rooms.setReachable("x", false);
+        world.executor.setWarmingUp(true);
+        world.submit(jobOf("j", 2));
+        world.executor.tick(world.now);
+        CHECK(world.port.replies.empty());
+        world.executor.setWarmingUp(false);
+        world.executor.tick(world.now);
+        REQUIRE(world.port.replies.size() == 1);
+        CHECK(world.port.replies[0].reply.outcome == JobOutcome::Refused);
+    }
+}
+
 TEST_CASE("executor claims no run whose owner stays in the view that follows at once")
 {
     // Load: VMs that join one after another, after all of them were dark or while they are restarted in turn; with every
