--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -124,6 +124,8 @@
     void forget(OwnedUpstream& upstream, const TaskRun& run);
     void returnRun(const VmId& executor, const TaskRun& run, ReturnReason reason);
     void finishRun(OwnedUpstream& upstream, const OwnedRun& run, RunEnd how, TimePoint now);
+    /// Starts nothing at an upstream for a while, longer each time.
+    void pause(OwnedUpstream& upstream, const TaskRun& run, const char* cause, TimePoint now);
     /// Whether another run of the same job and executor is at work or waits here.
     bool hasMoreOf(const OwnedRun& run) const;
     void takeEnds(OwnedUpstream& upstream, const LookReply& reply, TimePoint now);
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -15,6 +15,8 @@
     constexpr double needShare = 0.02;
     // A look counts as unanswered from the first failure on; a single lost packet may be repeated once.
     constexpr int failedLooksBeforeSilence = 2;
+    // Beyond this a doubled pause is longer than the longest one.
+    constexpr int mostDoublings = 6;
 
     bool waitsBefore(const RunRequest& left, const RunRequest& right)
     {
@@ -371,11 +373,9 @@
     } else if (how == RunEnd::Failed) {
         ++upstream.failuresInARow;
         if (upstream.failuresInARow >= m_limits.failuresBeforePause || upstream.probing) {
-            upstream.pausedUntil = now + std::min(m_limits.longestPause, m_limits.firstPause * (1 << std::min(upstream.pauses, 6)));
-            ++upstream.pauses;
             upstream.probing = true;
             upstream.failuresInARow = 0;
-            m_port.note({ NoteKind::Paused, upstream.info.id, run.request.run, "failed-runs", toMilliseconds(upstream.pausedUntil - now), static_cast<std::uint64_t>(upstream.pauses) });
+            pause(upstream, run.request.run, "failed-runs", now);
         }
     }
     // The executor acts on a task that is done only once the others of the job are done too.
@@ -395,6 +395,14 @@
     });
 }
 
+void UpstreamOwner::pause(OwnedUpstream& upstream, const TaskRun& run, const char* cause, TimePoint now)
+{
+    const Milliseconds time = std::min(m_limits.longestPause, m_limits.firstPause * (1 << std::min(upstream.pauses, mostDoublings)));
+    upstream.pausedUntil = now + time;
+    ++upstream.pauses;
+    m_port.note({ NoteKind::Paused, upstream.info.id, run, cause, time, static_cast<std::uint64_t>(upstream.pauses) });
+}
+
 void UpstreamOwner::compareRunning(OwnedUpstream& upstream, const LookReply& reply, TimePoint sentAt, TimePoint now)
 {
     const std::set<TaskRun> listed(reply.running.begin(), reply.running.end());
@@ -517,9 +525,7 @@
         m_port.note({ NoteKind::Fenced, order.upstream, order.run, "start", {}, order.token.value });
         break;
     default:
-        upstream->pausedUntil = now + std::min(m_limits.longestPause, m_limits.firstPause * (1 << std::min(upstream->pauses, 6)));
-        ++upstream->pauses;
-        m_port.note({ NoteKind::Paused, order.upstream, order.run, "start-refused", toMilliseconds(upstream->pausedUntil - now), static_cast<std::uint64_t>(upstream->pauses) });
+        pause(*upstream, order.run, "start-refused", now);
         break;
     }
     if (refused.state == RunState::Stopping)
@@ -603,15 +609,13 @@
         }
         if (run.state != RunState::Running || run.request.expected.count() == 0)
             continue;
-        const auto allowed = std::chrono::duration_cast<Duration>(run.request.expected * durationOn(upstream, run.request) * m_limits.hangFactor) + m_limits.hangAllowance;
+        const Duration allowed = std::chrono::duration_cast<Duration>(run.request.expected * durationOn(upstream, run.request) * m_limits.hangFactor) + m_limits.hangAllowance;
         // Without a look that still lists it, the run may have ended long ago.
         if (run.listedAt - run.confirmedAt <= allowed)
             continue;
         stopRun(upstream, run, StopCause::Hanging, now);
-        upstream.pausedUntil = now + std::min(m_limits.longestPause, m_limits.firstPause * (1 << std::min(upstream.pauses, 6)));
-        ++upstream.pauses;
         upstream.probing = true;
-        m_port.note({ NoteKind::Paused, upstream.info.id, entry.first, "hanging-run", toMilliseconds(upstream.pausedUntil - now), static_cast<std::uint64_t>(upstream.pauses) });
+        pause(upstream, entry.first, "hanging-run", now);
     }
 }
 
@@ -666,7 +670,7 @@
         if (request.maxPerUpstream > 0 && runsOfStep(upstream, request.run.task) >= request.maxPerUpstream)
             continue;
         const double duration = durationOn(upstream, request);
-        const auto extra = std::chrono::duration_cast<Duration>(request.expected * (duration - 1));
+        const Duration extra = std::chrono::duration_cast<Duration>(request.expected * (duration - 1));
         if (now + extra > request.latestStart)
             continue;
         const std::int64_t left = (upstream.available() - request.need).milliCores;
--- a/tests/model/dispatch_world.cpp
+++ b/tests/model/dispatch_world.cpp
@@ -168,7 +168,7 @@
     for (Member& member : next.members)
         member.dataCentre = "dc1";
     publishView(next);
-    const auto tick = std::make_shared<std::function<void()>>();
+    const std::shared_ptr<std::function<void()>> tick = std::make_shared<std::function<void()>>();
     *tick = [this, number, life, tick] {
         Vm* present = alive(number, life);
         if (!present)
@@ -397,7 +397,7 @@
         }
         // The upstream answers at its next end, or when the wait is over.
         const TimePoint end = m_now + order.wait;
-        const auto poll = std::make_shared<std::function<void()>>();
+        const std::shared_ptr<std::function<void()>> poll = std::make_shared<std::function<void()>>();
         *poll = [this, order, answer, end, poll] {
             LookOrder again = order;
             again.leaseEnd.reset();
