--- a/tests/integration/cluster.cpp
+++ b/tests/integration/cluster.cpp
@@ -1,24 +1,21 @@
 #include "cluster.hpp"
 
-#include <atomic>
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
 #include <thread>
 
-#include <fcntl.h>
-#include <sys/file.h>
 #include <unistd.h>
 
-#include <Poco/Net/NetException.h>
-#include <Poco/Net/ServerSocket.h>
 #include <nlohmann/json.hpp>
 
 #include <egrettrestle/store/etcd_store.hpp>
 #include <egrettrestle/tools/shipping.hpp>
 #include <egrettrestle/wire/manifest_json.hpp>
 
+#include "free_address.hpp"
+
 namespace egrettrestle::testing {
 
 namespace {
@@ -29,24 +26,6 @@
 
     std::string program(const char* name) { return std::string(BINARY_DIR) + '/' + name; }
 
-    constexpr int portsPerBlock = 1'000;
-
-    /// Takes a block of ports for this process, so that test programs side by side never meet at a port. The blocks lie
-    /// below the range from which the system takes ports for outgoing connections. The lock ends with the process.
-    int lockPortBlock()
-    {
-        constexpr int lowest = 10'000;
-        constexpr int blocks = 22;
-        for (int block = 0; block < blocks; ++block) {
-            const std::filesystem::path path = std::filesystem::temp_directory_path() / ("egrettrestle-ports-" + std::to_string(block));
-            const int file = open(path.c_str(), O_CREAT | O_RDWR | O_CLOEXEC, 0666);
-            if (file >= 0 && flock(file, LOCK_EX | LOCK_NB) == 0)
-                return lowest + block * portsPerBlock;
-            close(file);
-        }
-        throw std::runtime_error("all blocks of ports are taken");
-    }
-
     std::string lastLines(const std::string& path)
     {
         constexpr std::size_t shown = 1'500;
@@ -83,14 +62,14 @@
 {
     std::string pattern = (std::filesystem::temp_directory_path() / "egrettrestle-XXXXXX").string();
     m_directory = mkdtemp(pattern.data());
-    m_platformAddress = newAddress();
-    m_proxyAddress = newAddress();
+    m_platformAddress = freeAddress();
+    m_proxyAddress = freeAddress();
     writeManifest();
     for (const DataCentreId& dataCentre : shape.dataCentres) {
         for (std::size_t index = 0; index < shape.upstreamsPerDataCentre; ++index) {
             UpstreamProcess upstream;
             const std::string id = dataCentre + "-u" + std::to_string(index);
-            upstream.ownAddress = newAddress();
+            upstream.ownAddress = freeAddress();
             upstream.instance = { id, "print", dataCentre, link("up-" + id, upstream.ownAddress), shape.slots, InstanceState::Live };
             upstream.startsFile = m_directory + "/starts-" + id;
             m_upstreams.push_back(std::move(upstream));
@@ -99,9 +78,9 @@
             Vm vm;
             vm.id = dataCentre + "-vm" + std::to_string(index);
             vm.dataCentre = dataCentre;
-            vm.callerAddress = newAddress();
-            vm.peerAddress = newAddress();
-            vm.adminAddress = newAddress();
+            vm.callerAddress = freeAddress();
+            vm.peerAddress = freeAddress();
+            vm.adminAddress = freeAddress();
             vm.settingsFile = m_directory + '/' + vm.id + ".ini";
             m_vms.push_back(std::move(vm));
         }
@@ -120,26 +99,9 @@
         std::filesystem::remove_all(m_directory);
 }
 
-std::string Cluster::newAddress()
-{
-    static std::atomic<int> next { 0 };
-    static const int lowest = lockPortBlock();
-    // A child that inherits the probing socket would keep the port.
-    const std::lock_guard<std::mutex> lock(forkMutex());
-    while (true) {
-        const std::string address = "127.0.0.1:" + std::to_string(lowest + next++ % portsPerBlock);
-        try {
-            const Poco::Net::ServerSocket socket { Poco::Net::SocketAddress(address) };
-            return address;
-        } catch (const Poco::Exception&) {
-            continue;
-        }
-    }
-}
-
 std::string Cluster::link(const std::string& name, const std::string& target)
 {
-    const std::string address = newAddress();
+    const std::string address = freeAddress();
     m_links.push_back(name + '=' + address + '>' + target);
     return address;
 }
--- a/tests/integration/cluster.hpp
+++ b/tests/integration/cluster.hpp
@@ -95,7 +95,6 @@
     /// @}
 
 private:
-    static std::string newAddress();
     void writeManifest();
     void writeSettings(Vm& vm);
     std::string link(const std::string& name, const std::string& target);
