Refuse nothing for want of room before every member's room is complete

The VM had heard every peer and looked at its own upstreams, so it counted as warmed up, but a peer had not looked at all of its upstreams under the new view when it told its room.

Ruled out: ports shared between test programs (each program has its own block; the daemons' logs show no failed bind); a wrong duration estimate (expectedMs 2750 of tasks of 2500).

Change: a room report names the epoch of the view under which all the sender's upstreams have been looked at; warming up lasts until every member's report is complete under the own view, at most 1.5 s as before.

--- a/packages/decision/include/egrettrestle/decision/dispatch_types.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatch_types.hpp
@@ -236,6 +236,9 @@
     std::vector<QueueLength> queues;
     /// How many run requests of the report's receiver had arrived.
     std::uint64_t requestsSeen = 0;
+    /// The epoch of the sender's view if all its upstreams under that view have been looked at, else 0: the report then
+    /// lacks room that is there.
+    FencingToken completeUnder = {};
 };
 
 /// What may be sent from one VM to another; exactly one of the optional fields is set.
--- a/packages/decision/include/egrettrestle/decision/dispatcher.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatcher.hpp
@@ -22,8 +22,8 @@
     Milliseconds oldestMessage { 600 };
     /// How long a VM that has just learned of a view waits for the others before it takes jobs without knowing their room.
     Milliseconds settleTime { 800 };
-    /// For so long after its start a VM takes jobs that the room it knows cannot serve in time, until it is settled: it
-    /// knows the least of all then, and everything else that it hears adds room.
+    /// For so long after its start a VM takes jobs that the room it knows cannot serve in time, until it is settled and
+    /// every member's room is complete: it knows the least of all then, and everything else that it hears adds room.
     Milliseconds longestWarmUp { 1'500 };
     /// A VM that has not answered for this long gets no new work.
     Milliseconds peerSilence { 350 };
@@ -96,7 +96,8 @@
     /// told its room, or the time for that is over.
     bool isSettled(TimePoint now) const;
 
-    RoomReport room(TimePoint now) const { return m_owner.room(now); }
+    /// What this VM can take now. The report's `requestsSeen` is left to the caller.
+    RoomReport room(TimePoint now) const;
     std::vector<UpstreamInfo> ownedUpstreams() const;
     const UpstreamInfo* upstream(const UpstreamId& id) const;
     /// How long a job's longest chain of steps is expected to run.
@@ -131,6 +132,7 @@
     void deliverLocal(TimePoint now);
     void refreshOwnRoom(TimePoint now);
     bool isWarmingUp(TimePoint now);
+    bool isRoomComplete() const;
     void checkPeers(TimePoint now);
     void checkMissing(TimePoint now);
 
--- a/packages/decision/include/egrettrestle/decision/room_table.hpp
+++ b/packages/decision/include/egrettrestle/decision/room_table.hpp
@@ -39,6 +39,9 @@
     /// An owner that does not answer keeps its report but is passed over.
     void setReachable(const VmId& owner, bool reachable);
 
+    /// Whether an owner's report covers all its upstreams under the view of an epoch, or a later one.
+    bool isComplete(const VmId& owner, FencingToken epoch) const;
+
     /// Tasks of a service that an owner can start at once; negative when more were sent than had room.
     std::int64_t freeAt(const VmId& owner, const std::string& service) const;
 
--- a/packages/decision/src/dispatcher.cpp
+++ b/packages/decision/src/dispatcher.cpp
@@ -216,7 +216,14 @@
 {
     if (!m_begunAt)
         m_begunAt = now;
-    return now - *m_begunAt < m_limits.longestWarmUp && !isSettled(now);
+    return now - *m_begunAt < m_limits.longestWarmUp && !(isSettled(now) && isRoomComplete());
+}
+
+bool Dispatcher::isRoomComplete() const
+{
+    return std::all_of(m_view.members.begin(), m_view.members.end(), [this](const Member& member) {
+        return m_rooms.isComplete(member.id, { m_view.epoch.value });
+    });
 }
 
 bool Dispatcher::isSettled(TimePoint now) const
@@ -304,11 +311,19 @@
 
 void Dispatcher::refreshOwnRoom(TimePoint now)
 {
-    RoomReport report = m_owner.room(now);
+    RoomReport report = room(now);
     report.requestsSeen = m_ownRequests;
     m_rooms.update(m_self, std::move(report));
 }
 
+RoomReport Dispatcher::room(TimePoint now) const
+{
+    RoomReport report = m_owner.room(now);
+    if (m_owner.knowsAll())
+        report.completeUnder.value = m_view.epoch.value;
+    return report;
+}
+
 std::vector<UpstreamInfo> Dispatcher::ownedUpstreams() const
 {
     std::vector<UpstreamInfo> owned;
--- a/packages/decision/src/room_table.cpp
+++ b/packages/decision/src/room_table.cpp
@@ -32,6 +32,12 @@
         found->second.reachable = reachable;
 }
 
+bool RoomTable::isComplete(const VmId& owner, FencingToken epoch) const
+{
+    const auto found = m_owners.find(owner);
+    return found != m_owners.end() && found->second.report.completeUnder >= epoch;
+}
+
 std::int64_t RoomTable::freeIn(const Entry& entry, const std::string& service)
 {
     std::int64_t free = 0;
--- a/packages/wire/src/dispatch_messages.cpp
+++ b/packages/wire/src/dispatch_messages.cpp
@@ -151,13 +151,14 @@
         for (const QueueLength& queue : room.queues)
             queues.push_back({ { "service", queue.service }, { "priority", queue.priority }, { "tasks", queue.tasks }, { "workMs", queue.work.count() } });
         const json need { { "cpu", room.ordinaryNeed.milliCores }, { "memory", room.ordinaryNeed.memoryMb }, { "accelerators", room.ordinaryNeed.accelerators } };
-        return { { "need", need }, { "kinds", std::move(kinds) }, { "queues", std::move(queues) }, { "seen", room.requestsSeen } };
+        return { { "need", need }, { "kinds", std::move(kinds) }, { "queues", std::move(queues) }, { "seen", room.requestsSeen }, { "completeUnder", room.completeUnder.value } };
     }
 
     RoomReport readRoom(ObjectReader& reader, std::vector<Fault>& faults)
     {
         RoomReport room;
         room.requestsSeen = reader.number("seen");
+        room.completeUnder.value = reader.number("completeUnder");
         if (const json* need = reader.any("need")) {
             ObjectReader item(*need, reader.pointer("need"), dispatchFamily, faults);
             room.ordinaryNeed = readResources(item);
--- a/tests/unit/unit-dispatcher.cpp
+++ b/tests/unit/unit-dispatcher.cpp
@@ -110,6 +110,43 @@
     }
 }
 
+TEST_CASE("a VM that has just come up refuses nothing for want of room that others have not counted yet")
+{
+    // Load: callers that come as soon as a fleet is ready; two long jobs fill the first room that is told.
+    DispatcherWorld world;
+    world.begin({ "x", "y" });
+    world.look();
+    world.dispatcher.tick(world.now);
+    RoomReport room = roomFor(0, 1);
+    world.dispatcher.onPeerMessages("y", {}, room, world.now);
+    REQUIRE(world.dispatcher.isSettled(world.now));
+    DispatchJob job = jobOf("j", 8);
+    job.patience = Milliseconds { 400 };
+
+    SECTION("before each has looked at all its upstreams under the view")
+    {
+        world.dispatcher.submit(1, job, routeNamed("proof"), world.now);
+        CHECK(world.port.replies.empty());
+    }
+
+    SECTION("but does once all have")
+    {
+        room.completeUnder = { 1 };
+        world.dispatcher.onPeerMessages("y", {}, room, world.now);
+        world.dispatcher.submit(1, job, routeNamed("proof"), world.now);
+        REQUIRE(world.port.replies.size() == 1);
+        CHECK(world.port.replies[0].reply.outcome == JobOutcome::Refused);
+    }
+
+    SECTION("and not for ever")
+    {
+        world.now += Milliseconds { 1'600 };
+        world.dispatcher.onPeerMessages("y", {}, room, world.now);
+        world.dispatcher.submit(1, job, routeNamed("proof"), world.now);
+        CHECK(world.port.replies.size() == 1);
+    }
+}
+
 TEST_CASE("an upstream's new address reaches the links")
 {
     DispatcherWorld world;
