Number messages between VMs, and take a VM's life from replies only where it is news

Ruled out: a second submission of the job (a client sends again 1.3 s after a break, and both runs began within 4 ms of each other); a withdrawal that overtakes its request (one connection at a time, numbered).

Change: PeerChannel, pure and without a network, numbers messages rather than batches, keeps its numbers while a VM is away, and does not believe replies to batches made before another life was heard; PeerLinks acts on a batch or reply under the dispatcher's lock at one go.

--- a/packages/fleet/include/egrettrestle/fleet/peer_links.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/peer_links.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
 #include <condition_variable>
-#include <deque>
 #include <map>
 #include <memory>
 #include <mutex>
 #include <thread>
 
+#include <egrettrestle/decision/peer_channel.hpp>
 #include <egrettrestle/decision/view.hpp>
 #include <egrettrestle/fleet/fleet_node.hpp>
 #include <egrettrestle/http/client.hpp>
@@ -49,12 +49,13 @@
     struct Peer;
 
     HttpResponse receive(const HttpRequest& request);
-    DispatchReply take(const DispatchBatch& batch);
+    DispatchReply take(DispatchBatch batch);
     void sendLoop(const std::shared_ptr<Peer>& peer);
     DispatchBatch makeBatch(Peer& peer);
-    void onReply(Peer& peer, const DispatchReply& reply, std::size_t sent);
+    void onReply(Peer& peer, const DispatchReply& reply, const DispatchBatch& batch);
+    void noteReborn(const VmId& vm, std::uint64_t life, const char* seen);
+    PeerChannel& channel(const VmId& vm);
     void spawn(const std::shared_ptr<Peer>& peer);
-    bool noteLife(const VmId& vm, std::uint64_t life);
     Milliseconds keepAliveInterval(const Peer& peer) const;
 
     FleetNode& m_node;
@@ -63,11 +64,7 @@
     mutable std::mutex m_mutex;
     std::condition_variable m_ended;
     std::map<VmId, std::shared_ptr<Peer>> m_peers;
-    /// The present life of each VM that has spoken.
-    std::map<VmId, std::uint64_t> m_lives;
-    /// Number of the last batch taken from each VM's present life.
-    std::map<VmId, std::uint64_t> m_lastTaken;
-    std::map<VmId, TimePoint> m_heardAt;
+    std::map<VmId, PeerChannel> m_channels;
     Epoch m_epoch;
     int m_threads = 0;
     std::atomic<bool> m_stopping { false };
--- a/packages/fleet/src/peer_links.cpp
+++ b/packages/fleet/src/peer_links.cpp
@@ -21,24 +21,12 @@
     constexpr Milliseconds longestKeepAlive { 400 };
     constexpr Milliseconds longestSharingKeepAlive { 190 };
     constexpr Milliseconds retryPause { 40 };
-    // Messages older than this by the receiver's own clock are not acted on.
-    constexpr Milliseconds oldestMark = DispatcherLimits {}.oldestMessage;
     // Links to VMs that are no longer members go on for so long after the last word from them.
     constexpr Milliseconds formerMember { 3'000 };
     // What nobody acts on at once can wait this long for other messages: about as long as a short task lasts.
     constexpr Milliseconds patientWait { 50 };
     constexpr int mostConnections = 200;
 
-    std::uint64_t markAt(TimePoint time)
-    {
-        return static_cast<std::uint64_t>(toMilliseconds(time.time_since_epoch()).count());
-    }
-
-    bool isRecent(std::uint64_t mark, TimePoint now)
-    {
-        return markAt(now) <= mark + static_cast<std::uint64_t>(oldestMark.count());
-    }
-
 }
 
 /// The way to one VM.
@@ -46,17 +34,12 @@
     VmId id;
     std::string address;
     bool member = true;
+    PeerChannel* channel = nullptr;
     std::condition_variable wake;
-    std::deque<PeerMessage> outbox;
-    /// Whether something in the outbox must not wait.
+    /// Whether a message that waits must not wait longer.
     bool urgent = false;
-    std::uint64_t receiverLife = 0;
-    std::uint64_t mark = 0;
-    std::uint64_t sequence = 1;
     /// Whether tasks of one VM were at the other when the last batch was made.
     bool sharesTasks = false;
-    /// Messages of the batch that is on its way or has to be repeated.
-    std::size_t inBatch = 0;
     TimePoint lastSent;
     TimePoint answeredAt;
     TimePoint formerSince;
@@ -115,6 +98,7 @@
         }
         peer = std::make_shared<Peer>();
         peer->id = member.id;
+        peer->channel = &channel(member.id);
         peer->address = member.peerAddress;
         peer->answeredAt = bootNow();
         spawn(peer);
@@ -129,8 +113,10 @@
         sendLoop(peer);
         const std::lock_guard<std::mutex> lock(m_mutex);
         const auto found = m_peers.find(peer->id);
-        if (found != m_peers.end() && found->second == peer)
+        if (found != m_peers.end() && found->second == peer) {
+            peer->channel->drop();
             m_peers.erase(found);
+        }
         --m_threads;
         m_ended.notify_all();
     }).detach();
@@ -143,7 +129,7 @@
     if (found == m_peers.end())
         return;
     const bool urgent = !message.mayWait;
-    found->second->outbox.push_back(std::move(message));
+    found->second->channel->send(std::move(message));
     found->second->urgent = found->second->urgent || urgent;
     if (urgent)
         found->second->wake.notify_one();
@@ -152,12 +138,13 @@
 void PeerLinks::dropMessages(const VmId& vm)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    const auto found = m_peers.find(vm);
-    if (found == m_peers.end())
-        return;
-    found->second->outbox.clear();
-    found->second->inBatch = 0;
-    ++found->second->sequence;
+    channel(vm).drop();
+}
+
+/// Called with m_mutex held. A channel outlives the link: its numbers go on when a VM becomes a member again.
+PeerChannel& PeerLinks::channel(const VmId& vm)
+{
+    return m_channels.try_emplace(vm, m_node.life, ChannelLimits { DispatcherLimits {}.oldestMessage }).first->second;
 }
 
 /// Called with m_mutex held.
@@ -173,7 +160,6 @@
     DispatchService& dispatch = m_node.kernel.find<DispatchService>(fleetServices::dispatch);
     DispatchBatch batch;
     batch.from = m_node.settings.id;
-    batch.life = m_node.life;
     batch.address = m_node.settings.peerAddress;
     const std::shared_ptr<const Configuration> configuration = dispatch.configuration();
     batch.configurationVersion = configuration ? configuration->version : 0;
@@ -185,11 +171,8 @@
     });
     const std::lock_guard<std::mutex> lock(m_mutex);
     batch.epoch = m_epoch;
-    batch.receiverLife = peer.receiverLife;
-    batch.mark = peer.mark;
-    batch.sequence = peer.sequence;
-    peer.inBatch = peer.outbox.size();
-    batch.messages.assign(peer.outbox.begin(), peer.outbox.end());
+    batch.stamp = peer.channel->stamp();
+    batch.messages = peer.channel->messages();
     peer.urgent = false;
     peer.lastSent = bootNow();
     peer.sharesTasks = sharesTasks;
@@ -211,7 +194,7 @@
                 peer->wake.wait_for(lock, retryPause, [this] { return m_stopping.load(); });
             } else {
                 const Milliseconds sinceSent = toMilliseconds(now - peer->lastSent);
-                const Milliseconds interval = peer->outbox.empty() ? keepAliveInterval(*peer) : patientWait;
+                const Milliseconds interval = peer->channel->isEmpty() ? keepAliveInterval(*peer) : patientWait;
                 peer->wake.wait_for(lock, std::max(Milliseconds { 0 }, interval - sinceSent), [&] { return m_stopping || peer->urgent; });
             }
             address = peer->address;
@@ -225,7 +208,7 @@
         const std::optional<DispatchReply> reply = result.ok() && result.response.status == httpStatus::ok ? parseDispatchReply(result.response.body) : std::nullopt;
         repeat = !reply;
         if (reply) {
-            onReply(*peer, *reply, batch.messages.size());
+            onReply(*peer, *reply, batch);
             continue;
         }
         const std::lock_guard<std::mutex> lock(m_mutex);
@@ -233,32 +216,28 @@
     }
 }
 
-void PeerLinks::onReply(Peer& peer, const DispatchReply& reply, std::size_t sent)
+void PeerLinks::onReply(Peer& peer, const DispatchReply& reply, const DispatchBatch& batch)
 {
     DispatchService& dispatch = m_node.kernel.find<DispatchService>(fleetServices::dispatch);
-    bool reborn = false;
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        reborn = noteLife(peer.id, reply.life);
-        peer.receiverLife = reply.life;
-        peer.mark = reply.mark;
-        peer.answeredAt = bootNow();
-        peer.refusals = 0;
-        if (reply.taken && !reborn) {
-            const std::size_t done = std::min({ sent, peer.inBatch, peer.outbox.size() });
-            peer.outbox.erase(peer.outbox.begin(), peer.outbox.begin() + static_cast<std::ptrdiff_t>(done));
-            peer.inBatch = 0;
-            ++peer.sequence;
-        } else {
-            peer.urgent = !peer.outbox.empty();
+    PeerChannel::Answered answered;
+    // At one go: nothing may be sent to a new life as if it were the one before.
+    dispatch.with([&](Dispatcher& dispatcher, TimePoint now) {
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            answered = peer.channel->onReply(batch.stamp, batch.messages.size(), reply.channel);
+            if (!answered.counts)
+                return;
+            peer.answeredAt = now;
+            peer.refusals = 0;
+            peer.urgent = peer.urgent || (!reply.channel.taken && !peer.channel->isEmpty());
         }
-    }
-    if (reborn) {
-        m_node.log.write(events::vmReborn, { { "peer", peer.id }, { "life", static_cast<std::int64_t>(reply.life) }, { "seen", "reply" } });
-        dispatch.with([&](Dispatcher& dispatcher, TimePoint now) { dispatcher.onPeerReborn(peer.id, now); });
-    }
-    if (reply.taken)
-        dispatch.with([&](Dispatcher& dispatcher, TimePoint now) { dispatcher.onPeerAnswered(peer.id, now); });
+        if (answered.reborn)
+            dispatcher.onPeerReborn(peer.id, now);
+        if (reply.channel.taken)
+            dispatcher.onPeerAnswered(peer.id, now);
+    });
+    if (answered.reborn)
+        noteReborn(peer.id, reply.channel.life, "reply");
     const std::shared_ptr<const Configuration> configuration = dispatch.configuration();
     if (reply.configurationVersion > (configuration ? configuration->version : 0)) {
         const std::string text = fetchConfiguration(peer.address);
@@ -267,24 +246,9 @@
     }
 }
 
-/// Called with m_mutex held. True if an earlier life of the VM was known; what waited for that one is dropped.
-bool PeerLinks::noteLife(const VmId& vm, std::uint64_t life)
+void PeerLinks::noteReborn(const VmId& vm, std::uint64_t life, const char* seen)
 {
-    const auto known = m_lives.find(vm);
-    const bool reborn = known != m_lives.end() && known->second != life;
-    if (known != m_lives.end() && !reborn)
-        return false;
-    m_lives[vm] = life;
-    m_lastTaken[vm] = 0;
-    const auto peer = m_peers.find(vm);
-    if (peer == m_peers.end())
-        return reborn;
-    peer->second->receiverLife = life;
-    if (reborn) {
-        peer->second->outbox.clear();
-        peer->second->inBatch = 0;
-    }
-    return reborn;
+    m_node.log.write(events::vmReborn, { { "peer", vm }, { "life", static_cast<std::int64_t>(life) }, { "seen", seen } });
 }
 
 std::string PeerLinks::fetchConfiguration(const std::string& address)
@@ -306,61 +270,43 @@
         response.status = httpStatus::notFound;
         return response;
     }
-    const std::optional<DispatchBatch> batch = parseDispatchBatch(request.body, bootNow());
+    std::optional<DispatchBatch> batch = parseDispatchBatch(request.body, bootNow());
     if (!batch) {
         response.status = httpStatus::badRequest;
         return response;
     }
-    response.body = toText(take(*batch));
+    response.body = toText(take(std::move(*batch)));
     return response;
 }
 
-DispatchReply PeerLinks::take(const DispatchBatch& batch)
+DispatchReply PeerLinks::take(DispatchBatch batch)
 {
     DispatchService& dispatch = m_node.kernel.find<DispatchService>(fleetServices::dispatch);
     DispatchReply reply;
-    reply.life = m_node.life;
-    const TimePoint receivedAt = bootNow();
-    reply.mark = markAt(receivedAt);
+    reply.channel.life = m_node.life;
+    reply.channel.mark = PeerChannel::markAt(bootNow());
     const std::shared_ptr<const Configuration> configuration = dispatch.configuration();
     reply.configurationVersion = configuration ? configuration->version : 0;
-    bool reborn = false;
-    bool fresh = false;
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        reply.epoch = m_epoch;
-        if (batch.receiverLife != m_node.life || !isRecent(batch.mark, receivedAt))
-            return reply;
-        const auto known = m_lives.find(batch.from);
-        const bool earlierLife = known != m_lives.end() && batch.life < known->second && bootNow() - m_heardAt[batch.from] < oldestMark;
-        if (earlierLife)
-            return reply;
-        reborn = noteLife(batch.from, batch.life);
-        fresh = batch.sequence > m_lastTaken[batch.from];
-        if (fresh)
-            m_lastTaken[batch.from] = batch.sequence;
-        m_heardAt[batch.from] = bootNow();
-    }
-    if (reborn) {
-        m_node.log.write(events::vmReborn, { { "peer", batch.from }, { "life", static_cast<std::int64_t>(batch.life) }, { "seen", "batch" } });
-        dispatch.with([&](Dispatcher& dispatcher, TimePoint now) { dispatcher.onPeerReborn(batch.from, now); });
-    }
-    reply.taken = !fresh;
-    if (!fresh)
-        return reply;
-    // Checked once more at the moment at which it is acted on: the process may have stood still meanwhile.
+    PeerChannel::Taken taken;
+    // At one go: the process may have stood still since the batch came.
     dispatch.with([&](Dispatcher& dispatcher, TimePoint now) {
-        reply.taken = isRecent(batch.mark, now);
-        if (reply.taken)
-            dispatcher.onPeerMessages(batch.from, batch.messages, batch.room, now);
+        {
+            const std::lock_guard<std::mutex> lock(m_mutex);
+            reply.epoch = m_epoch;
+            taken = channel(batch.from).onBatch(batch.stamp, batch.messages.size(), now);
+        }
+        if (taken.reborn)
+            dispatcher.onPeerReborn(batch.from, now);
+        if (!taken.counts)
+            return;
+        batch.messages.erase(batch.messages.begin(), batch.messages.begin() + static_cast<std::ptrdiff_t>(taken.known));
+        dispatcher.onPeerMessages(batch.from, batch.messages, batch.room, now);
     });
-    if (reply.taken)
-        return reply;
-    m_node.log.write(events::staleBatch, { { "peer", batch.from }, { "messages", static_cast<std::int64_t>(batch.messages.size()) } });
-    // The sender repeats it.
-    const std::lock_guard<std::mutex> lock(m_mutex);
-    if (m_lastTaken[batch.from] == batch.sequence)
-        --m_lastTaken[batch.from];
+    reply.channel.taken = taken.counts;
+    if (taken.reborn)
+        noteReborn(batch.from, batch.stamp.life, "batch");
+    if (!taken.counts && batch.stamp.receiverLife == m_node.life)
+        m_node.log.write(events::staleBatch, { { "peer", batch.from }, { "messages", static_cast<std::int64_t>(batch.messages.size()) } });
     return reply;
 }
 
--- a/packages/wire/src/dispatch_messages.cpp
+++ b/packages/wire/src/dispatch_messages.cpp
@@ -180,13 +180,13 @@
 {
     json value {
         { "from", batch.from },
-        { "life", batch.life },
-        { "toLife", batch.receiverLife },
-        { "sequence", batch.sequence },
+        { "life", batch.stamp.life },
+        { "toLife", batch.stamp.receiverLife },
+        { "first", batch.stamp.firstMessage },
         { "address", batch.address },
         { "epoch", batch.epoch.value },
         { "configuration", batch.configurationVersion },
-        { "mark", batch.mark },
+        { "mark", batch.stamp.mark },
         { "room", roomJson(batch.room) },
     };
     json& messages = value["messages"] = json::array();
@@ -200,13 +200,13 @@
     return detail::parseMessage<DispatchBatch>(text, dispatchFamily, [now](ObjectReader& reader, std::vector<Fault>& faults) {
         DispatchBatch batch;
         batch.from = reader.text("from");
-        batch.life = reader.number("life");
-        batch.receiverLife = reader.number("toLife");
-        batch.sequence = reader.number("sequence");
+        batch.stamp.life = reader.number("life");
+        batch.stamp.receiverLife = reader.number("toLife");
+        batch.stamp.firstMessage = reader.number("first");
         batch.address = reader.text("address");
         batch.epoch.value = reader.number("epoch");
         batch.configurationVersion = reader.number("configuration");
-        batch.mark = reader.number("mark");
+        batch.stamp.mark = reader.number("mark");
         if (const json* room = reader.any("room")) {
             ObjectReader item(*room, reader.pointer("room"), dispatchFamily, faults);
             batch.room = readRoom(item, faults);
@@ -222,11 +222,11 @@
 std::string toText(const DispatchReply& reply)
 {
     return json {
-        { "life", reply.life },
+        { "life", reply.channel.life },
         { "epoch", reply.epoch.value },
         { "configuration", reply.configurationVersion },
-        { "mark", reply.mark },
-        { "taken", reply.taken },
+        { "mark", reply.channel.mark },
+        { "taken", reply.channel.taken },
     }
         .dump();
 }
@@ -235,11 +235,11 @@
 {
     return detail::parseMessage<DispatchReply>(text, dispatchFamily, [](ObjectReader& reader, std::vector<Fault>&) {
         DispatchReply reply;
-        reply.life = reader.number("life");
+        reply.channel.life = reader.number("life");
         reply.epoch.value = reader.number("epoch");
         reply.configurationVersion = reader.number("configuration");
-        reply.mark = reader.number("mark");
-        reply.taken = reader.flag("taken");
+        reply.channel.mark = reader.number("mark");
+        reply.channel.taken = reader.flag("taken");
         return reply;
     });
 }
--- a/tests/unit/unit-wire.cpp
+++ b/tests/unit/unit-wire.cpp
@@ -139,10 +139,9 @@
     const TimePoint now { std::chrono::hours { 1 } };
     DispatchBatch batch;
     batch.from = "a";
-    batch.life = 7;
-    batch.sequence = 3;
-    batch.mark = 99;
+    batch.stamp = { 7, 8, 99, 3 };
     batch.room.ordinaryNeed = { 27'000, 64, 1 };
+    batch.room.completeUnder = { 4 };
     batch.room.kinds.push_back({ "print", "a", 2, 8, 1.5 });
     batch.room.queues.push_back({ "print", 1, 4, Milliseconds { 400 } });
     RunRequest request;
@@ -172,6 +171,11 @@
         CHECK(again->messages[3].returned->reason == ReturnReason::Superseded);
         CHECK(again->messages[4].withdrawn->onlyIfWaiting);
         CHECK(again->messages[5].claim->epoch.value == 6);
+        CHECK(again->stamp.life == 7);
+        CHECK(again->stamp.receiverLife == 8);
+        CHECK(again->stamp.mark == 99);
+        CHECK(again->stamp.firstMessage == 3);
+        CHECK(again->room.completeUnder.value == 4);
         CHECK(again->room.kinds[0].slowness == Approx(1.5));
         CHECK(again->room.ordinaryNeed == batch.room.ordinaryNeed);
     }
