End a VM within its grace: last answers to all callers, waits that end side by side

Ruled out: jobs taken after the signal that cannot end (they are refused, draining-refusal).

Change: at the last moment for answers every job is given up, or refused where owners say that nothing ran; services are told of the end before any is waited for; a watch during the end lasts until the last answer. With it: owners tell a silent executor what they dropped from their queue (it would have waited until its deadline), tell nobody where the executor has started again (its new life may have the same run number), and do not start a run beside one of the same number.

--- a/packages/decision/include/egrettrestle/decision/dispatcher.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatcher.hpp
@@ -69,6 +69,8 @@
     void submit(CallerTicket ticket, const DispatchJob& request, const Route& route, TimePoint now);
     void callerLeft(CallerTicket ticket, TimePoint now);
     bool cancel(const std::string& job, TimePoint now);
+    /// Gives up or refuses every job: this VM ends.
+    void endJobs(TimePoint now);
     /// @}
     /// @name peers
     /// @{
--- a/packages/decision/include/egrettrestle/decision/job_executor.hpp
+++ b/packages/decision/include/egrettrestle/decision/job_executor.hpp
@@ -118,6 +118,9 @@
     /// Cancels a job by its id. False if it is not at work here.
     bool cancel(const std::string& job, TimePoint now);
 
+    /// Gives up or refuses every job: this VM ends.
+    void endAll(TimePoint now);
+
     /// @}
     /// @name owners
     /// @{
--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -64,6 +64,10 @@
     void heardFrom(const VmId& executor, TimePoint now) { m_heard[executor] = now; }
     /// Stops everything of an executor that is gone.
     void dropExecutor(const VmId& executor, TimePoint now);
+
+    /// Another life of an executor speaks, which knows nothing of what the one before asked for: that is stopped, and
+    /// nobody is told.
+    void executorReborn(const VmId& executor, TimePoint now);
     /// @}
     /// @name upstreams
     /// @{
@@ -140,6 +144,7 @@
     void takeEarlyClaims(const UpstreamId& upstream, TimePoint now);
     OwnedUpstream* find(const UpstreamId& upstream);
     void insertWaiting(Waiting waiting);
+    std::vector<TaskRun> takeWaiting(const VmId& executor);
 
     OwnerPort& m_port;
     OwnerLimits m_limits;
--- a/packages/decision/src/dispatcher.cpp
+++ b/packages/decision/src/dispatcher.cpp
@@ -134,6 +134,12 @@
     return cancelled;
 }
 
+void Dispatcher::endJobs(TimePoint now)
+{
+    m_executor.endAll(now);
+    deliverLocal(now);
+}
+
 void Dispatcher::onPeerMessages(const VmId& vm, const std::vector<PeerMessage>& messages, const RoomReport& room, TimePoint now)
 {
     PeerState& peer = m_peers.emplace(vm, PeerState { now, now }).first->second;
@@ -166,7 +172,7 @@
 {
     m_peers[vm] = { now, now };
     m_rooms.forget(vm);
-    m_owner.dropExecutor(vm, now);
+    m_owner.executorReborn(vm, now);
     m_executor.onOwnerReborn(vm, now);
     deliverLocal(now);
 }
--- a/packages/decision/src/job_executor.cpp
+++ b/packages/decision/src/job_executor.cpp
@@ -205,6 +205,24 @@
     return true;
 }
 
+void JobExecutor::endAll(TimePoint now)
+{
+    std::vector<std::string> ids;
+    for (auto& entry : m_jobs) {
+        Job& job = entry.second;
+        ids.push_back(entry.first);
+        for (const auto& restart : job.restarts) {
+            m_tickets.erase(restart.first);
+            m_port.reply(restart.first, { JobOutcome::GaveUp, Milliseconds { 0 }, "vm-ending" });
+        }
+        job.restarts.clear();
+        if (!job.ending)
+            end(job, job.anyStarted ? JobOutcome::GaveUp : JobOutcome::Refused, "vm-ending", now);
+    }
+    for (const std::string& id : ids)
+        settle(id, now);
+}
+
 JobExecutor::Task* JobExecutor::findTask(const TaskRun& run, const VmId& owner, Job*& job)
 {
     const auto entry = m_jobs.find(run.task.job);
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -267,7 +267,9 @@
 
 void UpstreamOwner::dropExecutor(const VmId& executor, TimePoint now)
 {
-    m_queue.erase(std::remove_if(m_queue.begin(), m_queue.end(), [&executor](const Waiting& entry) { return entry.executor == executor; }), m_queue.end());
+    // If it is alive after all, it learns of each of its tasks what became of it.
+    for (const TaskRun& run : takeWaiting(executor))
+        returnRun(executor, run, ReturnReason::Withdrawn);
     for (auto& entry : m_upstreams) {
         for (auto& run : entry.second.runs) {
             if (run.second.executor == executor)
@@ -276,6 +278,35 @@
     }
 }
 
+void UpstreamOwner::executorReborn(const VmId& executor, TimePoint now)
+{
+    takeWaiting(executor);
+    for (auto& entry : m_upstreams) {
+        for (auto& run : entry.second.runs) {
+            if (run.second.executor != executor)
+                continue;
+            stopRun(entry.second, run.second, StopCause::ExecutorGone, now);
+            // Its present life may have a run of the same job and number.
+            run.second.executor.clear();
+        }
+    }
+}
+
+/// Takes what waits for an executor out of the queue.
+std::vector<TaskRun> UpstreamOwner::takeWaiting(const VmId& executor)
+{
+    std::vector<TaskRun> taken;
+    for (auto entry = m_queue.begin(); entry != m_queue.end();) {
+        if (entry->executor == executor) {
+            taken.push_back(entry->request.run);
+            entry = m_queue.erase(entry);
+        } else {
+            ++entry;
+        }
+    }
+    return taken;
+}
+
 std::optional<LookOrder> UpstreamOwner::nextLook(const UpstreamId& upstream, TimePoint now)
 {
     OwnedUpstream* owned = find(upstream);
@@ -665,7 +696,8 @@
         const bool matches = upstream.info.service == request.service && hasLabel(upstream.info, request.requiredLabel);
         if (!matches || !takesRuns(upstream, m_limits, now) || !fits(request.need, upstream.available()) || !mayGrant(upstream, now))
             continue;
-        if (std::find(request.avoid.begin(), request.avoid.end(), entry.first) != request.avoid.end())
+        // A run of the same number may be left there of an earlier submission of the job.
+        if (std::find(request.avoid.begin(), request.avoid.end(), entry.first) != request.avoid.end() || upstream.runs.count(request.run) > 0)
             continue;
         if (request.maxPerUpstream > 0 && runsOfStep(upstream, request.run.task) >= request.maxPerUpstream)
             continue;
--- a/packages/fleet/include/egrettrestle/fleet/caller_front.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/caller_front.hpp
@@ -15,6 +15,7 @@
 
     std::string name() const override { return fleetServices::callerFront; }
     absl::Status start() override;
+    void prepareStop() override;
     void stop() override;
 
     /// Ends each connection with its next reply, so that callers turn to other VMs.
--- a/packages/fleet/include/egrettrestle/fleet/membership.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/membership.hpp
@@ -18,6 +18,7 @@
 
     std::string name() const override { return fleetServices::membership; }
     absl::Status start() override;
+    void prepareStop() override { m_stopping = true; }
     void stop() override;
 
     /// Takes an entry of the store that belongs to egrettrestle.
--- a/packages/fleet/include/egrettrestle/fleet/peer_links.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/peer_links.hpp
@@ -32,6 +32,7 @@
 
     std::string name() const override { return fleetServices::peerLinks; }
     absl::Status start() override;
+    void prepareStop() override;
     void stop() override;
 
     /// Keeps links to the members of a view; links to former members go on for a while.
--- a/packages/fleet/include/egrettrestle/fleet/store_feed.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/store_feed.hpp
@@ -18,6 +18,7 @@
 
     std::string name() const override { return fleetServices::storeFeed; }
     absl::Status start() override;
+    void prepareStop() override { m_stopping = true; }
     void stop() override;
 
     /// Takes a configuration in that a peer has in force.
--- a/packages/fleet/include/egrettrestle/fleet/upstream_links.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/upstream_links.hpp
@@ -21,6 +21,7 @@
 
     std::string name() const override { return fleetServices::upstreamLinks; }
     absl::Status start() override { return absl::OkStatus(); }
+    void prepareStop() override { setOwned({}); }
     void stop() override;
 
     /// Follows the upstreams that are owned now.
--- a/packages/fleet/src/caller_front.cpp
+++ b/packages/fleet/src/caller_front.cpp
@@ -57,6 +57,14 @@
     return m_metrics->start();
 }
 
+void CallerFront::prepareStop()
+{
+    for (HttpServer* server : { m_callers.get(), m_ready.get(), m_metrics.get() }) {
+        if (server)
+            server->prepareStop();
+    }
+}
+
 void CallerFront::stop()
 {
     if (m_callers)
--- a/packages/fleet/src/fleet_daemon.cpp
+++ b/packages/fleet/src/fleet_daemon.cpp
@@ -18,6 +18,8 @@
     constexpr Milliseconds balancerNotice { 2'300 };
     // Kept back from the grace for the end of the process itself.
     constexpr Milliseconds endMargin { 900 };
+    // Jobs that are given up at the end: the owners' word on what has not begun takes a message each way.
+    constexpr Milliseconds lastWordTime { 200 };
 
     std::uint64_t lifeNumber()
     {
@@ -29,6 +31,12 @@
         return kernel.find<DispatchService>(fleetServices::dispatch).with([](Dispatcher& dispatcher, TimePoint) { return dispatcher.jobs(); });
     }
 
+    void waitForJobs(FleetNode& node, TimePoint end)
+    {
+        while (bootNow() < end && jobsInFlight(node.kernel) > 0)
+            std::this_thread::sleep_for(stopPoll);
+    }
+
     void finishJobs(FleetNode& node)
     {
         const TimePoint asked = bootNow();
@@ -40,9 +48,9 @@
         while (bootNow() < noticed)
             std::this_thread::sleep_for(stopPoll);
         node.kernel.find<CallerFront>(fleetServices::callerFront).sendCallersAway();
-        const TimePoint last = asked + node.settings.stopGrace - endMargin;
-        while (bootNow() < last && jobsInFlight(node.kernel) > 0)
-            std::this_thread::sleep_for(stopPoll);
+        waitForJobs(node, node.lastAnswer);
+        node.kernel.find<DispatchService>(fleetServices::dispatch).with([](Dispatcher& dispatcher, TimePoint now) { dispatcher.endJobs(now); });
+        waitForJobs(node, bootNow() + lastWordTime);
     }
 
 }
--- a/packages/fleet/src/peer_links.cpp
+++ b/packages/fleet/src/peer_links.cpp
@@ -65,13 +65,21 @@
     return m_server->start();
 }
 
-void PeerLinks::stop()
+void PeerLinks::prepareStop()
 {
     m_stopping = true;
+    if (m_server)
+        m_server->prepareStop();
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    for (const auto& entry : m_peers)
+        entry.second->wake.notify_all();
+}
+
+void PeerLinks::stop()
+{
+    prepareStop();
     {
         std::unique_lock<std::mutex> lock(m_mutex);
-        for (const auto& entry : m_peers)
-            entry.second->wake.notify_all();
         m_ended.wait(lock, [this] { return m_threads == 0; });
     }
     if (m_server)
--- a/packages/fleet/src/store_feed.cpp
+++ b/packages/fleet/src/store_feed.cpp
@@ -12,6 +12,8 @@
     constexpr Milliseconds heartbeatGather { 500 };
     // A watch goes on until it fails.
     constexpr Milliseconds watchLength { 3'600'000 };
+    // After the last answer of a VM that ends, changes are of no use to it.
+    constexpr Milliseconds shortestWatch { 50 };
 
     bool startsWith(const std::string& text, const std::string& prefix)
     {
@@ -60,7 +62,11 @@
         if (status.ok()) {
             complete = true;
             storeAnswers(stream);
-            status = m_node.site.store->watch(stream.prefix, stream.revision + 1, watchLength, stream.gatherTime, m_stopping, [this, &stream](const StoreEntry& entry) {
+            // A VM that ends must not be kept by a watch: the one under way is given up, the next end with its last answer.
+            const bool leaving = m_node.leaving;
+            const Milliseconds left = std::max(shortestWatch, toMilliseconds(m_node.lastAnswer.load() - bootNow()));
+            const std::atomic<bool>& stop = leaving ? m_stopping : m_node.leaving;
+            status = m_node.site.store->watch(stream.prefix, stream.revision + 1, leaving ? left : watchLength, stream.gatherTime, stop, [this, &stream](const StoreEntry& entry) {
                 storeAnswers(stream);
                 stream.revision = std::max(stream.revision, entry.modRevision);
                 take(stream, entry);
--- a/packages/http/include/egrettrestle/http/server.hpp
+++ b/packages/http/include/egrettrestle/http/server.hpp
@@ -51,6 +51,9 @@
     /// From now on idle connections are closed and each reply ends its connection, so that clients turn elsewhere.
     void closeAfterReplies();
 
+    /// Lets connections end as soon as they are idle; does not wait for them.
+    void prepareStop();
+
     /// Accepts no more connections, lets requests in flight finish and closes all connections.
     void stop();
 
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -261,6 +261,11 @@
     m_state->shared->closing = true;
 }
 
+void HttpServer::prepareStop()
+{
+    m_state->shared->stopping = true;
+}
+
 void HttpServer::stop()
 {
     if (!m_state->server)
--- a/packages/kernel/include/egrettrestle/kernel/kernel.hpp
+++ b/packages/kernel/include/egrettrestle/kernel/kernel.hpp
@@ -19,6 +19,10 @@
     /// Begins to work. Everything added earlier has started. An error keeps the daemon from starting.
     virtual absl::Status start() = 0;
 
+    /// Tells the service that it will be stopped, so that its waits end early. Called for all services before any is
+    /// stopped; does not wait.
+    virtual void prepareStop() { }
+
     /// Ends work, without new requests but with those in flight finished. Everything added later has stopped.
     virtual void stop() = 0;
 };
--- a/packages/kernel/src/kernel.cpp
+++ b/packages/kernel/src/kernel.cpp
@@ -24,6 +24,8 @@
 
 void Kernel::stop()
 {
+    for (std::size_t service = m_started; service > 0; --service)
+        m_services[service - 1]->prepareStop();
     while (m_started > 0)
         m_services[--m_started]->stop();
 }
--- a/tests/unit/unit-job-executor.cpp
+++ b/tests/unit/unit-job-executor.cpp
@@ -453,3 +453,38 @@
     CHECK(world.port.replies[0].reply.outcome == JobOutcome::GaveUp);
     CHECK(world.port.sent.back().message.withdrawn);
 }
+
+TEST_CASE("executor that ends answers every job")
+{
+    // Pattern: VMs restarted in turn while long jobs run; what is cut off unanswered keeps its caller waiting.
+    ExecutorWorld world;
+    world.submit(jobOf("j", 1));
+    const RunRequest request = world.request(0);
+
+    SECTION("gives up those of which something may have run, at once")
+    {
+        world.executor.onStarted("x", { request.run, "u", { 1 } }, world.now);
+        world.executor.endAll(world.now);
+        REQUIRE(world.port.replies.size() == 1);
+        CHECK(world.port.replies[0].reply.outcome == JobOutcome::GaveUp);
+    }
+
+    SECTION("refuses the others once the owner has said that nothing ran")
+    {
+        world.executor.endAll(world.now);
+        CHECK(world.port.replies.empty());
+        world.executor.onReturned("x", { request.run, ReturnReason::Withdrawn }, world.now);
+        REQUIRE(world.port.replies.size() == 1);
+        CHECK(world.port.replies[0].reply.outcome == JobOutcome::Refused);
+    }
+
+    SECTION("and callers that sent a job again while it was being stopped")
+    {
+        world.executor.onStarted("x", { request.run, "u", { 1 } }, world.now);
+        world.executor.cancel("j", world.now);
+        world.submit(jobOf("j", 1), 2);
+        world.executor.endAll(world.now);
+        REQUIRE(world.port.replies.size() == 2);
+        CHECK(world.port.replies[1].ticket == 2);
+    }
+}
--- a/tests/unit/unit-upstream-owner.cpp
+++ b/tests/unit/unit-upstream-owner.cpp
@@ -376,6 +376,29 @@
         CHECK(world.port.stops[0].run == run);
     }
 
+    SECTION("what waits for a silent executor, which learns of it")
+    {
+        // Pattern: a cut of about a second; what is dropped unsaid would stand still until the job's deadline.
+        world.owner.request("x", requestFor("waiting", 0, world.now + Seconds { 1 }, 60'000), world.now);
+        world.port.told.clear();
+        world.owner.dropExecutor("x", world.now);
+        CHECK(world.owner.queued() == 0);
+        REQUIRE(world.port.told.size() == 1);
+        CHECK(world.port.told[0].message.returned->reason == ReturnReason::Withdrawn);
+        CHECK(world.port.told[0].message.returned->run.task.job == "waiting");
+    }
+
+    SECTION("of an executor that has started again, whose new life is not told: it may have a run of the same number")
+    {
+        world.owner.request("x", requestFor("waiting", 0, world.now + Seconds { 1 }, 60'000), world.now);
+        world.port.told.clear();
+        world.owner.executorReborn("x", world.now);
+        CHECK(world.owner.queued() == 0);
+        REQUIRE(world.port.stops.size() == 1);
+        world.look(world.reply({}, { { 1, run, RunEnd::Stopped } }));
+        CHECK(world.port.told.empty());
+    }
+
     SECTION("a run that is withdrawn")
     {
         world.owner.withdraw("x", { run, false, "u1" }, world.now);
