Send tasks whose rack matters to owners of upstreams there

Cause: SameRack was read and not placed by, and a step with Affinity went to the nearest owner with room whether or not it had an upstream in the rack, so its tasks took FarX as long.

Change: the room table knows where upstreams are; a task whose rack matters goes to an owner with upstreams there while one has room, else elsewhere. The tasks of a SameRack step get one rack, the roomiest by the owners' room. Owners prefer upstreams of the rack as before.

Shown by unit-placement and unit-job-executor, both without a network.

--- a/packages/decision/include/egrettrestle/decision/job_executor.hpp
+++ b/packages/decision/include/egrettrestle/decision/job_executor.hpp
@@ -137,7 +137,11 @@
     void onOwnerChanged(const UpstreamId& upstream, const VmId& owner, TimePoint now);
 
     /// An upstream is known no more.
-    void forgetOwner(const UpstreamId& upstream) { m_owners.erase(upstream); }
+    void forgetOwner(const UpstreamId& upstream)
+    {
+        m_owners.erase(upstream);
+        m_rooms.forgetPlace(upstream);
+    }
 
     /// An owner is silent for so long that nothing it ran for this VM is at work.
     void onOwnerLost(const VmId& owner, TimePoint now);
@@ -201,6 +205,8 @@
         TimePoint deadline;
         std::vector<CallerTicket> callers;
         std::vector<Task> tasks;
+        /// Where the tasks of a step go that are faster together or beside their data; by step, empty where it is all one.
+        std::vector<std::string> racks;
         bool anyStarted = false;
         /// Set once the answer is decided: what is still out is taken back.
         bool ending = false;
@@ -222,6 +228,7 @@
     void refuse(CallerTicket ticket, const DispatchJob& request, const Route& route, const Forecast& forecast, const std::string& reason);
     void unblockSteps(Job& job);
     void sendUnsent(Job& job, TimePoint now);
+    const std::string& rackOf(Job& job, std::uint32_t step) const;
     void sendTask(Job& job, Task& task, const VmId& owner, TimePoint now);
     void withdrawTask(const Job& job, Task& task, bool onlyIfWaiting);
     void resend(Job& job, Task& task, TimePoint now);
--- a/packages/decision/include/egrettrestle/decision/room_table.hpp
+++ b/packages/decision/include/egrettrestle/decision/room_table.hpp
@@ -47,9 +47,18 @@
 
     RoomTotals totals(const std::string& service, int priority) const;
 
+    /// Learns where an upstream is and who owns it.
+    void place(const UpstreamInfo& upstream, const VmId& owner);
+    void forgetPlace(const UpstreamId& upstream) { m_places.erase(upstream); }
+
+    /// The rack whose upstreams of a service have the most room, as far as their owners' room tells; empty if none is
+    /// known.
+    std::string roomiestRack(const std::string& service) const;
+
     /// The owner for one more task: `self` while it has room, else the near one with the most room, else any one with the
-    /// most room, else the one with the shortest queue for its size. Owners in `except` are passed over.
-    std::optional<VmId> pick(const VmId& self, const std::string& service, const std::vector<VmId>& except) const;
+    /// most room, else the one with the shortest queue for its size. Owners in `except` are passed over. For a task whose
+    /// rack matters, owners of upstreams there take the place of `self` and of those near.
+    std::optional<VmId> pick(const VmId& self, const std::string& service, const std::vector<VmId>& except, const std::string& rack = {}) const;
 
     /// An owner other than `except` that has room at once.
     std::optional<VmId> withRoom(const std::string& service, const VmId& except) const;
@@ -61,12 +70,20 @@
         bool reachable = true;
     };
 
+    struct Place {
+        VmId owner;
+        std::string service;
+        std::string rack;
+    };
+
+    std::set<VmId> ownersIn(const std::string& service, const std::string& rack) const;
     static std::int64_t freeIn(const Entry& entry, const std::string& service);
     static std::int64_t totalIn(const Entry& entry, const std::string& service);
     static std::int64_t queuedIn(const Entry& entry, const std::string& service);
 
     std::map<VmId, Entry> m_owners;
     std::set<VmId> m_near;
+    std::map<UpstreamId, Place> m_places;
 };
 
 } // namespace egrettrestle
--- a/packages/decision/src/dispatcher.cpp
+++ b/packages/decision/src/dispatcher.cpp
@@ -89,6 +89,8 @@
 std::optional<VmId> Dispatcher::assignOwner(const UpstreamInfo& upstream, TimePoint now)
 {
     std::optional<VmId> owner = ownerOf(m_view, upstream);
+    if (owner)
+        m_rooms.place(upstream, *owner);
     if (owner == m_self)
         m_owner.own(upstream, { m_view.epoch.value }, now);
     else if (m_owner.owns(upstream.id))
--- a/packages/decision/src/job_executor.cpp
+++ b/packages/decision/src/job_executor.cpp
@@ -139,13 +139,23 @@
         if (task.state != TaskState::Unsent || job.ending)
             continue;
         const bool unfit = owner && std::find(task.unfitOwners.begin(), task.unfitOwners.end(), *owner) != task.unfitOwners.end();
-        if (!owner || unfit || m_rooms.freeAt(*owner, job.route.service) <= 0)
-            owner = m_rooms.pick(m_self, job.route.service, task.unfitOwners);
+        const std::string& rack = rackOf(job, task.step);
+        if (!owner || unfit || !rack.empty() || m_rooms.freeAt(*owner, job.route.service) <= 0)
+            owner = m_rooms.pick(m_self, job.route.service, task.unfitOwners, rack);
         if (owner)
             sendTask(job, task, *owner, now);
     }
 }
 
+const std::string& JobExecutor::rackOf(Job& job, std::uint32_t step) const
+{
+    const JobStep& wanted = job.request.steps[step];
+    job.racks.resize(job.request.steps.size());
+    if (job.racks[step].empty())
+        job.racks[step] = wanted.dataRack.empty() && wanted.sameRack && wanted.count > 1 ? m_rooms.roomiestRack(job.route.service) : wanted.dataRack;
+    return job.racks[step];
+}
+
 void JobExecutor::sendTask(Job& job, Task& task, const VmId& owner, TimePoint now)
 {
     const JobStep& step = job.request.steps[task.step];
@@ -168,7 +178,7 @@
     request.expected = m_runTimes.expected(job.route.name, step.estimate);
     request.latestStart = std::max(now, job.deadline - scaled(request.expected, m_limits.shortestShare));
     request.requiredLabel = step.requiredLabel;
-    request.dataRack = step.dataRack;
+    request.dataRack = rackOf(job, task.step);
     request.maxPerUpstream = step.maxPerUpstream;
     request.avoid = task.avoid;
     m_rooms.countRequest(owner);
--- a/packages/decision/src/room_table.cpp
+++ b/packages/decision/src/room_table.cpp
@@ -94,10 +94,43 @@
     return totals;
 }
 
-std::optional<VmId> RoomTable::pick(const VmId& self, const std::string& service, const std::vector<VmId>& except) const
+void RoomTable::place(const UpstreamInfo& upstream, const VmId& owner)
+{
+    m_places[upstream.id] = { owner, upstream.service, upstream.rack };
+}
+
+std::set<VmId> RoomTable::ownersIn(const std::string& service, const std::string& rack) const
+{
+    std::set<VmId> owners;
+    for (const auto& entry : m_places) {
+        if (entry.second.service == service && entry.second.rack == rack)
+            owners.insert(entry.second.owner);
+    }
+    return owners;
+}
+
+std::string RoomTable::roomiestRack(const std::string& service) const
+{
+    std::map<VmId, std::int64_t> upstreams;
+    for (const auto& entry : m_places)
+        upstreams[entry.second.owner] += entry.second.service == service ? 1 : 0;
+    std::map<std::string, double> room;
+    for (const auto& entry : m_places) {
+        const Place& place = entry.second;
+        if (place.service == service)
+            room[place.rack] += static_cast<double>(std::max<std::int64_t>(0, freeAt(place.owner, service))) / static_cast<double>(upstreams[place.owner]);
+    }
+    const auto roomiest = std::max_element(room.begin(), room.end(), [](const auto& left, const auto& right) { return left.second < right.second; });
+    return roomiest == room.end() ? std::string() : roomiest->first;
+}
+
+std::optional<VmId> RoomTable::pick(const VmId& self, const std::string& service, const std::vector<VmId>& except, const std::string& rack) const
 {
     const auto passedOver = [&except](const VmId& id) { return std::find(except.begin(), except.end(), id) != except.end(); };
-    if (freeAt(self, service) > 0 && !passedOver(self))
+    const std::set<VmId> inRack = rack.empty() ? std::set<VmId> {} : ownersIn(service, rack);
+    const std::set<VmId>& preferred = inRack.empty() ? m_near : inRack;
+    const bool selfFirst = inRack.empty() || inRack.count(self) > 0;
+    if (selfFirst && freeAt(self, service) > 0 && !passedOver(self))
         return self;
     std::optional<VmId> roomiest;
     std::int64_t mostFree = 0;
@@ -110,7 +143,7 @@
         if (!entry.reachable || total == 0 || passedOver(owner.first))
             continue;
         const std::int64_t free = freeIn(entry, service);
-        const bool near = m_near.count(owner.first) > 0;
+        const bool near = preferred.count(owner.first) > 0;
         const bool better = near == roomiestIsNear ? free > mostFree : near;
         if (free > 0 && better) {
             mostFree = free;
--- a/tests/unit/unit-job-executor.cpp
+++ b/tests/unit/unit-job-executor.cpp
@@ -488,3 +488,22 @@
         CHECK(world.port.replies[1].ticket == 2);
     }
 }
+
+TEST_CASE("executor keeps the tasks of a step together that are faster on one rack")
+{
+    ExecutorWorld world;
+    UpstreamInfo upstream = upstreamNamed("u1");
+    world.rooms.place(upstream, "x");
+    upstream = upstreamNamed("u2");
+    upstream.rack = "r2";
+    world.rooms.place(upstream, "y");
+    world.rooms.update("y", roomFor(6, 8));
+    DispatchJob job = jobOf("j", 3);
+    job.steps[0].sameRack = true;
+    world.submit(job);
+    REQUIRE(world.port.sent.size() == 3);
+    for (const Told& told : world.port.sent) {
+        CHECK(told.vm == "y");
+        CHECK(told.message.request->dataRack == "r2");
+    }
+}
--- a/tests/unit/unit-placement.cpp
+++ b/tests/unit/unit-placement.cpp
@@ -101,6 +101,46 @@
     }
 }
 
+TEST_CASE("room table where the rack matters")
+{
+    // Pattern: tasks that take several times as long away from their data or from each other.
+    RoomTable rooms;
+    rooms.setNear({ "x", "y" });
+    rooms.update("x", roomFor(2, 8));
+    rooms.update("y", roomFor(6, 8));
+    rooms.update("z", roomFor(3, 8));
+    const auto place = [&rooms](const UpstreamId& id, const std::string& rack, const VmId& owner) {
+        UpstreamInfo upstream = upstreamNamed(id);
+        upstream.rack = rack;
+        rooms.place(upstream, owner);
+    };
+    place("u1", "r1", "x");
+    place("u2", "r2", "z");
+    place("u3", "r2", "z");
+    place("u4", "r3", "y");
+
+    SECTION("an owner of upstreams there comes before this VM and those near")
+    {
+        CHECK(rooms.pick("x", "print", {}, "r2") == "z");
+        CHECK(rooms.pick("x", "print", {}, "r1") == "x");
+    }
+
+    SECTION("elsewhere is better than nowhere")
+    {
+        rooms.update("z", roomFor(0, 8));
+        CHECK(rooms.pick("x", "print", {}, "r2") == "y");
+        CHECK(rooms.pick("x", "print", {}, "r9") == "x");
+    }
+
+    SECTION("the roomiest rack is that with the most room at its owners")
+    {
+        CHECK(rooms.roomiestRack("print") == "r3");
+        rooms.forgetPlace("u4");
+        CHECK(rooms.roomiestRack("print") == "r2");
+        CHECK(rooms.roomiestRack("scan").empty());
+    }
+}
+
 TEST_CASE("learned run times")
 {
     RunTimes times;
