Count an owner's late refusal of messages as word from it; explore messages between VMs

Cause of two runs of a task at a time: an owner out of processor time answers batches, but so late that it takes none (they are older than 600 ms by its mark). Each such reply carries a fresh mark, under which the next batch is taken; yet the wait until the owner counts as lost ran on from the last reply with messages taken. So a request could be taken just before that wait ended, and the run was started anew elsewhere.

Change: every reply that counts begins the wait anew; only messages taken make an owner one that gets new work.

--- a/packages/decision/include/egrettrestle/decision/dispatcher.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatcher.hpp
@@ -75,8 +75,9 @@
     /// @name peers
     /// @{
     void onPeerMessages(const VmId& vm, const std::vector<PeerMessage>& messages, const RoomReport& room, TimePoint now);
-    /// A message to a VM was answered.
-    void onPeerAnswered(const VmId& vm, TimePoint now);
+    /// A batch to a VM was answered, and its messages taken or not. Also a reply to messages that came too late carries a
+    /// mark under which later ones are taken, so the wait until the VM counts as lost begins anew.
+    void onPeerAnswered(const VmId& vm, bool taken, TimePoint now);
     /// Another life of a VM speaks: everything before is gone.
     void onPeerReborn(const VmId& vm, TimePoint now);
     /// Whether tasks of this VM are at the other one, or the other way round.
@@ -114,6 +115,8 @@
     struct PeerState {
         TimePoint heardAt {};
         TimePoint answeredAt {};
+        /// When messages were last taken.
+        TimePoint takenAt {};
         std::uint64_t requestsSeen = 0;
         bool dropped = false;
         bool lost = false;
--- a/packages/decision/src/dispatcher.cpp
+++ b/packages/decision/src/dispatcher.cpp
@@ -144,7 +144,7 @@
 
 void Dispatcher::onPeerMessages(const VmId& vm, const std::vector<PeerMessage>& messages, const RoomReport& room, TimePoint now)
 {
-    PeerState& peer = m_peers.emplace(vm, PeerState { now, now }).first->second;
+    PeerState& peer = m_peers.emplace(vm, PeerState { now, now, now }).first->second;
     peer.heardAt = now;
     peer.dropped = false;
     m_owner.heardFrom(vm, now);
@@ -162,17 +162,20 @@
     deliverLocal(now);
 }
 
-void Dispatcher::onPeerAnswered(const VmId& vm, TimePoint now)
+void Dispatcher::onPeerAnswered(const VmId& vm, bool taken, TimePoint now)
 {
-    PeerState& peer = m_peers.emplace(vm, PeerState { now, now }).first->second;
+    PeerState& peer = m_peers.emplace(vm, PeerState { now, now, now }).first->second;
     peer.answeredAt = now;
     peer.lost = false;
+    if (!taken)
+        return;
+    peer.takenAt = now;
     m_rooms.setReachable(vm, true);
 }
 
 void Dispatcher::onPeerReborn(const VmId& vm, TimePoint now)
 {
-    m_peers[vm] = { now, now };
+    m_peers[vm] = { now, now, now };
     m_rooms.forget(vm);
     m_owner.executorReborn(vm, now);
     m_executor.onOwnerReborn(vm, now);
@@ -252,7 +255,7 @@
             peer.dropped = true;
             m_owner.dropExecutor(entry.first, now);
         }
-        if (now - std::min(peer.answeredAt, peer.heardAt) > m_limits.peerSilence)
+        if (now - std::min(peer.takenAt, peer.heardAt) > m_limits.peerSilence)
             m_rooms.setReachable(entry.first, false);
         if (!peer.lost && now - peer.answeredAt > ownerLostAfter(m_limits)) {
             peer.lost = true;
--- a/packages/fleet/src/peer_links.cpp
+++ b/packages/fleet/src/peer_links.cpp
@@ -241,8 +241,7 @@
         }
         if (answered.reborn)
             dispatcher.onPeerReborn(peer.id, now);
-        if (reply.channel.taken)
-            dispatcher.onPeerAnswered(peer.id, now);
+        dispatcher.onPeerAnswered(peer.id, reply.channel.taken, now);
     });
     if (answered.reborn)
         noteReborn(peer.id, reply.channel.life, "reply");
--- a/tests/model/dispatch_world.cpp
+++ b/tests/model/dispatch_world.cpp
@@ -16,6 +16,9 @@
     constexpr Milliseconds longestLease { 1'000 };
     constexpr Milliseconds resendAfter { 1'300 };
     constexpr Milliseconds longestViewDelay { 300 };
+    // How long a VM waits for the reply to a batch.
+    constexpr Milliseconds peerTimeout { 350 };
+    constexpr Seconds unlimited { 1'000 };
     // How many of its ticks a strained VM gets to.
     constexpr double strainedTickShare = 0.02;
     constexpr std::size_t places = 2;
@@ -45,15 +48,13 @@
         : world(owner)
         , number(vmNumber)
         , life(vmLife)
-        , dispatcher(*this, vmId(vmNumber), limits())
+        , dispatcher(*this, vmId(vmNumber), owner.limits())
     {
     }
 
-    static DispatcherLimits limits()
+    PeerChannel& channel(const VmId& vm)
     {
-        DispatcherLimits result;
-        result.owner.lease = Milliseconds { 600 };
-        return result;
+        return channels.try_emplace(vm, life, ChannelLimits { world.m_rules.messageAge ? DispatcherLimits {}.oldestMessage : unlimited }).first->second;
     }
 
     void start(const StartOrder& order) override
@@ -85,7 +86,7 @@
 
     void send(const VmId& vm, PeerMessage message) override
     {
-        outboxes[vm].push_back(std::move(message));
+        channel(vm).send(std::move(message));
         const std::uint64_t mine = life;
         world.after(Milliseconds { 0 }, [this, mine, vm] {
             if (Vm* sender = world.alive(number, mine))
@@ -104,7 +105,7 @@
                 world.followOwned(number);
         });
     }
-    void peerLost(const VmId& vm) override { outboxes[vm].clear(); }
+    void peerLost(const VmId& vm) override { channel(vm).drop(); }
 
     DispatchWorld& world;
     int number;
@@ -114,19 +115,42 @@
     bool cut = false;
     TimePoint strainedUntil;
     Epoch epoch;
-    std::map<VmId, std::vector<PeerMessage>> outboxes;
-    std::map<VmId, std::uint64_t> knownLives;
-    /// When a VM last answered this one.
-    std::map<VmId, TimePoint> answeredAt;
+    std::map<VmId, PeerChannel> channels;
+    /// VMs that a batch is on its way to.
+    std::set<VmId> awaited;
     std::set<UpstreamId> looked;
     std::map<CallerTicket, std::string> tickets;
     CallerTicket lastTicket = 0;
 };
 
-DispatchWorld::DispatchWorld(std::uint64_t seed, DispatchFaults faults)
+/// A batch on its way from one VM to another.
+struct DispatchWorld::Batch {
+    int from;
+    std::uint64_t fromLife;
+    int to;
+    ChannelStamp stamp;
+    std::vector<PeerMessage> messages;
+    RoomReport room;
+    /// Whether the sender has its reply or waits no longer.
+    std::shared_ptr<bool> over = std::make_shared<bool>(false);
+};
+
+DispatchWorld::DispatchWorld(std::uint64_t seed, DispatchFaults faults, DispatchRules rules)
     : m_random(seed)
     , m_faults(faults)
+    , m_rules(rules)
+{
+}
+
+DispatcherLimits DispatchWorld::limits() const
 {
+    DispatcherLimits limits;
+    limits.owner.lease = Milliseconds { 600 };
+    if (!m_rules.leaseWait)
+        limits.owner.lapseMargin = -limits.owner.lease;
+    if (!m_rules.orphanWait)
+        limits.executor.orphanTime = Milliseconds { 0 };
+    return limits;
 }
 
 DispatchWorld::~DispatchWorld() = default;
@@ -275,48 +299,63 @@
     }
 }
 
-bool DispatchWorld::reachable(int left, int right) const
+Milliseconds DispatchWorld::transit()
 {
-    const Vm& first = *m_vms[static_cast<std::size_t>(left)];
-    const Vm& second = *m_vms[static_cast<std::size_t>(right)];
-    return first.up && second.up && !first.cut && !second.cut;
+    return chance(m_faults.slowMessage) ? between(5, 900) : between(0, 2);
 }
 
-/// Hands everything that waits for a VM over, if it is reachable; in order, and once.
+/// Sends everything that waits for a VM, unless a batch is on its way there.
 void DispatchWorld::flush(Vm& from, const VmId& to)
 {
     const int number = to.back() - '0';
-    if (!m_vms[static_cast<std::size_t>(number)] || !reachable(from.number, number))
+    if (!m_vms[static_cast<std::size_t>(number)] || !from.awaited.insert(to).second)
         return;
-    Vm& receiver = *m_vms[static_cast<std::size_t>(number)];
-    std::uint64_t& known = from.knownLives[to];
-    if (known != 0 && known != receiver.life) {
-        known = receiver.life;
-        from.outboxes[to].clear();
-        from.dispatcher.onPeerReborn(to, m_now);
-        return;
-    }
-    known = receiver.life;
-    std::uint64_t& knownSender = receiver.knownLives[vmId(from.number)];
-    if (knownSender != 0 && knownSender != from.life) {
-        receiver.outboxes[vmId(from.number)].clear();
-        receiver.dispatcher.onPeerReborn(vmId(from.number), m_now);
-    }
-    knownSender = from.life;
-    const bool answers = receiver.strainedUntil <= m_now;
-    TimePoint& answeredAt = from.answeredAt.emplace(to, m_now).first->second;
-    // The receiver sees by its mark in the batch that it was not heard for too long.
-    if (!answers && m_now - answeredAt > DispatcherLimits {}.oldestMessage)
-        return;
-    std::vector<PeerMessage> messages;
-    messages.swap(from.outboxes[to]);
     RoomReport room = from.dispatcher.room(m_now);
     room.requestsSeen = from.dispatcher.requestsSeen(to);
-    receiver.dispatcher.onPeerMessages(vmId(from.number), messages, room, m_now);
-    if (!answers)
+    const PeerChannel& channel = from.channel(to);
+    const Batch batch { from.number, from.life, number, channel.stamp(), channel.messages(), room };
+    after(peerTimeout, [this, batch] {
+        Vm* sender = alive(batch.from, batch.fromLife);
+        if (!sender || *batch.over)
+            return;
+        *batch.over = true;
+        sender->awaited.erase(vmId(batch.to));
+    });
+    after(transit(), [this, batch] { deliver(batch); });
+}
+
+void DispatchWorld::deliver(const Batch& batch)
+{
+    Vm& receiver = *m_vms[static_cast<std::size_t>(batch.to)];
+    if (!receiver.up || receiver.cut || m_vms[static_cast<std::size_t>(batch.from)]->cut)
+        return;
+    const VmId from = vmId(batch.from);
+    const PeerChannel::Taken taken = receiver.channel(from).onBatch(batch.stamp, batch.messages.size(), m_now);
+    if (taken.reborn)
+        receiver.dispatcher.onPeerReborn(from, m_now);
+    if (taken.counts)
+        receiver.dispatcher.onPeerMessages(from, { batch.messages.begin() + static_cast<std::ptrdiff_t>(taken.known), batch.messages.end() }, batch.room, m_now);
+    if (receiver.strainedUntil > m_now)
         return;
-    answeredAt = m_now;
-    from.dispatcher.onPeerAnswered(to, m_now);
+    const ChannelReply reply { receiver.life, PeerChannel::markAt(m_now), taken.counts };
+    after(transit(), [this, batch, reply] { answer(batch, reply); });
+}
+
+void DispatchWorld::answer(const Batch& batch, const ChannelReply& reply)
+{
+    Vm* sender = alive(batch.from, batch.fromLife);
+    if (!sender || *batch.over || sender->cut)
+        return;
+    *batch.over = true;
+    const VmId to = vmId(batch.to);
+    sender->awaited.erase(to);
+    const PeerChannel::Answered answered = sender->channel(to).onReply(batch.stamp, batch.messages.size(), reply);
+    if (answered.reborn)
+        sender->dispatcher.onPeerReborn(to, m_now);
+    if (answered.counts)
+        sender->dispatcher.onPeerAnswered(to, reply.taken, m_now);
+    if (!sender->channel(to).isEmpty())
+        flush(*sender, to);
 }
 
 void DispatchWorld::followOwned(int number)
@@ -436,9 +475,9 @@
 {
     const UpstreamClock clock = toMilliseconds(m_now.time_since_epoch());
     settle(target);
-    if (order.token < target.token)
+    if (m_rules.fencing && order.token < target.token)
         return { OrderOutcome::Fenced, clock };
-    target.token = order.token;
+    target.token = std::max(target.token, order.token);
     const auto highest = target.highestEnded.find(order.run.task);
     if (highest != target.highestEnded.end() && order.run.run <= highest->second)
         return { OrderOutcome::Superseded, clock };
@@ -467,9 +506,9 @@
 {
     const UpstreamClock clock = toMilliseconds(m_now.time_since_epoch());
     settle(target);
-    if (order.token < target.token)
+    if (m_rules.fencing && order.token < target.token)
         return { OrderOutcome::Fenced, clock };
-    target.token = order.token;
+    target.token = std::max(target.token, order.token);
     for (std::size_t index = 0; index < target.running.size(); ++index) {
         if (target.running[index].run == order.run) {
             endRun(target, index, RunEnd::Stopped);
@@ -487,11 +526,11 @@
     settle(target);
     LookReply reply;
     reply.clock = clock;
-    if (order.token < target.token) {
+    if (m_rules.fencing && order.token < target.token) {
         reply.outcome = OrderOutcome::Fenced;
         return reply;
     }
-    target.token = order.token;
+    target.token = std::max(target.token, order.token);
     reply.outcome = OrderOutcome::Accepted;
     if (order.leaseEnd)
         target.leaseEnd = std::max(target.leaseEnd, std::min(*order.leaseEnd, clock + longestLease));
@@ -577,6 +616,12 @@
         after(between(1'500, 9'000), [this] { cutVm(static_cast<int>(between(0, vmCount - 1).count())); });
     for (int strain = 0; strain < m_faults.strains; ++strain)
         after(between(1'500, 9'000), [this] { strainVm(static_cast<int>(between(0, vmCount - 1).count())); });
+    for (int off = 0; off < m_faults.powerOffs; ++off) {
+        after(between(2'000, 9'000), [this] {
+            for (int number = 0; number < vmCount; ++number)
+                after(between(0, 50), [this, number] { killVm(number); });
+        });
+    }
     for (int silence = 0; silence < m_faults.silences; ++silence) {
         after(between(1'500, 10'000), [this] {
             Upstream& silent = *m_upstreams[static_cast<std::size_t>(between(0, upstreamCount - 1).count())];
--- a/tests/model/dispatch_world.hpp
+++ b/tests/model/dispatch_world.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include <egrettrestle/decision/dispatcher.hpp>
+#include <egrettrestle/decision/peer_channel.hpp>
 
 namespace egrettrestle::model {
 
@@ -28,6 +29,22 @@
     /// A VM is held off its processor: it hears others, whose waits for its replies end first, and decides late what time
     /// alone decides.
     int strains = 0;
+    /// A batch between VMs, or the reply to it, takes up to 0.9 s.
+    double slowMessage = 0;
+    /// All VMs are killed at about the same moment.
+    int powerOffs = 0;
+};
+
+/// Rules that can be switched off, to show that a schedule is found that needs them.
+struct DispatchRules {
+    /// Upstreams obey the highest fencing token that they have seen.
+    bool fencing = true;
+    /// Messages that were long on their way are not acted on.
+    bool messageAge = true;
+    /// What ran under a lease is taken for ended only when it has run out.
+    bool leaseWait = true;
+    /// What an earlier life of an owner may have started is waited for.
+    bool orphanWait = true;
 };
 
 struct DispatchVerdict {
@@ -45,7 +62,7 @@
 /// platform's rules for leases, fencing tokens, run numbers and ends.
 class DispatchWorld {
 public:
-    DispatchWorld(std::uint64_t seed, DispatchFaults faults);
+    DispatchWorld(std::uint64_t seed, DispatchFaults faults, DispatchRules rules = {});
     ~DispatchWorld();
 
     /// Runs to the end and says what was seen.
@@ -72,8 +89,12 @@
     void cutVm(int number);
     void strainVm(int number);
     void publishView(const View& view);
+    struct Batch;
+    DispatcherLimits limits() const;
+    Milliseconds transit();
     void flush(Vm& from, const VmId& to);
-    bool reachable(int left, int right) const;
+    void deliver(const Batch& batch);
+    void answer(const Batch& batch, const ChannelReply& reply);
     void lookLoop(int vm, std::uint64_t life, const UpstreamId& upstream);
     void followOwned(int vm);
     void sendOrder(int vm, const UpstreamId& upstream, const std::function<OrderReply(Upstream&)>& execute, const std::function<void(const OrderReply&)>& onReply);
@@ -90,6 +111,7 @@
 
     std::mt19937_64 m_random;
     DispatchFaults m_faults;
+    DispatchRules m_rules;
     TimePoint m_now { std::chrono::hours { 1 } };
     std::uint64_t m_order = 0;
     std::priority_queue<Scheduled> m_events;
--- a/tests/model/unit-dispatch-rules.cpp
+++ b/tests/model/unit-dispatch-rules.cpp
@@ -28,6 +28,9 @@
         { "everything", { 0.03, 0.03, 0.03, 3, 2, 3 }, 50'000 },
         { "VMs held off their processors", { 0, 0, 0, 0, 0, 0, 3 }, 60'000 },
         { "VMs held off, orders lost and late", { 0.03, 0.03, 0.03, 1, 1, 2, 3 }, 70'000 },
+        { "messages between VMs slow", { 0, 0, 0, 0, 0, 0, 0, 0.1 }, 80'000 },
+        { "VMs restarted in turn and all at once, messages slow", { 0, 0, 0, 5, 0, 0, 0, 0.1, 2 }, 90'000 },
+        { "all of it", { 0.03, 0.03, 0.03, 3, 2, 3, 2, 0.05, 1 }, 95'000 },
     };
     for (const FaultCase& example : cases) {
         for (std::uint64_t seed = example.firstSeed; seed < example.firstSeed + schedulesPerCase; ++seed) {
@@ -54,6 +57,38 @@
     }
 }
 
+TEST_CASE("a schedule that started a task twice at a time, as an owner's late refusal of messages was not counted as word from it")
+{
+    DispatchWorld world(95'014, { 0.03, 0.03, 0.03, 3, 2, 3, 2, 0.05, 1 });
+    CHECK(world.run().overlaps.empty());
+}
+
+TEST_CASE("without any one of the rules a schedule starts a task twice at a time")
+{
+    struct RuleCase {
+        const char* name;
+        bool DispatchRules::*rule;
+        std::uint64_t firstSeed;
+    };
+    constexpr std::uint64_t mostSchedules = 400;
+    const DispatchFaults everything { 0.03, 0.03, 0.03, 3, 2, 3, 2, 0.05, 1 };
+    const RuleCase cases[] = {
+        { "fencing", &DispatchRules::fencing, 200'370 },
+        { "message age", &DispatchRules::messageAge, 200'060 },
+        { "lease wait", &DispatchRules::leaseWait, 200'070 },
+        { "orphan wait", &DispatchRules::orphanWait, 200'260 },
+    };
+    for (const RuleCase& example : cases) {
+        DispatchRules rules;
+        rules.*example.rule = false;
+        bool found = false;
+        for (std::uint64_t seed = example.firstSeed; !found && seed < example.firstSeed + mostSchedules; ++seed)
+            found = !DispatchWorld(seed, everything, rules).run().overlaps.empty();
+        CAPTURE(example.name);
+        CHECK(found);
+    }
+}
+
 TEST_CASE("dispatchers without faults serve every job")
 {
     DispatchWorld world(7, {});
--- a/tests/unit/unit-dispatcher.cpp
+++ b/tests/unit/unit-dispatcher.cpp
@@ -185,7 +185,10 @@
 
     DispatcherWorld world;
     world.begin({ "x", "y" });
-    world.dispatcher.onPeerAnswered("y", world.now);
+    world.dispatcher.onPeerAnswered("y", true, world.now);
+    // Pattern: an owner out of processor time answers, but too late to take what was sent; it may take the next.
+    world.now += Seconds { 1 };
+    world.dispatcher.onPeerAnswered("y", false, world.now);
     world.now += ownerLostAfter(limits);
     world.dispatcher.tick(world.now);
     CHECK(world.port.lost.empty());
