Log the store's loss once, and end without waiting for what will not come

Now a short first watch shows that the store answers.

Now every caller that still waits is answered, and the process ends by itself 250 ms before it would be killed.

Ruled out: the watch of the store (ends with the last answer), jobs that wait for an owner's word (answered, and it made no difference here).

--- a/packages/base/include/egrettrestle/base/event.hpp
+++ b/packages/base/include/egrettrestle/base/event.hpp
@@ -29,6 +29,7 @@
     inline constexpr Event draining { 1002, Severity::Info, "draining", "The daemon takes no new jobs and finishes those in flight." };
     inline constexpr Event stopped { 1003, Severity::Info, "stopped", "The daemon has finished its jobs and handed its claims over." };
     inline constexpr Event logLinesDropped { 1004, Severity::Warning, "log-lines-dropped", "More lines were written than the log takes; the counts by event number." };
+    inline constexpr Event stopCutShort { 1005, Severity::Warning, "stop-cut-short", "The daemon ends before its services have stopped, as it would be killed otherwise." };
     inline constexpr Event badRequest { 2001, Severity::Info, "bad-request", "A request was malformed; the reply names the field." };
     inline constexpr Event unknownKind { 2002, Severity::Info, "unknown-kind", "A job names a service or kind that the manifest does not have." };
     inline constexpr Event jobTooLarge { 2003, Severity::Info, "job-too-large", "A job has too many tasks, or a task is larger than its kind allows." };
--- a/packages/base/src/event.cpp
+++ b/packages/base/src/event.cpp
@@ -28,6 +28,7 @@
         events::draining,
         events::stopped,
         events::logLinesDropped,
+        events::stopCutShort,
         events::badRequest,
         events::unknownKind,
         events::jobTooLarge,
--- a/packages/decision/include/egrettrestle/decision/dispatcher.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatcher.hpp
@@ -71,6 +71,8 @@
     bool cancel(const std::string& job, TimePoint now);
     /// Gives up or refuses every job: this VM ends.
     void endJobs(TimePoint now);
+    /// Answers every caller that still waits after that.
+    void abandonJobs(TimePoint now) { m_executor.abandonAll(now); }
     /// @}
     /// @name peers
     /// @{
--- a/packages/decision/include/egrettrestle/decision/job_executor.hpp
+++ b/packages/decision/include/egrettrestle/decision/job_executor.hpp
@@ -121,6 +121,9 @@
     /// Gives up or refuses every job: this VM ends.
     void endAll(TimePoint now);
 
+    /// Answers every caller that still waits: the owners' word on what has not begun will not come in time.
+    void abandonAll(TimePoint now);
+
     /// @}
     /// @name owners
     /// @{
--- a/packages/decision/src/job_executor.cpp
+++ b/packages/decision/src/job_executor.cpp
@@ -233,6 +233,12 @@
         settle(id, now);
 }
 
+void JobExecutor::abandonAll(TimePoint now)
+{
+    for (auto& entry : m_jobs)
+        reply(entry.second, { JobOutcome::GaveUp, Milliseconds { 0 }, "vm-ending" }, now);
+}
+
 JobExecutor::Task* JobExecutor::findTask(const TaskRun& run, const VmId& owner, Job*& job)
 {
     const auto entry = m_jobs.find(run.task.job);
--- a/packages/fleet/include/egrettrestle/fleet/store_feed.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/store_feed.hpp
@@ -38,6 +38,7 @@
 
     void follow(Stream& stream);
     absl::Status readAll(Stream& stream);
+    absl::Status watch(Stream& stream);
     void take(Stream& stream, const StoreEntry& entry);
     void takeUpstream(Stream& stream, const StoreEntry& entry);
     void dropUpstream(Stream& stream, const std::string& key);
--- a/packages/fleet/src/fleet_daemon.cpp
+++ b/packages/fleet/src/fleet_daemon.cpp
@@ -1,5 +1,8 @@
 #include <egrettrestle/fleet/fleet_daemon.hpp>
 
+#include <condition_variable>
+#include <cstdlib>
+#include <mutex>
 #include <thread>
 
 #include <egrettrestle/fleet/caller_front.hpp>
@@ -20,6 +23,10 @@
     constexpr Milliseconds endMargin { 900 };
     // Jobs that are given up at the end: the owners' word on what has not begun takes a message each way.
     constexpr Milliseconds lastWordTime { 200 };
+    // The process ends by itself so long before it would be killed, whatever its services still wait for.
+    constexpr Milliseconds exitMargin { 250 };
+    // The log's writer needs this long for its last line.
+    constexpr Milliseconds logTime { 50 };
 
     std::uint64_t lifeNumber()
     {
@@ -37,6 +44,41 @@
             std::this_thread::sleep_for(stopPoll);
     }
 
+    /// Ends the process at a moment by which its services should have stopped, unless it is destroyed before.
+    class LastExit {
+    public:
+        LastExit(TimePoint end, const Kernel& kernel, DecisionLog& log)
+            : m_thread([this, end, &kernel, &log] { wait(end, kernel, log); })
+        {
+        }
+
+        ~LastExit()
+        {
+            {
+                const std::lock_guard<std::mutex> lock(m_mutex);
+                m_stopped = true;
+            }
+            m_wake.notify_all();
+            m_thread.join();
+        }
+
+    private:
+        void wait(TimePoint end, const Kernel& kernel, DecisionLog& log)
+        {
+            std::unique_lock<std::mutex> lock(m_mutex);
+            if (m_wake.wait_for(lock, end - logTime - bootNow(), [this] { return m_stopped; }))
+                return;
+            log.write(events::stopCutShort, { { "service", kernel.stoppingService() } });
+            std::this_thread::sleep_for(logTime);
+            std::_Exit(EXIT_SUCCESS);
+        }
+
+        std::mutex m_mutex;
+        std::condition_variable m_wake;
+        bool m_stopped = false;
+        std::thread m_thread;
+    };
+
     void finishJobs(FleetNode& node)
     {
         const TimePoint asked = bootNow();
@@ -51,6 +93,7 @@
         waitForJobs(node, node.lastAnswer);
         node.kernel.find<DispatchService>(fleetServices::dispatch).with([](Dispatcher& dispatcher, TimePoint now) { dispatcher.endJobs(now); });
         waitForJobs(node, bootNow() + lastWordTime);
+        node.kernel.find<DispatchService>(fleetServices::dispatch).with([](Dispatcher& dispatcher, TimePoint now) { dispatcher.abandonJobs(now); });
     }
 
 }
@@ -73,6 +116,7 @@
     log.write(events::started, { { "dataCentre", settings.dataCentre }, { "caller", settings.callerAddress }, { "peer", settings.peerAddress }, { "life", static_cast<std::int64_t>(node.life) } });
     while (!stop)
         std::this_thread::sleep_for(stopPoll);
+    const LastExit lastExit(bootNow() + settings.stopGrace - exitMargin, kernel, log);
     finishJobs(node);
     kernel.stop();
     log.write(events::stopped, {});
--- a/packages/fleet/src/peer_links.cpp
+++ b/packages/fleet/src/peer_links.cpp
@@ -26,6 +26,8 @@
     // What nobody acts on at once can wait this long for other messages: about as long as a short task lasts.
     constexpr Milliseconds patientWait { 50 };
     constexpr int mostConnections = 200;
+    // Connections carry a batch more often than this, so it costs nothing; the end of a VM waits for it.
+    constexpr Milliseconds stopPoll { 250 };
 
 }
 
@@ -60,7 +62,7 @@
 {
     HttpServerLimits limits;
     limits.maxConnections = mostConnections;
-    limits.stopPoll = Milliseconds { 500 };
+    limits.stopPoll = stopPoll;
     m_server = std::make_unique<HttpServer>(m_node.settings.peerAddress, limits, [this](const HttpRequest& request) { return receive(request); });
     return m_server->start();
 }
--- a/packages/fleet/src/store_feed.cpp
+++ b/packages/fleet/src/store_feed.cpp
@@ -12,6 +12,8 @@
     constexpr Milliseconds heartbeatGather { 500 };
     // A watch goes on until it fails.
     constexpr Milliseconds watchLength { 3'600'000 };
+    // The first watch after the store was away: its end shows that the store is back.
+    constexpr Milliseconds proofWatch { 200 };
     // After the last answer of a VM that ends, changes are of no use to it.
     constexpr Milliseconds shortestWatch { 50 };
 
@@ -61,17 +63,10 @@
             status = readAll(stream);
         if (status.ok()) {
             complete = true;
-            storeAnswers(stream);
-            // A VM that ends must not be kept by a watch: the one under way is given up, the next end with its last answer.
-            const bool leaving = m_node.leaving;
-            const Milliseconds left = std::max(shortestWatch, toMilliseconds(m_node.lastAnswer.load() - bootNow()));
-            const std::atomic<bool>& stop = leaving ? m_stopping : m_node.leaving;
-            status = m_node.site.store->watch(stream.prefix, stream.revision + 1, leaving ? left : watchLength, stream.gatherTime, stop, [this, &stream](const StoreEntry& entry) {
-                storeAnswers(stream);
-                stream.revision = std::max(stream.revision, entry.modRevision);
-                take(stream, entry);
-            });
+            status = watch(stream);
         }
+        if (status.ok())
+            storeAnswers(stream);
         if (status.ok() || m_stopping)
             continue;
         // What was missed cannot be had from the history any more.
@@ -83,6 +78,22 @@
     }
 }
 
+/// Follows changes until the store fails, this VM ends, or a watch that had to show that the store is back is over.
+absl::Status StoreFeed::watch(Stream& stream)
+{
+    // A VM that ends must not be kept by a watch: the one under way is given up, the next ends with its last answer.
+    const bool leaving = m_node.leaving;
+    const Milliseconds left = std::max(shortestWatch, toMilliseconds(m_node.lastAnswer.load() - bootNow()));
+    const Milliseconds length = leaving ? left : stream.lost ? proofWatch
+                                                             : watchLength;
+    const std::atomic<bool>& stop = leaving ? m_stopping : m_node.leaving;
+    return m_node.site.store->watch(stream.prefix, stream.revision + 1, length, length < watchLength ? Milliseconds { 0 } : stream.gatherTime, stop, [this, &stream](const StoreEntry& entry) {
+        storeAnswers(stream);
+        stream.revision = std::max(stream.revision, entry.modRevision);
+        take(stream, entry);
+    });
+}
+
 absl::Status StoreFeed::readAll(Stream& stream)
 {
     absl::StatusOr<StoreSnapshot> snapshot = m_node.site.store->readPrefix(stream.prefix);
--- a/packages/kernel/include/egrettrestle/kernel/kernel.hpp
+++ b/packages/kernel/include/egrettrestle/kernel/kernel.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <atomic>
 #include <map>
 #include <memory>
 #include <string>
@@ -40,6 +41,9 @@
     /// @name lookup
     /// @{
 
+    /// While services are stopped, the one that is waited for. Safe to call from another thread.
+    std::string stoppingService() const;
+
     /// The service of a name and type. A name that is missing or of another type is a programming error: it ends the
     /// process with a message.
     template <typename Type>
@@ -59,7 +63,8 @@
 
     std::vector<std::unique_ptr<KernelService>> m_services;
     std::map<std::string, KernelService*> m_byName;
-    std::size_t m_started = 0;
+    /// While services are stopped, another thread may ask which one.
+    std::atomic<std::size_t> m_started { 0 };
 };
 
 } // namespace egrettrestle
--- a/packages/kernel/src/kernel.cpp
+++ b/packages/kernel/src/kernel.cpp
@@ -30,6 +30,12 @@
         m_services[--m_started]->stop();
 }
 
+std::string Kernel::stoppingService() const
+{
+    const std::size_t started = m_started;
+    return started < m_services.size() ? m_services[started]->name() : std::string();
+}
+
 KernelService& Kernel::lookUp(const std::string& name) const
 {
     const auto found = m_byName.find(name);
--- a/tests/unit/unit-job-executor.cpp
+++ b/tests/unit/unit-job-executor.cpp
@@ -478,6 +478,14 @@
         CHECK(world.port.replies[0].reply.outcome == JobOutcome::Refused);
     }
 
+    SECTION("gives up at last where no owner's word comes")
+    {
+        world.executor.endAll(world.now);
+        world.executor.abandonAll(world.now);
+        REQUIRE(world.port.replies.size() == 1);
+        CHECK(world.port.replies[0].reply.outcome == JobOutcome::GaveUp);
+    }
+
     SECTION("and callers that sent a job again while it was being stopped")
     {
         world.executor.onStarted("x", { request.run, "u", { 1 } }, world.now);
