--- a/apps/egrettrestled/main.cpp
+++ b/apps/egrettrestled/main.cpp
@@ -61,8 +61,7 @@
         return Success;
     }
     handleSignals();
-    egrettrestle::PlatformAdapters site = egrettrestle::platform::makePlatformAdapters(*parse.settings);
-    return exitCode(egrettrestle::runFleetDaemon(*parse.settings, site, stopRequested));
+    return exitCode(egrettrestle::runFleetDaemon(*parse.settings, egrettrestle::platform::makePlatformAdapters, stopRequested));
 }
 
 /// The settings file with --fleet: as given on the command line, otherwise from the platform's environment variable.
--- a/packages/base/include/egrettrestle/base/event.hpp
+++ b/packages/base/include/egrettrestle/base/event.hpp
@@ -30,6 +30,8 @@
     inline constexpr Event stopped { 1003, Severity::Info, "stopped", "The daemon has completed its jobs and handed over its claims." };
     inline constexpr Event logLinesDropped { 1004, Severity::Warning, "log-lines-dropped", "Log lines were dropped because the log's queue or rate limit was exceeded; the line holds the counts by event number." };
     inline constexpr Event stopCutShort { 1005, Severity::Warning, "stop-cut-short", "The daemon exits before all its services have stopped, because it would be killed otherwise." };
+    inline constexpr Event unexpectedError { 1006, Severity::Error, "unexpected-error", "Handling one network event or timer failed with an unexpected error; the daemon goes on." };
+    inline constexpr Event connectionsRejected { 1007, Severity::Warning, "connections-rejected", "Connections were turned away because the limit of open connections was reached." };
     inline constexpr Event badRequest { 2001, Severity::Info, "bad-request", "A request is malformed; the reply names the invalid field." };
     inline constexpr Event unknownKind { 2002, Severity::Info, "unknown-kind", "A job names a service or kind that the manifest does not define." };
     inline constexpr Event jobTooLarge { 2003, Severity::Info, "job-too-large", "A job has too many tasks, or a task exceeds the size limit of its kind." };
--- a/packages/base/src/event.cpp
+++ b/packages/base/src/event.cpp
@@ -29,6 +29,8 @@
         events::stopped,
         events::logLinesDropped,
         events::stopCutShort,
+        events::unexpectedError,
+        events::connectionsRejected,
         events::badRequest,
         events::unknownKind,
         events::jobTooLarge,
--- a/packages/fleet/include/egrettrestle/fleet/caller_server.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/caller_server.hpp
@@ -3,7 +3,7 @@
 #include <memory>
 
 #include <egrettrestle/fleet/fleet_context.hpp>
-#include <egrettrestle/http/server.hpp>
+#include <egrettrestle/http/async_server.hpp>
 
 namespace egrettrestle {
 
@@ -23,16 +23,16 @@
     void closeConnectionsAfterReply();
 
 private:
-    HttpResponse handleRequest(const HttpRequest& request);
-    /// Submits a job and waits for its outcome, or until the caller disconnects.
-    HttpResponse handleSubmission(const HttpRequest& request, const CallerRequest& call);
+    void handleRequest(const std::shared_ptr<HttpExchange>& exchange);
+    /// Submits a job; its outcome is the reply, unless the caller disconnects before.
+    void handleSubmission(const std::shared_ptr<HttpExchange>& exchange, const CallerRequest& call);
     HttpResponse handleReadinessProbe(const HttpRequest& request) const;
     bool isReady() const;
 
     FleetContext& m_context;
-    std::unique_ptr<HttpServer> m_callerServer;
-    std::unique_ptr<HttpServer> m_readinessServer;
-    std::unique_ptr<HttpServer> m_metricsServer;
+    std::unique_ptr<AsyncHttpServer> m_callerServer;
+    std::unique_ptr<AsyncHttpServer> m_readinessServer;
+    std::unique_ptr<AsyncHttpServer> m_metricsServer;
 };
 
 } // namespace egrettrestle
--- a/packages/fleet/include/egrettrestle/fleet/dispatch_service.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/dispatch_service.hpp
@@ -1,39 +1,24 @@
 #pragma once
 
-#include <condition_variable>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
-#include <thread>
 
 #include <egrettrestle/decision/dispatcher.hpp>
 #include <egrettrestle/fleet/fleet_context.hpp>
 
 namespace egrettrestle {
 
-/// The reply to a caller's job, which one thread sets and another waits for.
-class PendingReply {
-public:
-    void set(const JobResult& reply);
-    /// Waits for the reply; nothing if it has not been set within `timeout`.
-    std::optional<JobResult> wait(Milliseconds timeout);
-
-private:
-    std::mutex m_mutex;
-    std::condition_variable m_replySet;
-    std::optional<JobResult> m_reply;
-};
-
 /// Owns the dispatcher and the configuration in force. Serialises access to the dispatcher, calls it periodically, and
 /// carries out its decisions through UpstreamLinks and PeerLinks. Safe for use by several threads.
 class DispatchService : public KernelService, private DispatcherPort {
 public:
     explicit DispatchService(FleetContext& context);
-    ~DispatchService() override;
 
     std::string name() const override { return fleetServices::dispatch; }
     absl::Status start() override;
-    void stop() override;
+    void stop() override { }
 
     /// Calls `function` with the dispatcher and the current time of the boot clock under the dispatcher's lock; returns its
     /// result. The function must not call this object's methods that use the dispatcher.
@@ -44,9 +29,12 @@
         return function(m_dispatcher, bootTimeNow());
     }
 
-    /// Submits a caller's job. The result gets the reply; `ticket` receives the number for onCallerDisconnected().
-    std::shared_ptr<PendingReply> submit(const DispatchJob& request, const Route& route, CallerTicket& ticket);
-    /// A caller has disconnected: its reply is no longer set, and its job is given up if no other caller waits for it.
+    /// Receives the reply to a caller's job. Called with the dispatcher's lock held, so it must not use this object.
+    using ReplyCallback = std::function<void(const JobResult&)>;
+    /// Submits a caller's job. `onReply` is called once, perhaps within this call. Returns the number for
+    /// onCallerDisconnected().
+    CallerTicket submit(const DispatchJob& request, const Route& route, ReplyCallback onReply);
+    /// A caller has disconnected: its callback is no longer called, and its job is given up if no other caller waits for it.
     void onCallerDisconnected(CallerTicket ticket);
 
     /// @name configuration
@@ -72,18 +60,16 @@
     void recordEvent(const JobEvent& event) override;
     void onOwnedUpstreamsChanged() override;
     void onPeerLost(const VmId& vm) override;
-    void tickLoop();
+    void tick();
 
     FleetContext& m_context;
     std::mutex m_mutex;
     Dispatcher m_dispatcher;
-    std::map<CallerTicket, std::shared_ptr<PendingReply>> m_pending;
+    std::map<CallerTicket, ReplyCallback> m_pending;
     CallerTicket m_lastTicket = 0;
     mutable std::mutex m_configurationMutex;
     std::shared_ptr<const Configuration> m_configuration;
     std::string m_configurationText;
-    std::atomic<bool> m_stopping { false };
-    std::thread m_tickThread;
 };
 
 } // namespace egrettrestle
--- a/packages/fleet/include/egrettrestle/fleet/fleet_context.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/fleet_context.hpp
@@ -5,8 +5,10 @@
 
 #include <egrettrestle/base/event_log.hpp>
 #include <egrettrestle/base/metrics.hpp>
+#include <egrettrestle/fleet/background_queue.hpp>
 #include <egrettrestle/fleet/fleet_settings.hpp>
 #include <egrettrestle/fleet/platform_adapters.hpp>
+#include <egrettrestle/http/event_loop.hpp>
 #include <egrettrestle/kernel/kernel.hpp>
 
 namespace egrettrestle {
@@ -18,6 +20,10 @@
     Kernel& kernel;
     Metrics& metrics;
     EventLog& log;
+    /// Runs all network I/O but the calls to the store.
+    EventLoop& loop;
+    /// Runs what would block the loop for too long.
+    BackgroundQueue& background;
     /// Identifies this incarnation of the process: its start in microseconds of Unix time. Later incarnations have higher
     /// numbers unless the system clock steps back.
     std::uint64_t processIncarnation = 0;
--- a/packages/fleet/include/egrettrestle/fleet/fleet_daemon.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/fleet_daemon.hpp
@@ -1,16 +1,21 @@
 #pragma once
 
 #include <atomic>
+#include <functional>
 
 #include <absl/status/status.h>
 
 #include <egrettrestle/fleet/fleet_settings.hpp>
 #include <egrettrestle/fleet/platform_adapters.hpp>
+#include <egrettrestle/http/event_loop.hpp>
 
 namespace egrettrestle {
 
+/// Creates the adapters to the platform, which use the event loop.
+using PlatformAdapterFactory = std::function<PlatformAdapters(const FleetSettings&, EventLoop&)>;
+
 /// Runs one VM of a fleet until `stop` is set, then finishes its jobs and stops. An error if a service cannot start. If the
 /// services do not stop within the grace period, the process exits from here with EXIT_SUCCESS.
-absl::Status runFleetDaemon(const FleetSettings& settings, PlatformAdapters& platform, const std::atomic<bool>& stop);
+absl::Status runFleetDaemon(const FleetSettings& settings, const PlatformAdapterFactory& makeAdapters, const std::atomic<bool>& stop);
 
 } // namespace egrettrestle
--- a/packages/fleet/include/egrettrestle/fleet/peer_links.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/peer_links.hpp
@@ -4,13 +4,12 @@
 #include <map>
 #include <memory>
 #include <mutex>
-#include <thread>
 
 #include <egrettrestle/decision/peer_channel.hpp>
 #include <egrettrestle/decision/view.hpp>
 #include <egrettrestle/fleet/fleet_context.hpp>
-#include <egrettrestle/http/client.hpp>
-#include <egrettrestle/http/server.hpp>
+#include <egrettrestle/http/async_client.hpp>
+#include <egrettrestle/http/async_server.hpp>
 #include <egrettrestle/wire/dispatch_messages.hpp>
 
 namespace egrettrestle {
@@ -25,7 +24,8 @@
 };
 
 /// Exchanges messages with the other VMs of the view. Messages to a peer are sent in batches, one at a time; a batch
-/// without a reply is sent again, and the peer acts on each message once. Safe for use by several threads.
+/// without a reply is sent again, and the peer acts on each message once. All network I/O is done on the event loop. Safe
+/// for use by several threads.
 class PeerLinks : public KernelService {
 public:
     explicit PeerLinks(FleetContext& context);
@@ -44,35 +44,41 @@
     void send(const VmId& vm, PeerMessage message);
     /// Discards the messages that are queued for a VM.
     void dropMessages(const VmId& vm);
+    /// Sends the batches that are due by time alone. To be called on the event loop at short, regular intervals.
+    void sendDueBatches();
 
     /// The members whose last reply is older than a short threshold.
     std::vector<UnresponsivePeer> unresponsivePeers() const;
 
-    /// The text of the configuration that the peer at an address has in force; empty if it has none or does not reply.
-    std::string fetchConfiguration(const std::string& address);
-
 private:
     struct Peer;
+    using PeerPointer = std::shared_ptr<Peer>;
 
-    HttpResponse handleRequest(const HttpRequest& request);
+    void handleRequest(const std::shared_ptr<HttpExchange>& exchange);
     DispatchReply handleBatch(DispatchBatch batch);
-    void sendLoop(const std::shared_ptr<Peer>& peer);
+    void sendBatch(const PeerPointer& peer);
     DispatchBatch makeBatch(Peer& peer);
+    void onResult(const PeerPointer& peer, const HttpResult& result, const DispatchBatch& batch);
     void onReply(Peer& peer, const DispatchReply& reply, const DispatchBatch& batch);
+    /// Fetches the configuration from the peer at an address, unless that is already being done.
+    void fetchConfiguration(const std::string& address);
     void logPeerRestart(const VmId& vm, std::uint64_t processIncarnation, const char* seen);
     PeerChannel& channel(const VmId& vm);
-    void startSendThread(const std::shared_ptr<Peer>& peer);
+    bool isDue(const Peer& peer, TimePoint now) const;
+    void removeFormerMembers(TimePoint now);
     Milliseconds keepAliveInterval(const Peer& peer) const;
 
     FleetContext& m_context;
-    HttpClient m_client;
-    std::unique_ptr<HttpServer> m_server;
+    AsyncHttpClient m_client;
+    std::unique_ptr<AsyncHttpServer> m_server;
     mutable std::mutex m_mutex;
-    std::condition_variable m_threadEnded;
-    std::map<VmId, std::shared_ptr<Peer>> m_peers;
+    std::condition_variable m_batchEnded;
+    std::map<VmId, PeerPointer> m_peers;
     std::map<VmId, PeerChannel> m_channels;
     Epoch m_epoch;
-    int m_threads = 0;
+    int m_batchesInFlight = 0;
+    std::uint64_t m_rejectedConnections = 0;
+    std::atomic<bool> m_fetchingConfiguration { false };
     std::atomic<bool> m_stopping { false };
 };
 
--- a/packages/fleet/include/egrettrestle/fleet/platform_adapters.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/platform_adapters.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -15,16 +16,19 @@
 
 namespace egrettrestle {
 
-/// Sends orders to upstreams and polls their status. Every call blocks until the reply or a time-out. Safe for use by
-/// several threads.
+/// Sends orders to upstreams and polls their status. The functions return at once; the reply, or the outcome of a time-out,
+/// is passed to a callback on the event loop's thread, once and never within the call. Safe for use by several threads.
 class UpstreamClient {
 public:
+    using OrderCallback = std::function<void(const OrderReply&)>;
+    using PollCallback = std::function<void(const PollReply&)>;
+
     virtual ~UpstreamClient() = default;
 
-    virtual OrderReply start(const UpstreamInfo& upstream, const StartOrder& order) = 0;
-    virtual OrderReply stop(const UpstreamInfo& upstream, const StopOrder& order) = 0;
+    virtual void start(const UpstreamInfo& upstream, const StartOrder& order, OrderCallback onReply) = 0;
+    virtual void stop(const UpstreamInfo& upstream, const StopOrder& order, OrderCallback onReply) = 0;
     /// Reports the runs that are in progress and those that have ended, and extends the lease if the order says so.
-    virtual PollReply poll(const UpstreamInfo& upstream, const PollOrder& order) = 0;
+    virtual void poll(const UpstreamInfo& upstream, const PollOrder& order, PollCallback onReply) = 0;
 };
 
 /// A caller's request, parsed.
--- a/packages/fleet/include/egrettrestle/fleet/upstream_links.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/upstream_links.hpp
@@ -3,17 +3,17 @@
 #include <condition_variable>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
-#include <thread>
 
 #include <egrettrestle/decision/upstream_orders.hpp>
 #include <egrettrestle/fleet/fleet_context.hpp>
 
 namespace egrettrestle {
 
-/// Sends orders to the upstreams that this VM owns and polls their status continuously, on threads of its own: no method
-/// but stop() waits for an upstream. Replies go to the dispatcher. Safe for use by several threads.
+/// Sends orders to the upstreams that this VM owns and polls their status continuously, on the event loop: no method but
+/// stop() waits for an upstream. Replies go to the dispatcher. Safe for use by several threads.
 class UpstreamLinks : public KernelService {
 public:
     explicit UpstreamLinks(FleetContext& context);
@@ -22,7 +22,7 @@
     std::string name() const override { return fleetServices::upstreamLinks; }
     absl::Status start() override { return absl::OkStatus(); }
     void prepareStop() override { setOwned({}); }
-    /// Waits until all threads have ended; orders that are queued are still sent.
+    /// Waits until all calls have ended; orders that are queued are still sent.
     void stop() override;
 
     /// Sets the upstreams to poll; polling of all others stops.
@@ -38,19 +38,24 @@
 
 private:
     struct Link;
-    using Order = std::function<void(Link&)>;
+    using LinkPointer = std::shared_ptr<Link>;
+    /// Sends an order; called with m_mutex held.
+    using Order = std::function<void(const LinkPointer&)>;
 
     void enqueue(const UpstreamId& upstream, Order order);
-    void pollLoop(const std::shared_ptr<Link>& link);
-    void orderLoop(const std::shared_ptr<Link>& link);
-    void startThread(const std::shared_ptr<Link>& link, void (UpstreamLinks::*loop)(const std::shared_ptr<Link>&));
-    bool pollOnce(Link& link, bool immediate);
+    void onOrderDone(const LinkPointer& link);
+    void pollAgain(const LinkPointer& link);
+    void pollAfter(const LinkPointer& link, Milliseconds delay);
+    /// Polls once and calls `onDone` with the delay until the next regular poll.
+    void poll(const LinkPointer& link, bool immediate, std::function<void(Milliseconds)> onDone);
+    void endCall();
 
     FleetContext& m_context;
     std::mutex m_mutex;
-    std::condition_variable m_threadEnded;
-    std::map<UpstreamId, std::shared_ptr<Link>> m_links;
-    int m_threads = 0;
+    std::condition_variable m_callEnded;
+    std::map<UpstreamId, LinkPointer> m_links;
+    /// Orders that are queued or sent, and polls of upstreams that are, or were until the last poll, owned.
+    int m_calls = 0;
 };
 
 } // namespace egrettrestle
--- a/packages/fleet/src/caller_server.cpp
+++ b/packages/fleet/src/caller_server.cpp
@@ -7,8 +7,6 @@
 
 namespace {
 
-    // How often a request that waits for its job checks whether the caller is still connected.
-    constexpr Milliseconds disconnectCheckInterval { 150 };
     // Other VMs can take the job at once, and the load balancer sends new connections to them.
     constexpr Milliseconds drainRetryAfter { 1'000 };
     // A draining VM accepts a job only if this many times its expected run time is left: run times vary by about half, and
@@ -17,7 +15,6 @@
     constexpr int maxCallerConnections = 800;
     constexpr int maxProbeConnections = 8;
     constexpr std::size_t maxRequestBodyBytes = 1024 * 1024;
-    constexpr Milliseconds stopPollInterval { 250 };
     constexpr Milliseconds idleTimeout { 600'000 };
 
 }
@@ -34,32 +31,31 @@
 
 absl::Status CallerServer::start()
 {
-    HttpServerLimits limits;
+    AsyncHttpServerLimits limits;
     limits.maxBodyBytes = maxRequestBodyBytes;
     limits.maxConnections = maxCallerConnections;
-    limits.stopPollInterval = stopPollInterval;
     limits.idleTimeout = idleTimeout;
-    m_callerServer = std::make_unique<HttpServer>(m_context.settings.callerAddress, limits, [this](const HttpRequest& request) { return handleRequest(request); });
+    m_callerServer = std::make_unique<AsyncHttpServer>(m_context.loop, m_context.settings.callerAddress, limits, [this](const std::shared_ptr<HttpExchange>& exchange) { handleRequest(exchange); });
     absl::Status status = m_callerServer->start();
     if (!status.ok())
         return status;
     limits.maxConnections = maxProbeConnections;
-    m_readinessServer = std::make_unique<HttpServer>(m_context.settings.readinessAddress, limits, [this](const HttpRequest& request) { return handleReadinessProbe(request); });
+    m_readinessServer = std::make_unique<AsyncHttpServer>(m_context.loop, m_context.settings.readinessAddress, limits, [this](const std::shared_ptr<HttpExchange>& exchange) { exchange->reply(handleReadinessProbe(exchange->request())); });
     status = m_readinessServer->start();
     if (!status.ok() || m_context.settings.metricsAddress.empty())
         return status;
-    m_metricsServer = std::make_unique<HttpServer>(m_context.settings.metricsAddress, limits, [this](const HttpRequest&) {
+    m_metricsServer = std::make_unique<AsyncHttpServer>(m_context.loop, m_context.settings.metricsAddress, limits, [this](const std::shared_ptr<HttpExchange>& exchange) {
         HttpResponse response;
         response.contentType = "text/plain";
         response.body = m_context.metrics.render();
-        return response;
+        exchange->reply(std::move(response));
     });
     return m_metricsServer->start();
 }
 
 void CallerServer::prepareStop()
 {
-    for (HttpServer* server : { m_callerServer.get(), m_readinessServer.get(), m_metricsServer.get() }) {
+    for (AsyncHttpServer* server : { m_callerServer.get(), m_readinessServer.get(), m_metricsServer.get() }) {
         if (server)
             server->prepareStop();
     }
@@ -98,28 +94,33 @@
     return response;
 }
 
-HttpResponse CallerServer::handleRequest(const HttpRequest& request)
+void CallerServer::handleRequest(const std::shared_ptr<HttpExchange>& exchange)
 {
     DispatchService& dispatch = m_context.kernel.find<DispatchService>(fleetServices::dispatch);
     const CallerProtocol& protocol = *m_context.platform.callers;
     const std::shared_ptr<const Configuration> configuration = dispatch.configuration();
-    if (!configuration)
-        return protocol.writeNotReady();
-    const CallerRequest call = protocol.read(request, *configuration);
+    if (!configuration) {
+        exchange->reply(protocol.writeNotReady());
+        return;
+    }
+    const CallerRequest call = protocol.read(exchange->request(), *configuration);
     switch (call.kind) {
     case CallerRequest::Kind::Submit:
-        return handleSubmission(request, call);
+        handleSubmission(exchange, call);
+        return;
     case CallerRequest::Kind::QueueLength:
-        return protocol.writeQueueLength(dispatch.withDispatcher([&call](Dispatcher& dispatcher, TimePoint) { return dispatcher.notStarted(call.route.name); }));
+        exchange->reply(protocol.writeQueueLength(dispatch.withDispatcher([&call](Dispatcher& dispatcher, TimePoint) { return dispatcher.notStarted(call.route.name); })));
+        return;
     case CallerRequest::Kind::Cancel:
-        return protocol.writeCancelReply(dispatch.withDispatcher([&call](Dispatcher& dispatcher, TimePoint now) { return dispatcher.cancel(call.job.id, now); }));
+        exchange->reply(protocol.writeCancelReply(dispatch.withDispatcher([&call](Dispatcher& dispatcher, TimePoint now) { return dispatcher.cancel(call.job.id, now); })));
+        return;
     default:
-        m_context.log.write(events::callRejected, { { "request", call.job.id }, { "path", request.path }, { "detail", call.detail }, { "configuration", static_cast<std::int64_t>(configuration->version) } });
-        return protocol.writeRejection(call);
+        m_context.log.write(events::callRejected, { { "request", call.job.id }, { "path", exchange->request().path }, { "detail", call.detail }, { "configuration", static_cast<std::int64_t>(configuration->version) } });
+        exchange->reply(protocol.writeRejection(call));
     }
 }
 
-HttpResponse CallerServer::handleSubmission(const HttpRequest& request, const CallerRequest& call)
+void CallerServer::handleSubmission(const std::shared_ptr<HttpExchange>& exchange, const CallerRequest& call)
 {
     DispatchService& dispatch = m_context.kernel.find<DispatchService>(fleetServices::dispatch);
     DispatchJob job = call.job;
@@ -129,22 +130,13 @@
         const Milliseconds needed = dispatch.withDispatcher([&job, &call](Dispatcher& dispatcher, TimePoint) { return dispatcher.expectedRunTime(job, call.route); }) * drainSafetyFactor;
         if (needed > left) {
             m_context.log.write(events::refusedDraining, { { "request", job.id }, { "route", call.route.name }, { "neededMs", needed.count() }, { "leftMs", left.count() } });
-            return m_context.platform.callers->write({ JobOutcome::Refused, drainRetryAfter, "draining" });
+            exchange->reply(m_context.platform.callers->write({ JobOutcome::Refused, drainRetryAfter, "draining" }));
+            return;
         }
         job.callerTimeout = std::min(job.callerTimeout, left);
     }
-    CallerTicket ticket = 0;
-    const std::shared_ptr<PendingReply> pending = dispatch.submit(job, call.route, ticket);
-    while (true) {
-        if (const std::optional<JobResult> reply = pending->wait(disconnectCheckInterval))
-            return m_context.platform.callers->write(*reply);
-        if (request.clientConnected && !request.clientConnected()) {
-            dispatch.onCallerDisconnected(ticket);
-            HttpResponse noReply;
-            noReply.dropConnection = true;
-            return noReply;
-        }
-    }
+    const CallerTicket ticket = dispatch.submit(job, call.route, [this, exchange](const JobResult& result) { exchange->reply(m_context.platform.callers->write(result)); });
+    exchange->onDisconnect([&dispatch, ticket] { dispatch.onCallerDisconnected(ticket); });
 }
 
 } // namespace egrettrestle
--- a/packages/fleet/src/dispatch_service.cpp
+++ b/packages/fleet/src/dispatch_service.cpp
@@ -77,62 +77,31 @@
 
 }
 
-void PendingReply::set(const JobResult& reply)
-{
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        m_reply = reply;
-    }
-    m_replySet.notify_all();
-}
-
-std::optional<JobResult> PendingReply::wait(Milliseconds timeout)
-{
-    std::unique_lock<std::mutex> lock(m_mutex);
-    m_replySet.wait_for(lock, timeout, [this] { return m_reply.has_value(); });
-    return m_reply;
-}
-
 DispatchService::DispatchService(FleetContext& context)
     : m_context(context)
     , m_dispatcher(*this, context.settings.id, limitsOf(context.settings))
 {
 }
 
-DispatchService::~DispatchService()
-{
-    stop();
-}
-
 absl::Status DispatchService::start()
 {
-    m_tickThread = std::thread([this] { tickLoop(); });
+    m_context.loop.runEvery(tickInterval, [this] { tick(); });
     return absl::OkStatus();
 }
 
-void DispatchService::stop()
+void DispatchService::tick()
 {
-    m_stopping = true;
-    if (m_tickThread.joinable())
-        m_tickThread.join();
-}
-
-void DispatchService::tickLoop()
-{
-    while (!m_stopping) {
-        withDispatcher([](Dispatcher& dispatcher, TimePoint now) { dispatcher.tick(now); });
-        std::this_thread::sleep_for(tickInterval);
-    }
+    withDispatcher([](Dispatcher& dispatcher, TimePoint now) { dispatcher.tick(now); });
+    m_context.kernel.find<PeerLinks>(fleetServices::peerLinks).sendDueBatches();
 }
 
-std::shared_ptr<PendingReply> DispatchService::submit(const DispatchJob& request, const Route& route, CallerTicket& ticket)
+CallerTicket DispatchService::submit(const DispatchJob& request, const Route& route, ReplyCallback onReply)
 {
-    const std::shared_ptr<PendingReply> pending = std::make_shared<PendingReply>();
     const std::lock_guard<std::mutex> lock(m_mutex);
-    ticket = ++m_lastTicket;
-    m_pending[ticket] = pending;
+    const CallerTicket ticket = ++m_lastTicket;
+    m_pending[ticket] = std::move(onReply);
     m_dispatcher.submit(ticket, request, route, bootTimeNow());
-    return pending;
+    return ticket;
 }
 
 void DispatchService::onCallerDisconnected(CallerTicket ticket)
@@ -193,8 +162,9 @@
     const auto found = m_pending.find(ticket);
     if (found == m_pending.end())
         return;
-    found->second->set(reply);
+    const ReplyCallback onReply = std::move(found->second);
     m_pending.erase(found);
+    onReply(reply);
 }
 
 void DispatchService::recordEvent(const OwnerEvent& event)
--- a/packages/fleet/src/fleet_daemon.cpp
+++ b/packages/fleet/src/fleet_daemon.cpp
@@ -42,7 +42,7 @@
     void waitForJobs(FleetContext& context, TimePoint end)
     {
         while (bootTimeNow() < end && jobsInFlight(context.kernel) > 0)
-            std::this_thread::sleep_for(stopPollInterval);
+            context.background.runFor(stopPollInterval);
     }
 
     /// Watchdog for the shutdown: exits the process at `end` and logs the service that has not stopped, unless it is
@@ -81,6 +81,22 @@
         std::thread m_thread;
     };
 
+    /// Stops an event loop when it is destroyed.
+    class LoopStopper {
+    public:
+        explicit LoopStopper(EventLoop& loop)
+            : m_loop(loop)
+        {
+        }
+
+        ~LoopStopper() { m_loop.stop(); }
+        LoopStopper(const LoopStopper&) = delete;
+        LoopStopper& operator=(const LoopStopper&) = delete;
+
+    private:
+        EventLoop& m_loop;
+    };
+
     void drainJobs(FleetContext& context)
     {
         const TimePoint requestedAt = bootTimeNow();
@@ -90,7 +106,7 @@
         context.kernel.find<FleetMembership>(fleetServices::membership).leave();
         const TimePoint balancerDetectedAt = requestedAt + std::min(balancerDetectionTime, context.settings.gracePeriod / 2);
         while (bootTimeNow() < balancerDetectedAt)
-            std::this_thread::sleep_for(stopPollInterval);
+            context.background.runFor(stopPollInterval);
         context.kernel.find<CallerServer>(fleetServices::callerServer).closeConnectionsAfterReply();
         waitForJobs(context, context.replyDeadline);
         context.kernel.find<DispatchService>(fleetServices::dispatch).withDispatcher([](Dispatcher& dispatcher, TimePoint now) { dispatcher.endJobs(now); });
@@ -100,24 +116,30 @@
 
 }
 
-absl::Status runFleetDaemon(const FleetSettings& settings, PlatformAdapters& platform, const std::atomic<bool>& stop)
+absl::Status runFleetDaemon(const FleetSettings& settings, const PlatformAdapterFactory& makeAdapters, const std::atomic<bool>& stop)
 {
+    EventLog log(settings.id);
+    EventLoop loop([&log](const std::string& message) { log.write(events::unexpectedError, { { "cause", message } }); });
+    PlatformAdapters platform = makeAdapters(settings, loop);
     Kernel kernel;
     Metrics metrics;
-    EventLog log(settings.id);
-    FleetContext context { settings, platform, kernel, metrics, log, newProcessIncarnation() };
+    BackgroundQueue background;
+    FleetContext context { settings, platform, kernel, metrics, log, loop, background, newProcessIncarnation() };
     kernel.add(std::make_unique<UpstreamLinks>(context));
     kernel.add(std::make_unique<DispatchService>(context));
     kernel.add(std::make_unique<PeerLinks>(context));
     kernel.add(std::make_unique<FleetMembership>(context));
     kernel.add(std::make_unique<StoreWatcher>(context));
     kernel.add(std::make_unique<CallerServer>(context));
+    loop.start();
+    // Functions that the loop has not run yet refer to the services: it ends before they are destroyed.
+    const LoopStopper loopStopper(loop);
     const absl::Status started = kernel.start();
     if (!started.ok())
         return started;
     log.write(events::started, { { "dataCentre", settings.dataCentre }, { "caller", settings.callerAddress }, { "peer", settings.peerAddress }, { "life", static_cast<std::int64_t>(context.processIncarnation) } });
     while (!stop)
-        std::this_thread::sleep_for(stopPollInterval);
+        background.runFor(stopPollInterval);
     const ExitWatchdog exitWatchdog(bootTimeNow() + settings.gracePeriod - exitMargin, kernel, log);
     drainJobs(context);
     kernel.stop();
--- a/packages/fleet/src/peer_links.cpp
+++ b/packages/fleet/src/peer_links.cpp
@@ -27,9 +27,9 @@
     // Messages that need no immediate action are held back this long to be batched with others: about the run time of a
     // short task.
     constexpr Milliseconds maxMessageDelay { 50 };
-    constexpr int maxPeerConnections = 200;
-    // The shutdown of a VM can take this long. Connections carry batches more often, so that the poll costs nothing.
-    constexpr Milliseconds stopPollInterval { 250 };
+    constexpr int maxPeerConnections = 2'000;
+    // A configuration can be hundreds of kilobytes long.
+    constexpr HttpTimeouts configurationTimeouts { Milliseconds { 200 }, Milliseconds { 1'500 } };
 
 }
 
@@ -39,11 +39,15 @@
     std::string address;
     bool member = true;
     PeerChannel* channel = nullptr;
-    std::condition_variable wake;
     /// A queued message must be sent without delay.
     bool urgent = false;
     /// One of the two VMs ran tasks for the other when the last batch was made.
     bool sharesTasks = false;
+    bool batchInFlight = false;
+    /// An urgent message is queued, and a call that sends it is posted to the event loop.
+    bool sendPosted = false;
+    /// The last batch got no reply.
+    bool repeat = false;
     TimePoint lastSent;
     TimePoint lastReplyAt;
     TimePoint removedAt;
@@ -52,20 +56,17 @@
 
 PeerLinks::PeerLinks(FleetContext& context)
     : m_context(context)
+    , m_client(context.loop)
 {
 }
 
-PeerLinks::~PeerLinks()
-{
-    stop();
-}
+PeerLinks::~PeerLinks() = default;
 
 absl::Status PeerLinks::start()
 {
-    HttpServerLimits limits;
+    AsyncHttpServerLimits limits;
     limits.maxConnections = maxPeerConnections;
-    limits.stopPollInterval = stopPollInterval;
-    m_server = std::make_unique<HttpServer>(m_context.settings.peerAddress, limits, [this](const HttpRequest& request) { return handleRequest(request); });
+    m_server = std::make_unique<AsyncHttpServer>(m_context.loop, m_context.settings.peerAddress, limits, [this](const std::shared_ptr<HttpExchange>& exchange) { handleRequest(exchange); });
     return m_server->start();
 }
 
@@ -74,9 +75,6 @@
     m_stopping = true;
     if (m_server)
         m_server->prepareStop();
-    const std::lock_guard<std::mutex> lock(m_mutex);
-    for (const auto& entry : m_peers)
-        entry.second->wake.notify_all();
 }
 
 void PeerLinks::stop()
@@ -84,7 +82,7 @@
     prepareStop();
     {
         std::unique_lock<std::mutex> lock(m_mutex);
-        m_threadEnded.wait(lock, [this] { return m_threads == 0; });
+        m_batchEnded.wait(lock, [this] { return m_batchesInFlight == 0; });
     }
     if (m_server)
         m_server->stop();
@@ -103,7 +101,7 @@
     for (const Member& member : view.members) {
         if (member.id == m_context.settings.id)
             continue;
-        std::shared_ptr<Peer>& peer = m_peers[member.id];
+        PeerPointer& peer = m_peers[member.id];
         if (peer) {
             peer->address = member.peerAddress;
             continue;
@@ -113,38 +111,33 @@
         peer->channel = &channel(member.id);
         peer->address = member.peerAddress;
         peer->lastReplyAt = bootTimeNow();
-        startSendThread(peer);
     }
 }
 
-/// Called with m_mutex held.
-void PeerLinks::startSendThread(const std::shared_ptr<Peer>& peer)
-{
-    ++m_threads;
-    std::thread([this, peer] {
-        sendLoop(peer);
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        const auto found = m_peers.find(peer->id);
-        if (found != m_peers.end() && found->second == peer) {
-            peer->channel->discardPending();
-            m_peers.erase(found);
-        }
-        --m_threads;
-        m_threadEnded.notify_all();
-    }).detach();
-}
-
 void PeerLinks::send(const VmId& vm, PeerMessage message)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
     const auto found = m_peers.find(vm);
     if (found == m_peers.end())
         return;
+    const PeerPointer peer = found->second;
     const bool urgent = !message.deferrable;
-    found->second->channel->send(std::move(message));
-    found->second->urgent = found->second->urgent || urgent;
-    if (urgent)
-        found->second->wake.notify_one();
+    peer->channel->send(std::move(message));
+    peer->urgent = peer->urgent || urgent;
+    if (!urgent || peer->batchInFlight || peer->sendPosted)
+        return;
+    // Later, so that the batch contains all messages of the present event; and without the dispatcher's lock, which the
+    // caller holds.
+    peer->sendPosted = true;
+    m_context.loop.post([this, peer] {
+        {
+            const std::lock_guard<std::mutex> postedLock(m_mutex);
+            peer->sendPosted = false;
+            if (peer->batchInFlight || !peer->urgent)
+                return;
+        }
+        sendBatch(peer);
+    });
 }
 
 void PeerLinks::dropMessages(const VmId& vm)
@@ -191,41 +184,96 @@
     return batch;
 }
 
-void PeerLinks::sendLoop(const std::shared_ptr<Peer>& peer)
+/// Called with m_mutex held.
+bool PeerLinks::isDue(const Peer& peer, TimePoint now) const
 {
-    bool repeat = false;
-    while (!m_stopping) {
-        std::string address;
-        {
-            std::unique_lock<std::mutex> lock(m_mutex);
-            const TimePoint now = bootTimeNow();
-            const bool former = !peer->member && now - std::max(peer->removedAt, peer->lastReplyAt) > formerMemberTimeout;
-            if (former)
-                return;
-            if (repeat) {
-                peer->wake.wait_for(lock, retryInterval, [this] { return m_stopping.load(); });
-            } else {
-                const Milliseconds sinceSent = toMilliseconds(now - peer->lastSent);
-                const Milliseconds interval = peer->channel->isEmpty() ? keepAliveInterval(*peer) : maxMessageDelay;
-                peer->wake.wait_for(lock, std::max(Milliseconds { 0 }, interval - sinceSent), [&] { return m_stopping || peer->urgent; });
-            }
-            address = peer->address;
-        }
-        const DispatchBatch batch = makeBatch(*peer);
-        HttpRequest request;
-        request.method = "POST";
-        request.path = dispatchPath;
-        request.body = toText(batch, bootTimeNow());
-        const HttpResult result = m_client.call(address, request, peerTimeouts);
-        const std::optional<DispatchReply> reply = result.ok() && result.response.status == httpStatus::ok ? parseDispatchReply(result.response.body) : std::nullopt;
-        repeat = !reply;
-        if (reply) {
-            onReply(*peer, *reply, batch);
+    if (peer.batchInFlight)
+        return false;
+    const Milliseconds interval = peer.repeat ? retryInterval : peer.urgent ? Milliseconds { 0 }
+        : peer.channel->isEmpty()                                           ? keepAliveInterval(peer)
+                                                                            : maxMessageDelay;
+    return now - peer.lastSent >= interval;
+}
+
+/// Called with m_mutex held.
+void PeerLinks::removeFormerMembers(TimePoint now)
+{
+    for (auto entry = m_peers.begin(); entry != m_peers.end();) {
+        const Peer& peer = *entry->second;
+        if (peer.member || peer.batchInFlight || now - std::max(peer.removedAt, peer.lastReplyAt) <= formerMemberTimeout) {
+            ++entry;
             continue;
         }
+        peer.channel->discardPending();
+        entry = m_peers.erase(entry);
+    }
+}
+
+void PeerLinks::sendDueBatches()
+{
+    std::vector<PeerPointer> due;
+    std::uint64_t newlyRejected = 0;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        const TimePoint now = bootTimeNow();
+        removeFormerMembers(now);
+        for (const auto& entry : m_peers) {
+            if (isDue(*entry.second, now))
+                due.push_back(entry.second);
+        }
+        const std::uint64_t rejected = m_server ? m_server->rejectedConnections() : 0;
+        newlyRejected = rejected - m_rejectedConnections;
+        m_rejectedConnections = rejected;
+    }
+    if (newlyRejected > 0)
+        m_context.log.write(events::connectionsRejected, { { "port", "peer" }, { "count", static_cast<std::int64_t>(newlyRejected) } });
+    for (const PeerPointer& peer : due)
+        sendBatch(peer);
+}
+
+void PeerLinks::sendBatch(const PeerPointer& peer)
+{
+    if (m_stopping)
+        return;
+    DispatchBatch batch = makeBatch(*peer);
+    HttpRequest request;
+    request.method = "POST";
+    request.path = dispatchPath;
+    request.body = toText(batch, bootTimeNow());
+    std::string address;
+    {
         const std::lock_guard<std::mutex> lock(m_mutex);
-        peer->refusedConnections = result.failure == HttpFailure::ConnectFailed ? peer->refusedConnections + 1 : 0;
+        peer->batchInFlight = true;
+        ++m_batchesInFlight;
+        address = peer->address;
     }
+    m_client.call(address, std::move(request), peerTimeouts, [this, peer, batch = std::move(batch)](const HttpResult& result) { onResult(peer, result, batch); });
+}
+
+void PeerLinks::onResult(const PeerPointer& peer, const HttpResult& result, const DispatchBatch& batch)
+{
+    const std::optional<DispatchReply> reply = result.ok() && result.response.status == httpStatus::ok ? parseDispatchReply(result.response.body) : std::nullopt;
+    bool sendNext = false;
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        peer->batchInFlight = false;
+        peer->repeat = !reply;
+        if (!reply) {
+            // The pause until the repetition begins with the failure.
+            peer->lastSent = bootTimeNow();
+            peer->refusedConnections = result.failure == HttpFailure::ConnectFailed ? peer->refusedConnections + 1 : 0;
+        }
+    }
+    if (reply)
+        onReply(*peer, *reply, batch);
+    {
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        sendNext = reply && peer->urgent && !peer->batchInFlight && !peer->sendPosted;
+        --m_batchesInFlight;
+        m_batchEnded.notify_all();
+    }
+    if (sendNext)
+        sendBatch(peer);
 }
 
 void PeerLinks::onReply(Peer& peer, const DispatchReply& reply, const DispatchBatch& batch)
@@ -250,11 +298,8 @@
     if (replyResult.peerRestarted)
         logPeerRestart(peer.id, reply.channel.processIncarnation, "reply");
     const std::shared_ptr<const Configuration> configuration = dispatch.configuration();
-    if (reply.configurationVersion > (configuration ? configuration->version : 0)) {
-        const std::string text = fetchConfiguration(peer.address);
-        if (!text.empty())
-            m_context.kernel.find<StoreWatcher>(fleetServices::storeWatcher).applyConfiguration(text, "peer");
-    }
+    if (reply.configurationVersion > (configuration ? configuration->version : 0))
+        fetchConfiguration(peer.address);
 }
 
 void PeerLinks::logPeerRestart(const VmId& vm, std::uint64_t processIncarnation, const char* seen)
@@ -262,32 +307,39 @@
     m_context.log.write(events::vmRestarted, { { "peer", vm }, { "life", static_cast<std::int64_t>(processIncarnation) }, { "seen", seen } });
 }
 
-std::string PeerLinks::fetchConfiguration(const std::string& address)
+void PeerLinks::fetchConfiguration(const std::string& address)
 {
+    // All peers report a new version at about the same time; one copy of it is enough.
+    if (m_fetchingConfiguration.exchange(true))
+        return;
     HttpRequest request;
     request.path = configurationPath;
-    const HttpResult result = m_client.call(address, request, peerTimeouts);
-    return result.ok() && result.response.status == httpStatus::ok ? result.response.body : std::string();
+    m_client.call(address, std::move(request), configurationTimeouts, [this](const HttpResult& result) {
+        if (!result.ok() || result.response.status != httpStatus::ok || result.response.body.empty()) {
+            m_fetchingConfiguration = false;
+            return;
+        }
+        m_context.background.post([this, text = result.response.body] {
+            m_context.kernel.find<StoreWatcher>(fleetServices::storeWatcher).applyConfiguration(text, "peer");
+            m_fetchingConfiguration = false;
+        });
+    });
 }
 
-HttpResponse PeerLinks::handleRequest(const HttpRequest& request)
+void PeerLinks::handleRequest(const std::shared_ptr<HttpExchange>& exchange)
 {
+    const HttpRequest& request = exchange->request();
     HttpResponse response;
     if (request.method == "GET" && request.path == configurationPath) {
         response.body = m_context.kernel.find<DispatchService>(fleetServices::dispatch).configurationText();
-        return response;
-    }
-    if (request.method != "POST" || request.path != dispatchPath) {
+    } else if (request.method != "POST" || request.path != dispatchPath) {
         response.status = httpStatus::notFound;
-        return response;
-    }
-    std::optional<DispatchBatch> batch = parseDispatchBatch(request.body, bootTimeNow());
-    if (!batch) {
+    } else if (std::optional<DispatchBatch> batch = parseDispatchBatch(request.body, bootTimeNow())) {
+        response.body = toText(handleBatch(std::move(*batch)));
+    } else {
         response.status = httpStatus::badRequest;
-        return response;
     }
-    response.body = toText(handleBatch(std::move(*batch)));
-    return response;
+    exchange->reply(std::move(response));
 }
 
 DispatchReply PeerLinks::handleBatch(DispatchBatch batch)
--- /dev/null
+++ b/packages/http/src/async_server.cpp
@@ -0,0 +1,561 @@
+#include <egrettrestle/http/async_server.hpp>
+
+#include <condition_variable>
+#include <future>
+#include <mutex>
+#include <optional>
+#include <set>
+
+#include <sys/socket.h>
+
+#include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/http/error.hpp>
+#include <boost/beast/http/parser.hpp>
+#include <boost/beast/http/read.hpp>
+#include <boost/beast/http/string_body.hpp>
+
+#include <egrettrestle/base/validation_error.hpp>
+
+#include "detail/beast_messages.hpp"
+#include "detail/event_loop_state.hpp"
+#include "detail/socket_options.hpp"
+
+namespace egrettrestle {
+
+namespace {
+
+    namespace beast = boost::beast;
+    using boost::asio::ip::tcp;
+    using ErrorCode = boost::system::error_code;
+    using Parser = beast::http::request_parser<beast::http::string_body>;
+
+    constexpr int listenBacklog = 512;
+    constexpr int cannotListen = 901;
+    constexpr std::uint32_t maxHeaderBytes = 16 * 1024;
+    // Pause after a failed accept, for want of descriptors.
+    constexpr Milliseconds acceptRetryDelay { 100 };
+    // Input is discarded for this long after an error reply, so that the client can read the reply: closing a connection
+    // with unread input resets it.
+    constexpr Milliseconds lingerTimeout { 1'000 };
+
+    HttpResponse errorReply(int status, const char* field, const std::string& detail)
+    {
+        HttpResponse response;
+        response.status = status;
+        response.contentType = "text/plain";
+        response.body = std::string(field) + ": " + detail + "\n";
+        return response;
+    }
+
+    HttpResponse replyTo(const ErrorCode& error, std::size_t maxBodyBytes)
+    {
+        if (error == beast::http::error::body_limit)
+            return errorReply(httpStatus::payloadTooLarge, "body", "more than " + std::to_string(maxBodyBytes) + " bytes");
+        if (error == beast::http::error::header_limit)
+            return errorReply(httpStatus::headerFieldsTooLarge, "header", "more than " + std::to_string(maxHeaderBytes) + " bytes");
+        if (error == beast::http::error::partial_message)
+            return errorReply(httpStatus::badRequest, "body", "fewer bytes than announced");
+        return errorReply(httpStatus::badRequest, "header", error.message());
+    }
+
+    bool isMalformed(const ErrorCode& error)
+    {
+        return error.category() == beast::http::make_error_code(beast::http::error::end_of_stream).category() && error != beast::http::error::end_of_stream;
+    }
+
+}
+
+struct AsyncHttpServer::State {
+    State(EventLoop& eventLoop, AsyncHttpServerLimits serverLimits, Handler requestHandler)
+        : loop(eventLoop)
+        , context(eventLoop.state().context)
+        , limits(serverLimits)
+        , handler(std::move(requestHandler))
+        , acceptor(context)
+        , acceptTimer(context)
+    {
+    }
+
+    EventLoop& loop;
+    boost::asio::io_context& context;
+    std::string address;
+    AsyncHttpServerLimits limits;
+    Handler handler;
+    tcp::acceptor acceptor;
+    boost::asio::steady_timer acceptTimer;
+    std::atomic<bool> stopping { false };
+    std::atomic<bool> closing { false };
+    std::atomic<std::uint64_t> rejected { 0 };
+    std::uint16_t boundPort = 0;
+    /// Used on the loop's thread only.
+    std::set<std::shared_ptr<Connection>> connections;
+
+    /// Guards the fields below.
+    std::mutex mutex;
+    std::condition_variable allClosed;
+    std::size_t openConnections = 0;
+
+    void accept(const std::shared_ptr<State>& self);
+    void onAccepted(const std::shared_ptr<State>& self, tcp::socket socket);
+    void add(const std::shared_ptr<Connection>& connection);
+    void remove(const std::shared_ptr<Connection>& connection);
+    void closeIdleConnections();
+};
+
+/// Serves the requests of one connection, one after another. Used on the loop's thread only.
+class AsyncHttpServer::Connection : public std::enable_shared_from_this<Connection> {
+public:
+    Connection(std::shared_ptr<State> server, tcp::socket socket)
+        : m_server(std::move(server))
+        , m_socket(std::move(socket))
+        , m_timer(m_server->context)
+    {
+    }
+
+    void serveNext()
+    {
+        if (m_server->stopping || m_server->closing) {
+            close();
+            return;
+        }
+        m_phase = Phase::Idle;
+        m_parser.emplace();
+        m_parser->body_limit(m_server->limits.maxBodyBytes);
+        m_parser->header_limit(maxHeaderBytes);
+        m_buffer.reserve(detail::readBufferBytes);
+        if (m_buffer.size() > 0) {
+            readRequest();
+            return;
+        }
+        startTimer(m_server->limits.idleTimeout);
+        m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const ErrorCode& error) {
+            if (self->m_phase != Phase::Idle)
+                return;
+            if (error)
+                self->close();
+            else
+                self->readRequest();
+        });
+    }
+
+    /// Sends a reply without having received a request, then closes the connection.
+    void turnAway()
+    {
+        m_phase = Phase::Reading;
+        sendError(errorReply(httpStatus::unavailable, "connection", "too many connections"));
+    }
+
+    bool isIdle() const { return m_phase == Phase::Idle; }
+
+    void sendReply(const HttpResponse& response)
+    {
+        if (m_phase != Phase::Handling)
+            return;
+        m_onDisconnect = nullptr;
+        if (response.dropConnection) {
+            close();
+            return;
+        }
+        const bool keepAlive = m_keepAlive && !m_server->stopping && !m_server->closing;
+        write(response, keepAlive);
+    }
+
+    void setDisconnectHandler(std::function<void()> function) { m_onDisconnect = std::move(function); }
+
+    /// The exchange of the present request was dropped without a reply.
+    void onExchangeDropped(std::uint64_t request)
+    {
+        if (m_phase == Phase::Handling && request == m_requestNumber)
+            close();
+    }
+
+    void close()
+    {
+        if (m_phase == Phase::Closed)
+            return;
+        m_phase = Phase::Closed;
+        m_timer.cancel();
+        ErrorCode ignored;
+        // A socket that cannot be closed properly is of no further use either.
+        m_socket.close(ignored);
+        // The parser and the output are kept: a pending operation may still use them until its completion.
+        m_onDisconnect = nullptr;
+        m_server->remove(shared_from_this());
+    }
+
+private:
+    enum class Phase {
+        /// Waits for the first byte of a request.
+        Idle,
+        Reading,
+        /// The handler has the request.
+        Handling,
+        Writing,
+        /// Discards input after an error reply.
+        Lingering,
+        Closed,
+    };
+
+    class Exchange;
+
+    void startTimer(Milliseconds time)
+    {
+        m_timer.expires_after(time);
+        m_timer.async_wait([self = shared_from_this()](const ErrorCode& error) {
+            if (!error && self->m_timer.expiry() <= SteadyClock::now())
+                self->onTimeout();
+        });
+    }
+
+    void onTimeout()
+    {
+        if (m_phase == Phase::Reading)
+            sendError(errorReply(httpStatus::requestTimeout, "header", "the complete request did not arrive in time"));
+        else if (m_phase != Phase::Handling)
+            close();
+    }
+
+    void readRequest()
+    {
+        m_phase = Phase::Reading;
+        startTimer(m_server->limits.receiveTimeout);
+        beast::http::async_read_header(m_socket, m_buffer, *m_parser, [self = shared_from_this()](const ErrorCode& error, std::size_t) {
+            if (self->m_phase != Phase::Reading)
+                return;
+            if (error)
+                self->onReadError(error);
+            else if (beast::iequals(self->m_parser->get()[beast::http::field::expect], "100-continue"))
+                self->sendContinue();
+            else
+                self->readBody();
+        });
+    }
+
+    void sendContinue()
+    {
+        static const std::string continueReply = "HTTP/1.1 100 Continue\r\n\r\n";
+        boost::asio::async_write(m_socket, boost::asio::buffer(continueReply), [self = shared_from_this()](const ErrorCode& error, std::size_t) {
+            if (self->m_phase != Phase::Reading)
+                return;
+            if (error)
+                self->close();
+            else
+                self->readBody();
+        });
+    }
+
+    void readBody()
+    {
+        beast::http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](const ErrorCode& error, std::size_t) {
+            if (self->m_phase != Phase::Reading)
+                return;
+            if (error)
+                self->onReadError(error);
+            else
+                self->handle();
+        });
+    }
+
+    void onReadError(const ErrorCode& error)
+    {
+        if (isMalformed(error))
+            sendError(replyTo(error, m_server->limits.maxBodyBytes));
+        else
+            close();
+    }
+
+    void handle();
+
+    void watchForDisconnect()
+    {
+        m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this(), request = m_requestNumber](const ErrorCode& error) {
+            if (self->m_phase != Phase::Handling || request != self->m_requestNumber || (!error && self->hasInput()))
+                return;
+            const std::function<void()> onDisconnect = std::move(self->m_onDisconnect);
+            self->close();
+            if (onDisconnect)
+                onDisconnect();
+        });
+    }
+
+    /// Whether there is input: the next request, before the reply to the present one. Otherwise the client has disconnected.
+    bool hasInput()
+    {
+        char byte = 0;
+        return ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
+    }
+
+    void write(const HttpResponse& response, bool keepAlive)
+    {
+        m_phase = Phase::Writing;
+        ErrorCode ignored;
+        // Ends the wait for a disconnection; there may be none.
+        m_socket.cancel(ignored);
+        startTimer(m_server->limits.sendTimeout);
+        m_output = detail::serializeResponse(response, keepAlive);
+        boost::asio::async_write(m_socket, boost::asio::buffer(m_output), [self = shared_from_this(), keepAlive](const ErrorCode& error, std::size_t) {
+            if (self->m_phase != Phase::Writing)
+                return;
+            self->m_output = {};
+            if (error || !keepAlive)
+                self->close();
+            else
+                self->serveNext();
+        });
+    }
+
+    void sendError(const HttpResponse& response)
+    {
+        m_phase = Phase::Writing;
+        ErrorCode cancelError;
+        // Ends a read that is still pending; there may be none.
+        m_socket.cancel(cancelError);
+        startTimer(m_server->limits.sendTimeout);
+        m_output = detail::serializeResponse(response, false);
+        boost::asio::async_write(m_socket, boost::asio::buffer(m_output), [self = shared_from_this()](const ErrorCode& error, std::size_t) {
+            if (self->m_phase != Phase::Writing)
+                return;
+            if (error) {
+                self->close();
+                return;
+            }
+            ErrorCode ignored;
+            // The client may have disconnected already.
+            self->m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+            self->m_phase = Phase::Lingering;
+            self->startTimer(lingerTimeout);
+            self->discardInput();
+        });
+    }
+
+    void discardInput()
+    {
+        m_output.resize(detail::readBufferBytes);
+        m_socket.async_read_some(boost::asio::buffer(&m_output[0], m_output.size()), [self = shared_from_this()](const ErrorCode& error, std::size_t) {
+            if (self->m_phase != Phase::Lingering)
+                return;
+            if (error)
+                self->close();
+            else
+                self->discardInput();
+        });
+    }
+
+    std::shared_ptr<State> m_server;
+    tcp::socket m_socket;
+    boost::asio::steady_timer m_timer;
+    beast::flat_buffer m_buffer;
+    std::optional<Parser> m_parser;
+    std::string m_output;
+    std::function<void()> m_onDisconnect;
+    Phase m_phase = Phase::Idle;
+    std::uint64_t m_requestNumber = 0;
+    bool m_keepAlive = true;
+};
+
+class AsyncHttpServer::Connection::Exchange : public HttpExchange {
+public:
+    Exchange(std::shared_ptr<Connection> connection, HttpRequest request, std::uint64_t number)
+        : m_connection(std::move(connection))
+        , m_request(std::move(request))
+        , m_number(number)
+    {
+    }
+
+    ~Exchange() override
+    {
+        if (!m_replied)
+            m_connection->m_server->loop.post([connection = m_connection, number = m_number] { connection->onExchangeDropped(number); });
+    }
+
+    const HttpRequest& request() const override { return m_request; }
+
+    void reply(HttpResponse response) override
+    {
+        if (m_replied.exchange(true))
+            return;
+        if (m_connection->m_server->loop.isLoopThread())
+            send(response);
+        else
+            m_connection->m_server->loop.post([connection = m_connection, number = m_number, response = std::move(response)] {
+                if (number == connection->m_requestNumber)
+                    connection->sendReply(response);
+            });
+    }
+
+    void onDisconnect(std::function<void()> function) override
+    {
+        if (m_number == m_connection->m_requestNumber && m_connection->m_phase == Phase::Handling)
+            m_connection->setDisconnectHandler(std::move(function));
+    }
+
+private:
+    void send(const HttpResponse& response)
+    {
+        if (m_number == m_connection->m_requestNumber)
+            m_connection->sendReply(response);
+    }
+
+    std::shared_ptr<Connection> m_connection;
+    HttpRequest m_request;
+    std::uint64_t m_number;
+    std::atomic<bool> m_replied { false };
+};
+
+void AsyncHttpServer::Connection::handle()
+{
+    m_phase = Phase::Handling;
+    m_timer.cancel();
+    ++m_requestNumber;
+    m_keepAlive = m_parser->keep_alive();
+    const std::uint64_t number = m_requestNumber;
+    const std::shared_ptr<HttpExchange> exchange = std::make_shared<Exchange>(shared_from_this(), detail::toRequest(m_parser->release()), number);
+    m_parser.reset();
+    m_server->handler(exchange);
+    if (m_phase == Phase::Handling && number == m_requestNumber)
+        watchForDisconnect();
+}
+
+void AsyncHttpServer::State::accept(const std::shared_ptr<State>& self)
+{
+    acceptor.async_accept([self](const ErrorCode& error, tcp::socket socket) {
+        if (self->stopping)
+            return;
+        if (!error) {
+            self->onAccepted(self, std::move(socket));
+            self->accept(self);
+            return;
+        }
+        if (error == boost::asio::error::operation_aborted)
+            return;
+        self->acceptTimer.expires_after(acceptRetryDelay);
+        self->acceptTimer.async_wait([self](const ErrorCode& timerError) {
+            if (!timerError && !self->stopping)
+                self->accept(self);
+        });
+    });
+}
+
+void AsyncHttpServer::State::onAccepted(const std::shared_ptr<State>& self, tcp::socket socket)
+{
+    detail::setSocketOptions(socket);
+    const bool full = connections.size() >= static_cast<std::size_t>(limits.maxConnections);
+    const std::shared_ptr<Connection> connection = std::make_shared<Connection>(self, std::move(socket));
+    add(connection);
+    if (full) {
+        ++rejected;
+        connection->turnAway();
+    } else {
+        connection->serveNext();
+    }
+}
+
+void AsyncHttpServer::State::add(const std::shared_ptr<Connection>& connection)
+{
+    connections.insert(connection);
+    const std::lock_guard<std::mutex> lock(mutex);
+    openConnections = connections.size();
+}
+
+void AsyncHttpServer::State::remove(const std::shared_ptr<Connection>& connection)
+{
+    connections.erase(connection);
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        openConnections = connections.size();
+    }
+    allClosed.notify_all();
+}
+
+void AsyncHttpServer::State::closeIdleConnections()
+{
+    const std::set<std::shared_ptr<Connection>> open = connections;
+    for (const std::shared_ptr<Connection>& connection : open) {
+        if (connection->isIdle())
+            connection->close();
+    }
+}
+
+AsyncHttpServer::AsyncHttpServer(EventLoop& loop, std::string address, AsyncHttpServerLimits limits, Handler handler)
+    : m_state(std::make_shared<State>(loop, limits, std::move(handler)))
+{
+    m_state->address = std::move(address);
+}
+
+AsyncHttpServer::~AsyncHttpServer()
+{
+    stop();
+}
+
+absl::Status AsyncHttpServer::start()
+{
+    const std::optional<tcp::endpoint> endpoint = detail::parseEndpoint(m_state->address);
+    if (!endpoint)
+        return makeStatus(absl::StatusCode::kUnavailable, { cannotListen, m_state->address, "a malformed address", "a numeric IPv4 address and a port" });
+    ErrorCode error;
+    m_state->acceptor.open(endpoint->protocol(), error);
+    if (!error)
+        m_state->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error)
+        m_state->acceptor.bind(*endpoint, error);
+    if (!error)
+        m_state->acceptor.listen(listenBacklog, error);
+    if (error)
+        return makeStatus(absl::StatusCode::kUnavailable, { cannotListen, m_state->address, error.message(), "an address that can be bound" });
+    m_state->boundPort = m_state->acceptor.local_endpoint().port();
+    m_state->loop.post([state = m_state] { state->accept(state); });
+    return absl::OkStatus();
+}
+
+void AsyncHttpServer::closeAfterReplies()
+{
+    m_state->closing = true;
+    m_state->loop.post([state = m_state] { state->closeIdleConnections(); });
+}
+
+void AsyncHttpServer::prepareStop()
+{
+    m_state->stopping = true;
+    m_state->loop.post([state = m_state] { state->closeIdleConnections(); });
+}
+
+void AsyncHttpServer::stop()
+{
+    if (m_state->boundPort == 0)
+        return;
+    m_state->stopping = true;
+    m_state->loop.post([state = m_state] {
+        ErrorCode ignored;
+        // Accepting ends either way.
+        state->acceptor.close(ignored);
+        state->closeIdleConnections();
+    });
+    std::unique_lock<std::mutex> lock(m_state->mutex);
+    m_state->allClosed.wait_for(lock, m_state->limits.stopTimeout, [this] { return m_state->openConnections == 0; });
+    lock.unlock();
+    std::promise<void> closed;
+    m_state->loop.post([state = m_state, &closed] {
+        const std::set<std::shared_ptr<Connection>> open = state->connections;
+        for (const std::shared_ptr<Connection>& connection : open)
+            connection->close();
+        closed.set_value();
+    });
+    closed.get_future().wait();
+    m_state->boundPort = 0;
+}
+
+std::uint16_t AsyncHttpServer::port() const
+{
+    return m_state->boundPort;
+}
+
+std::uint64_t AsyncHttpServer::rejectedConnections() const
+{
+    return m_state->rejected;
+}
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/http/src/detail/event_loop_state.hpp
@@ -0,0 +1,25 @@
+#pragma once
+
+#include <atomic>
+#include <optional>
+#include <thread>
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/io_context.hpp>
+
+#include <egrettrestle/http/event_loop.hpp>
+
+namespace egrettrestle {
+
+struct EventLoop::State {
+    // One thread runs the context; others may post to it.
+    boost::asio::io_context context { 1 };
+    boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work { context.get_executor() };
+    ErrorHandler onError;
+    std::thread thread;
+    std::atomic<std::thread::id> threadId {};
+
+    void run();
+};
+
+} // namespace egrettrestle
--- /dev/null
+++ b/packages/http/src/event_loop.cpp
@@ -0,0 +1,102 @@
+#include <egrettrestle/http/event_loop.hpp>
+
+#include <boost/asio/post.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include "detail/event_loop_state.hpp"
+
+namespace egrettrestle {
+
+namespace {
+
+    /// Repeats a function until the loop stops.
+    class Repeater : public std::enable_shared_from_this<Repeater> {
+    public:
+        Repeater(boost::asio::io_context& context, Milliseconds interval, std::function<void()> function)
+            : m_timer(context)
+            , m_interval(interval)
+            , m_function(std::move(function))
+        {
+        }
+
+        void schedule()
+        {
+            m_timer.expires_after(m_interval);
+            m_timer.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
+                if (error)
+                    return;
+                self->schedule();
+                self->m_function();
+            });
+        }
+
+    private:
+        boost::asio::steady_timer m_timer;
+        Milliseconds m_interval;
+        std::function<void()> m_function;
+    };
+
+}
+
+void EventLoop::State::run()
+{
+    threadId = std::this_thread::get_id();
+    while (!context.stopped()) {
+        try {
+            context.run();
+        } catch (const std::exception& error) {
+            if (onError)
+                onError(error.what());
+        }
+    }
+}
+
+EventLoop::EventLoop(ErrorHandler onError)
+    : m_state(std::make_unique<State>())
+{
+    m_state->onError = std::move(onError);
+}
+
+EventLoop::~EventLoop()
+{
+    stop();
+}
+
+void EventLoop::start()
+{
+    m_state->thread = std::thread([this] { m_state->run(); });
+}
+
+void EventLoop::stop()
+{
+    m_state->context.stop();
+    if (m_state->thread.joinable())
+        m_state->thread.join();
+}
+
+void EventLoop::post(std::function<void()> function)
+{
+    boost::asio::post(m_state->context, std::move(function));
+}
+
+void EventLoop::runAfter(Milliseconds delay, std::function<void()> function)
+{
+    const std::shared_ptr<boost::asio::steady_timer> timer = std::make_shared<boost::asio::steady_timer>(m_state->context, delay);
+    // The timer's own operations are not thread-safe; this one is not used by any other thread.
+    timer->async_wait([timer, function = std::move(function)](const boost::system::error_code& error) {
+        if (!error)
+            function();
+    });
+}
+
+void EventLoop::runEvery(Milliseconds interval, std::function<void()> function)
+{
+    std::make_shared<Repeater>(m_state->context, interval, std::move(function))->schedule();
+}
+
+bool EventLoop::isLoopThread() const
+{
+    return m_state->threadId.load() == std::this_thread::get_id();
+}
+
+} // namespace egrettrestle
--- /dev/null
+++ b/tests/unit/unit-async-http.cpp
@@ -0,0 +1,450 @@
+#include <atomic>
+#include <future>
+#include <thread>
+
+#include <catch2/catch.hpp>
+
+#include <Poco/Net/ServerSocket.h>
+#include <Poco/Net/StreamSocket.h>
+
+#include <egrettrestle/http/async_client.hpp>
+#include <egrettrestle/http/async_server.hpp>
+
+using namespace egrettrestle;
+
+namespace {
+
+constexpr HttpTimeouts shortTimeouts { Milliseconds { 100 }, Milliseconds { 200 } };
+
+std::string addressOf(std::uint16_t port) { return "127.0.0.1:" + std::to_string(port); }
+
+/// A started loop.
+struct RunningLoop {
+    RunningLoop() { loop.start(); }
+
+    EventLoop loop;
+};
+
+HttpResult callAndWait(AsyncHttpClient& client, const std::string& address, HttpRequest request = {}, HttpTimeouts timeouts = shortTimeouts)
+{
+    std::promise<HttpResult> received;
+    client.call(address, std::move(request), timeouts, [&received](HttpResult result) { received.set_value(std::move(result)); });
+    return received.get_future().get();
+}
+
+AsyncHttpServer::Handler echo()
+{
+    return [](const std::shared_ptr<HttpExchange>& exchange) {
+        HttpResponse response;
+        response.body = exchange->request().path + exchange->request().body;
+        exchange->reply(std::move(response));
+    };
+}
+
+/// A raw client connection, to send what an HTTP client would not.
+class RawConnection {
+public:
+    explicit RawConnection(std::uint16_t port)
+        : m_socket(Poco::Net::SocketAddress("127.0.0.1", port))
+    {
+        m_socket.setReceiveTimeout(Poco::Timespan(3, 0));
+    }
+
+    void send(const std::string& text) { m_socket.sendBytes(text.data(), static_cast<int>(text.size())); }
+    void closeSending() { m_socket.shutdownSend(); }
+    void reset()
+    {
+        m_socket.setLinger(true, 0);
+        m_socket.close();
+    }
+
+    /// Everything received until the server closes the connection, or until `count` occurrences of `text`.
+    std::string receive(const std::string& text = "\n\n", int count = 1)
+    {
+        std::string received;
+        char buffer[4096];
+        while (occurrences(received, text) < count) {
+            const int size = m_socket.receiveBytes(buffer, sizeof(buffer));
+            if (size <= 0)
+                break;
+            received.append(buffer, static_cast<std::size_t>(size));
+        }
+        return received;
+    }
+
+    static int occurrences(const std::string& text, const std::string& part)
+    {
+        int count = 0;
+        for (std::size_t at = text.find(part); at != std::string::npos; at = text.find(part, at + part.size()))
+            ++count;
+        return count;
+    }
+
+private:
+    Poco::Net::StreamSocket m_socket;
+};
+
+/// A TCP server that accepts one connection after another and does with it what the test says.
+class RawServer {
+public:
+    explicit RawServer(std::function<void(Poco::Net::StreamSocket&)> serve)
+        : m_socket(Poco::Net::SocketAddress("127.0.0.1", 0))
+        , m_thread([this, serve = std::move(serve)] {
+            while (!m_stopping) {
+                if (!m_socket.poll(Poco::Timespan(0, 20'000), Poco::Net::Socket::SELECT_READ))
+                    continue;
+                Poco::Net::StreamSocket connection = m_socket.acceptConnection();
+                ++m_accepted;
+                serve(connection);
+            }
+        })
+    {
+    }
+
+    ~RawServer()
+    {
+        m_stopping = true;
+        m_thread.join();
+    }
+
+    std::string address() const { return addressOf(m_socket.address().port()); }
+    int accepted() const { return m_accepted; }
+
+    static void readRequest(Poco::Net::StreamSocket& connection)
+    {
+        char buffer[4096];
+        connection.receiveBytes(buffer, sizeof(buffer));
+    }
+
+private:
+    Poco::Net::ServerSocket m_socket;
+    std::atomic<bool> m_stopping { false };
+    std::atomic<int> m_accepted { 0 };
+    std::thread m_thread;
+};
+
+}
+
+// A handler that throws must not end the process: one malformed message would stop every job of the VM.
+TEST_CASE("EventLoop goes on after a function that throws")
+{
+    std::promise<std::string> reported;
+    std::promise<void> later;
+    EventLoop loop([&reported](const std::string& message) { reported.set_value(message); });
+    loop.start();
+    loop.post([] { throw std::runtime_error("malformed"); });
+    loop.post([&later] { later.set_value(); });
+    CHECK(reported.get_future().get() == "malformed");
+    CHECK(later.get_future().wait_for(Seconds { 2 }) == std::future_status::ready);
+}
+
+TEST_CASE("AsyncHttpServer replies to each request once, in order")
+{
+    RunningLoop running;
+    AsyncHttpServer server(running.loop, "127.0.0.1:0", {}, echo());
+    REQUIRE(server.start().ok());
+
+    SECTION("200 requests sent on one connection without waiting for replies")
+    {
+        RawConnection connection(server.port());
+        std::string requests;
+        for (int number = 0; number < 200; ++number)
+            requests += "POST /" + std::to_string(number) + " HTTP/1.1\r\nHost: a\r\nContent-Length: 3\r\n\r\n<x>";
+        connection.send(requests);
+        const std::string replies = connection.receive("<x>", 200);
+        CHECK(RawConnection::occurrences(replies, "HTTP/1.1 200") == 200);
+        std::size_t position = 0;
+        for (int number = 0; number < 200; ++number) {
+            position = replies.find("/" + std::to_string(number) + "<x>", position);
+            REQUIRE(position != std::string::npos);
+        }
+    }
+
+    SECTION("a request that arrives in pieces")
+    {
+        RawConnection connection(server.port());
+        for (const char* piece : { "POST /a HT", "TP/1.1\r\nHo", "st: a\r\nContent-Length: 4\r\n", "\r\nab", "cd" }) {
+            connection.send(piece);
+            std::this_thread::sleep_for(Milliseconds { 10 });
+        }
+        CHECK(connection.receive("/aabcd").find("/aabcd") != std::string::npos);
+    }
+
+    SECTION("a client that waits for 100 Continue")
+    {
+        RawConnection connection(server.port());
+        connection.send("POST /a HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\nContent-Length: 2\r\n\r\n");
+        CHECK(connection.receive("\r\n\r\n").find("100 Continue") != std::string::npos);
+        connection.send("xy");
+        CHECK(connection.receive("/axy").find("HTTP/1.1 200") != std::string::npos);
+    }
+}
+
+TEST_CASE("AsyncHttpServer rejects malformed requests and goes on serving")
+{
+    RunningLoop running;
+    AsyncHttpServerLimits limits;
+    limits.maxBodyBytes = 100;
+    limits.receiveTimeout = Milliseconds { 100 };
+    AsyncHttpServer server(running.loop, "127.0.0.1:0", limits, echo());
+    REQUIRE(server.start().ok());
+    RawConnection connection(server.port());
+
+    SECTION("a body longer than the limit gets 413")
+    {
+        connection.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 101\r\n\r\n");
+        CHECK(connection.receive().find("HTTP/1.1 413") == 0);
+    }
+    SECTION("a chunked body longer than the limit gets 413")
+    {
+        connection.send("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n65\r\n" + std::string(101, 'x') + "\r\n");
+        CHECK(connection.receive().find("HTTP/1.1 413") == 0);
+    }
+    SECTION("a body that ends early gets 400")
+    {
+        connection.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc");
+        connection.closeSending();
+        CHECK(connection.receive().find("HTTP/1.1 400") == 0);
+    }
+    SECTION("a header that is no HTTP gets 400")
+    {
+        connection.send("\x01\x02\x03 nonsense\r\n\r\n");
+        CHECK(connection.receive().find("HTTP/1.1 400") == 0);
+    }
+    SECTION("a header longer than the limit gets 431")
+    {
+        connection.send("GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(20'000, 'x') + "\r\n\r\n");
+        CHECK(connection.receive().find("HTTP/1.1 431") == 0);
+    }
+    SECTION("a request that is not complete in time gets 408")
+    {
+        connection.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc");
+        CHECK(connection.receive().find("HTTP/1.1 408") == 0);
+    }
+    SECTION("a connection that is reset within a body has no effect on others")
+    {
+        connection.send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc");
+        connection.reset();
+    }
+    AsyncHttpClient client(running.loop);
+    CHECK(callAndWait(client, addressOf(server.port())).response.status == httpStatus::ok);
+}
+
+TEST_CASE("AsyncHttpServer with handlers that reply later")
+{
+    RunningLoop running;
+    std::promise<std::shared_ptr<HttpExchange>> received;
+    std::atomic<bool> disconnected { false };
+    AsyncHttpServer server(running.loop, "127.0.0.1:0", {}, [&](const std::shared_ptr<HttpExchange>& exchange) {
+        exchange->onDisconnect([&disconnected] { disconnected = true; });
+        received.set_value(exchange);
+    });
+    REQUIRE(server.start().ok());
+
+    SECTION("a reply from another thread is delivered")
+    {
+        RawConnection connection(server.port());
+        connection.send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+        HttpResponse response;
+        response.body = "late";
+        received.get_future().get()->reply(response);
+        CHECK(connection.receive("late").find("HTTP/1.1 200") == 0);
+        CHECK_FALSE(disconnected);
+    }
+
+    SECTION("the handler is told that its client has disconnected")
+    {
+        std::shared_ptr<HttpExchange> exchange;
+        {
+            RawConnection connection(server.port());
+            connection.send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+            exchange = received.get_future().get();
+        }
+        const TimePoint end = SteadyClock::now() + Seconds { 2 };
+        while (!disconnected && SteadyClock::now() < end) { }
+        CHECK(disconnected);
+        exchange->reply({});
+    }
+
+    SECTION("a request without a reply closes its connection")
+    {
+        RawConnection connection(server.port());
+        connection.send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+        received.get_future().get().reset();
+        CHECK(connection.receive().empty());
+    }
+
+    SECTION("stop() returns although a request is still in progress")
+    {
+        RawConnection connection(server.port());
+        connection.send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+        const std::shared_ptr<HttpExchange> exchange = received.get_future().get();
+        const TimePoint before = SteadyClock::now();
+        server.stop();
+        CHECK(SteadyClock::now() - before < Seconds { 2 });
+    }
+}
+
+TEST_CASE("AsyncHttpServer limits its connections")
+{
+    RunningLoop running;
+    AsyncHttpServerLimits limits;
+    limits.maxConnections = 2;
+    limits.sendTimeout = Milliseconds { 200 };
+    AsyncHttpServer server(running.loop, "127.0.0.1:0", limits, [](const std::shared_ptr<HttpExchange>& exchange) {
+        HttpResponse response;
+        response.body = exchange->request().path == "/large" ? std::string(64 * 1024 * 1024, 'x') : "small";
+        exchange->reply(std::move(response));
+    });
+    REQUIRE(server.start().ok());
+
+    SECTION("connections beyond the limit get 503")
+    {
+        RawConnection first(server.port());
+        RawConnection second(server.port());
+        first.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        second.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        CHECK(first.receive("small").find("HTTP/1.1 200") == 0);
+        CHECK(second.receive("small").find("HTTP/1.1 200") == 0);
+        RawConnection third(server.port());
+        CHECK(third.receive().find("HTTP/1.1 503") == 0);
+        CHECK(server.rejectedConnections() == 1);
+    }
+
+    SECTION("a client that does not read its reply is disconnected, and others are served meanwhile")
+    {
+        RawConnection unread(server.port());
+        unread.send("GET /large HTTP/1.1\r\nHost: a\r\n\r\n");
+        AsyncHttpClient client(running.loop);
+        CHECK(callAndWait(client, addressOf(server.port())).response.body == "small");
+        std::this_thread::sleep_for(Milliseconds { 400 });
+        CHECK(unread.receive("never").size() < 64 * 1024 * 1024);
+    }
+
+    SECTION("idle connections are closed after closeAfterReplies()")
+    {
+        RawConnection idle(server.port());
+        idle.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n");
+        idle.receive("small");
+        server.closeAfterReplies();
+        CHECK(idle.receive().empty());
+    }
+}
+
+// Which failures prove that a request was not sent decides whether a task may be started elsewhere at once.
+TEST_CASE("AsyncHttpClient reports how far a call without a reply got")
+{
+    RunningLoop running;
+    AsyncHttpClient client(running.loop);
+
+    SECTION("a refused connection")
+    {
+        std::string address;
+        {
+            RawServer server([](Poco::Net::StreamSocket&) {});
+            address = server.address();
+        }
+        CHECK(callAndWait(client, address).failure == HttpFailure::ConnectFailed);
+    }
+    SECTION("a malformed address")
+    {
+        CHECK(callAndWait(client, "nowhere").failure == HttpFailure::ConnectFailed);
+    }
+    SECTION("a connection that is closed before the reply")
+    {
+        RawServer server([](Poco::Net::StreamSocket& connection) { RawServer::readRequest(connection); });
+        CHECK(callAndWait(client, server.address()).failure == HttpFailure::ReplyLost);
+    }
+    SECTION("a reply that is cut off")
+    {
+        RawServer server([](Poco::Net::StreamSocket& connection) {
+            RawServer::readRequest(connection);
+            const std::string part = "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nabc";
+            connection.sendBytes(part.data(), static_cast<int>(part.size()));
+        });
+        CHECK(callAndWait(client, server.address()).failure == HttpFailure::ReplyLost);
+    }
+    SECTION("no reply at all, on an open connection")
+    {
+        std::promise<void> done;
+        std::shared_future<void> released = done.get_future().share();
+        RawServer server([released](Poco::Net::StreamSocket& connection) {
+            RawServer::readRequest(connection);
+            released.wait();
+        });
+        const TimePoint before = SteadyClock::now();
+        CHECK(callAndWait(client, server.address()).failure == HttpFailure::ReplyTimedOut);
+        CHECK(SteadyClock::now() - before < Seconds { 1 });
+        done.set_value();
+    }
+}
+
+// A call that timed out while its reply arrived left a read operation behind, which went on with what the call had freed.
+// The loop is kept busy until the deadline has passed and several reads' worth of the reply has arrived.
+TEST_CASE("AsyncHttpClient calls that time out while their reply arrives")
+{
+    constexpr HttpTimeouts timeouts { Milliseconds { 50 }, Milliseconds { 60 } };
+    static constexpr Milliseconds busy { 100 };
+    RunningLoop running;
+    AsyncHttpClient client(running.loop);
+    RawServer server([](Poco::Net::StreamSocket& connection) {
+        RawServer::readRequest(connection);
+        const std::string reply = "HTTP/1.1 200 OK\r\nContent-Length: 20000000\r\n\r\n" + std::string(20'000'000, 'x');
+        try {
+            connection.sendBytes(reply.data(), static_cast<int>(reply.size()));
+        } catch (const Poco::Exception&) {
+            // The client has closed the connection after its time-out.
+        }
+    });
+    for (int call = 0; call < 10; ++call) {
+        std::promise<HttpResult> received;
+        client.call(server.address(), {}, timeouts, [&received](HttpResult result) { received.set_value(std::move(result)); });
+        running.loop.runAfter(Milliseconds { 5 }, [] { std::this_thread::sleep_for(busy); });
+        CHECK(received.get_future().get().failure == HttpFailure::ReplyTimedOut);
+    }
+}
+
+// Connections can fall silent without a reset. A pool that offered the next silent one after each time-out would fail many
+// calls in a row.
+TEST_CASE("AsyncHttpClient reuses connections, but not silent ones")
+{
+    RunningLoop running;
+    AsyncHttpClient client(running.loop);
+    std::atomic<bool> silent { false };
+    std::vector<std::shared_ptr<HttpExchange>> unanswered;
+    AsyncHttpServer server(running.loop, "127.0.0.1:0", {}, [&](const std::shared_ptr<HttpExchange>& exchange) {
+        if (silent)
+            unanswered.push_back(exchange);
+        else
+            exchange->reply({});
+    });
+    REQUIRE(server.start().ok());
+    const std::string address = addressOf(server.port());
+
+    SECTION("one connection carries calls made one after another")
+    {
+        RawServer counting([](Poco::Net::StreamSocket& connection) {
+            const std::string reply = "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+            for (int request = 0; request < 3; ++request) {
+                RawServer::readRequest(connection);
+                connection.sendBytes(reply.data(), static_cast<int>(reply.size()));
+            }
+        });
+        for (int request = 0; request < 3; ++request)
+            CHECK(callAndWait(client, counting.address()).ok());
+        CHECK(counting.accepted() == 1);
+    }
+
+    SECTION("after a time-out the next call uses a new connection")
+    {
+        std::vector<std::promise<HttpResult>> results(4);
+        for (std::promise<HttpResult>& result : results)
+            client.call(address, {}, shortTimeouts, [&result](HttpResult received) { result.set_value(std::move(received)); });
+        for (std::promise<HttpResult>& result : results)
+            CHECK(result.get_future().get().ok());
+        silent = true;
+        CHECK(callAndWait(client, address).failure == HttpFailure::ReplyTimedOut);
+        silent = false;
+        CHECK(callAndWait(client, address).ok());
+    }
+}
