--- a/packages/decision/include/egrettrestle/decision/dispatcher.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatcher.hpp
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include <egrettrestle/decision/contacts.hpp>
 #include <egrettrestle/decision/job_executor.hpp>
 #include <egrettrestle/decision/ownership.hpp>
 #include <egrettrestle/decision/upstream_owner.hpp>
@@ -29,6 +30,7 @@
     Milliseconds maxWarmUp { 1'500 };
     /// A VM without contact or without accepting messages for this long gets no new tasks.
     Milliseconds peerTimeout { 350 };
+    ContactLimits contacts;
 };
 
 /// Time after an owner's last reply until none of its runs for this VM can still be running: the owner may accept this
@@ -115,6 +117,9 @@
     /// Handles the restart of a VM, which has lost all its jobs and runs.
     void onPeerRestarted(const VmId& vm, TimePoint now);
 
+    /// The members that this VM exchanges messages with regularly.
+    const std::set<VmId>& contacts() const { return m_contacts; }
+
     /// Whether the VM has tasks of this VM's jobs, or this VM has tasks of the other's.
     bool sharesTasks(const VmId& vm) const { return m_owner.hasRunsOf(vm) || m_executor.hasTasksAt(vm); }
 
@@ -134,7 +139,7 @@
     /// Handles everything that depends on time alone. To be called at short, regular intervals.
     void tick(TimePoint now);
 
-    /// Whether this VM can accept jobs: all its upstreams have been polled and every member of the view has sent a
+    /// Whether this VM can accept jobs: all its upstreams have been polled and every regular contact has sent a
     /// capacity report, or DispatcherLimits::readinessTimeout has passed since it became a member.
     bool isReady(TimePoint now) const;
 
@@ -177,6 +182,9 @@
         bool executorDropped = false;
         /// Whether this VM's tasks at the VM were sent elsewhere because it did not reply.
         bool lost = false;
+        /// Since when replies of the VM are expected, after a time in which they were not: it has become a regular contact or
+        /// has got tasks of this VM's jobs.
+        std::optional<TimePoint> expectedSince = {};
     };
 
     void stop(const StopOrder& order) override { m_port.stop(order); }
@@ -188,6 +196,7 @@
     void reply(CallerTicket ticket, const JobResult& reply) override { m_port.reply(ticket, reply); }
     void send(const VmId& vm, PeerMessage message) override;
 
+    void setContacts(std::set<VmId> contacts, TimePoint now);
     /// Determines the owner of an upstream, and acquires or releases the upstream accordingly.
     std::optional<VmId> assignOwner(const UpstreamInfo& upstream, TimePoint now);
     void assignOwners(const std::set<VmId>& stableOwners, TimePoint now);
@@ -210,6 +219,7 @@
     UpstreamOwner m_owner;
     JobExecutor m_executor;
     View m_view;
+    std::set<VmId> m_contacts;
     /// When the warm-up began, at the first tick or submission.
     std::optional<TimePoint> m_warmUpSince;
     /// When the first view with this VM in it was adopted.
--- a/packages/decision/include/egrettrestle/decision/job_executor.hpp
+++ b/packages/decision/include/egrettrestle/decision/job_executor.hpp
@@ -200,6 +200,8 @@
 
     /// Whether a task sent to the owner is still queued or running there.
     bool hasTasksAt(const VmId& owner) const;
+    /// The owners that have tasks of this VM's jobs.
+    std::set<VmId> ownersWithTasks() const;
 
     /// Number of jobs in progress.
     std::size_t jobs() const { return m_jobs.size(); }
--- a/packages/decision/include/egrettrestle/decision/view.hpp
+++ b/packages/decision/include/egrettrestle/decision/view.hpp
@@ -85,6 +85,9 @@
 /// The view without one incarnation. Returns the view unchanged, with the same epoch, if it has no such member.
 View withRemoved(const View& view, Incarnation incarnation);
 
+/// The view without several incarnations, in one epoch. Returns the view unchanged if none of them is a member.
+View withAllRemoved(const View& view, const std::vector<Incarnation>& incarnations);
+
 /// @}
 
 /// The members whose heartbeats a VM monitors: at most `count` successors in the ring of ids. Empty if `self` is not a
--- a/packages/decision/src/dispatcher.cpp
+++ b/packages/decision/src/dispatcher.cpp
@@ -59,10 +59,21 @@
             localMembers.insert(member.id);
     }
     m_capacities.setLocalOwners(std::move(localMembers));
+    setContacts(regularContacts(view, m_self, m_limits.contacts, m_contacts), now);
     assignOwners(stableOwners, now);
     deliverLocalMessages(now);
 }
 
+void Dispatcher::setContacts(std::set<VmId> contacts, TimePoint now)
+{
+    for (const VmId& vm : contacts) {
+        const auto known = m_peers.find(vm);
+        if (known != m_peers.end() && m_contacts.count(vm) == 0 && !known->second.expectedSince)
+            known->second.expectedSince = now;
+    }
+    m_contacts = std::move(contacts);
+}
+
 void Dispatcher::setUpstream(const UpstreamInfo& upstream, TimePoint now)
 {
     UpstreamInfo& known = m_upstreams[upstream.id];
@@ -232,9 +243,8 @@
 
 bool Dispatcher::hasCompleteCapacity() const
 {
-    return std::all_of(m_view.members.begin(), m_view.members.end(), [this](const Member& member) {
-        return m_capacities.isComplete(member.id, { m_view.epoch.value });
-    });
+    const FencingToken epoch { m_view.epoch.value };
+    return m_capacities.isComplete(m_self, epoch) && std::all_of(m_contacts.begin(), m_contacts.end(), [this, epoch](const VmId& vm) { return m_capacities.isComplete(vm, epoch); });
 }
 
 bool Dispatcher::isReady(TimePoint now) const
@@ -243,21 +253,29 @@
         return false;
     if (now - *m_memberSince > m_limits.readinessTimeout)
         return true;
-    const bool allPeersReported = std::all_of(m_view.members.begin(), m_view.members.end(), [this](const Member& member) { return member.id == m_self || m_peers.count(member.id) > 0; });
-    return allPeersReported && m_owner.allSynced();
+    const bool allContactsReported = std::all_of(m_contacts.begin(), m_contacts.end(), [this](const VmId& vm) { return m_peers.count(vm) > 0; });
+    return allContactsReported && m_owner.allSynced();
 }
 
 void Dispatcher::checkPeers(TimePoint now)
 {
+    const std::set<VmId> ownersWithTasks = m_executor.ownersWithTasks();
     for (auto& entry : m_peers) {
         PeerState& peer = entry.second;
+        const bool isContact = m_contacts.count(entry.first) > 0;
+        const bool replyExpected = isContact || ownersWithTasks.count(entry.first) > 0;
+        if (!replyExpected)
+            peer.expectedSince.reset();
+        else if (!isContact && !peer.expectedSince)
+            peer.expectedSince = now;
         if (!peer.executorDropped && now - peer.lastMessageAt > m_limits.owner.executorTimeout) {
             peer.executorDropped = true;
             m_owner.onExecutorLost(entry.first, now);
         }
         if (now - std::min(peer.lastAcceptedAt, peer.lastMessageAt) > m_limits.peerTimeout)
             m_capacities.setReachable(entry.first, false);
-        if (!peer.lost && now - peer.lastReplyAt > ownerLossTimeout(m_limits)) {
+        const TimePoint silentSince = std::max(peer.lastReplyAt, peer.expectedSince.value_or(peer.lastReplyAt));
+        if (!peer.lost && replyExpected && now - silentSince > ownerLossTimeout(m_limits)) {
             peer.lost = true;
             m_port.onPeerLost(entry.first);
             m_executor.onOwnerLost(entry.first, now);
--- a/packages/decision/src/job_executor.cpp
+++ b/packages/decision/src/job_executor.cpp
@@ -533,6 +533,18 @@
     });
 }
 
+std::set<VmId> JobExecutor::ownersWithTasks() const
+{
+    std::set<VmId> owners;
+    for (const auto& entry : m_jobs) {
+        for (const Task& task : entry.second.tasks) {
+            if (isOutstanding(task))
+                owners.insert(task.owner);
+        }
+    }
+    return owners;
+}
+
 bool JobExecutor::cannotBePlaced(const Job& job) const
 {
     const bool neverPlaced = !job.anyStarted && std::none_of(job.tasks.begin(), job.tasks.end(), [](const Task& task) { return isOutstanding(task); });
--- a/packages/decision/src/view.cpp
+++ b/packages/decision/src/view.cpp
@@ -102,10 +102,16 @@
 
 View withRemoved(const View& view, Incarnation incarnation)
 {
-    if (!findMember(view, incarnation))
+    return withAllRemoved(view, { incarnation });
+}
+
+View withAllRemoved(const View& view, const std::vector<Incarnation>& incarnations)
+{
+    const auto isRemoved = [&incarnations](const Member& member) { return std::find(incarnations.begin(), incarnations.end(), member.incarnation) != incarnations.end(); };
+    if (std::none_of(view.members.begin(), view.members.end(), isRemoved))
         return view;
     View next = nextView(view);
-    next.members.erase(std::remove_if(next.members.begin(), next.members.end(), [incarnation](const Member& member) { return member.incarnation == incarnation; }), next.members.end());
+    next.members.erase(std::remove_if(next.members.begin(), next.members.end(), isRemoved), next.members.end());
     return next;
 }
 
--- a/packages/fleet/include/egrettrestle/fleet/peer_links.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/peer_links.hpp
@@ -4,6 +4,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <set>
 
 #include <egrettrestle/decision/peer_channel.hpp>
 #include <egrettrestle/decision/view.hpp>
@@ -23,7 +24,8 @@
     bool refusesConnections = false;
 };
 
-/// Exchanges messages with the other VMs of the view. Messages to a peer are sent in batches, one at a time; a batch
+/// Exchanges messages with the other VMs of the view: regularly with those that regularContacts() names and those that share
+/// tasks with this VM, and with all others when there are messages. Messages to a peer are sent in batches, one at a time; a batch
 /// without a reply is sent again, and the peer acts on each message once. All network I/O is done on the event loop. Safe
 /// for use by several threads.
 class PeerLinks : public KernelService {
@@ -76,6 +78,7 @@
     std::map<VmId, PeerPointer> m_peers;
     std::map<VmId, PeerChannel> m_channels;
     Epoch m_epoch;
+    std::set<VmId> m_contacts;
     int m_batchesInFlight = 0;
     std::uint64_t m_rejectedConnections = 0;
     std::atomic<bool> m_fetchingConfiguration { false };
--- a/packages/fleet/src/membership.cpp
+++ b/packages/fleet/src/membership.cpp
@@ -183,12 +183,13 @@
 
 void FleetMembership::checkUnresponsivePeers()
 {
+    std::uint64_t viewRevision = 0;
+    const View latest = currentView(viewRevision);
+    std::vector<Incarnation> unresponsive;
     for (const UnresponsivePeer& peer : m_context.kernel.find<PeerLinks>(fleetServices::peerLinks).unresponsivePeers()) {
         if (peer.silence < (peer.refusesConnections ? suspectAfterRefusals : suspectAfter))
             continue;
-        std::uint64_t revision = 0;
-        const View view = currentView(revision);
-        const Member* member = findMember(view, peer.id);
+        const Member* member = findMember(latest, peer.id);
         if (!member)
             continue;
         std::optional<Suspicion> known;
@@ -203,17 +204,19 @@
         if (current && !known->objected) {
             if (age < objectionTimeout)
                 continue;
-            m_context.log.write(events::vmRemoved, { { "peer", peer.id }, { "silentMs", peer.silence.count() }, { "epoch", static_cast<std::int64_t>(view.epoch.value) } });
-            tryWriteView(withRemoved(view, member->incarnation), revision);
-            return;
+            m_context.log.write(events::vmRemoved, { { "peer", peer.id }, { "silentMs", peer.silence.count() }, { "epoch", static_cast<std::int64_t>(latest.epoch.value) } });
+            unresponsive.push_back(member->incarnation);
+            continue;
         }
         if (current && age < objectionValidity)
             continue;
         m_context.log.write(events::vmSuspected, { { "peer", peer.id }, { "silentMs", peer.silence.count() }, { "refuses", peer.refusesConnections ? "yes" : "no" } });
         const absl::StatusOr<bool> written = m_context.platform.store->compareAndSwap(suspectKeyPrefix + peer.id, known ? known->revision : 0, suspectedMarker + std::to_string(member->incarnation.value));
         if (!written.ok())
-            return;
+            break;
     }
+    if (!unresponsive.empty())
+        tryWriteView(withAllRemoved(latest, unresponsive), viewRevision);
 }
 
 void FleetMembership::leave()
--- a/packages/fleet/src/peer_links.cpp
+++ b/packages/fleet/src/peer_links.cpp
@@ -15,11 +15,14 @@
     constexpr HttpTimeouts peerTimeouts { Milliseconds { 200 }, Milliseconds { 350 } };
     // Shortest interval of the batches that report free capacity and show that this VM is alive.
     constexpr Milliseconds minKeepAliveInterval { 100 };
-    // The interval grows with the number of peers, so that the capacity reports of a VM cost about the same. Between VMs
+    // The interval grows with the number of contacts, so that the capacity reports of a VM cost about the same. Between VMs
     // that run tasks for each other, three batches fit into the silence after which a VM's runs are stopped; elsewhere one
     // does.
-    constexpr int peersPerKeepAliveStep = 5;
-    constexpr Milliseconds maxKeepAliveInterval { 400 };
+    constexpr int contactsPerKeepAliveStep = 5;
+    // A batch whose time-stamp echo is older is likely to be taken for a delayed one. An empty batch first gets a new
+    // time-stamp.
+    constexpr Milliseconds maxTimestampAge { 400 };
+    constexpr Milliseconds maxKeepAliveInterval { 300 };
     constexpr Milliseconds maxSharingKeepAliveInterval { 190 };
     constexpr Milliseconds retryInterval { 40 };
     // Links to former members are kept for this long after their last reply.
@@ -38,6 +41,8 @@
     VmId id;
     std::string address;
     bool member = true;
+    /// Batches are sent regularly, even without messages.
+    bool contact = false;
     PeerChannel* channel = nullptr;
     /// A queued message must be sent without delay.
     bool urgent = false;
@@ -50,6 +55,8 @@
     bool repeat = false;
     TimePoint lastSent;
     TimePoint lastReplyAt;
+    /// When the first batch without a reply was sent since the last reply.
+    std::optional<TimePoint> unansweredSince;
     TimePoint removedAt;
     int refusedConnections = 0;
 };
@@ -92,25 +99,28 @@
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
     m_epoch = view.epoch;
+    m_contacts = regularContacts(view, m_context.settings.id, DispatcherLimits {}.contacts, m_contacts);
     for (auto& entry : m_peers) {
         const Member* member = findMember(view, entry.first);
         if (entry.second->member && !member)
             entry.second->removedAt = bootTimeNow();
         entry.second->member = member != nullptr;
+        // A former contact may be finishing its jobs, for which it needs this VM's free capacity.
+        if (member)
+            entry.second->contact = false;
     }
     for (const Member& member : view.members) {
         if (member.id == m_context.settings.id)
             continue;
         PeerPointer& peer = m_peers[member.id];
-        if (peer) {
-            peer->address = member.peerAddress;
-            continue;
+        if (!peer) {
+            peer = std::make_shared<Peer>();
+            peer->id = member.id;
+            peer->channel = &channel(member.id);
+            peer->lastReplyAt = bootTimeNow();
         }
-        peer = std::make_shared<Peer>();
-        peer->id = member.id;
-        peer->channel = &channel(member.id);
         peer->address = member.peerAddress;
-        peer->lastReplyAt = bootTimeNow();
+        peer->contact = m_contacts.count(member.id) > 0;
     }
 }
 
@@ -155,9 +165,9 @@
 /// Called with m_mutex held.
 Milliseconds PeerLinks::keepAliveInterval(const Peer& peer) const
 {
-    const int peers = static_cast<int>(m_peers.size());
+    const int contacts = static_cast<int>(m_contacts.size());
     const Milliseconds longest = peer.sharesTasks ? maxSharingKeepAliveInterval : maxKeepAliveInterval;
-    return std::min(longest, minKeepAliveInterval * std::max(1, peers / peersPerKeepAliveStep));
+    return std::min(longest, minKeepAliveInterval * std::max(1, contacts / contactsPerKeepAliveStep));
 }
 
 DispatchBatch PeerLinks::makeBatch(Peer& peer)
@@ -177,9 +187,14 @@
     const std::lock_guard<std::mutex> lock(m_mutex);
     batch.epoch = m_epoch;
     batch.stamp = peer.channel->batchHeader();
-    batch.messages = peer.channel->pendingMessages();
-    peer.urgent = false;
-    peer.lastSent = bootTimeNow();
+    const TimePoint now = bootTimeNow();
+    const bool timestampExpired = now - peer.lastReplyAt > maxTimestampAge;
+    if (!timestampExpired || peer.repeat)
+        batch.messages = peer.channel->pendingMessages();
+    peer.urgent = timestampExpired && peer.urgent;
+    peer.lastSent = now;
+    if (!peer.unansweredSince)
+        peer.unansweredSince = now;
     peer.sharesTasks = sharesTasks;
     return batch;
 }
@@ -189,6 +204,8 @@
 {
     if (peer.batchInFlight)
         return false;
+    if (!peer.contact && !peer.sharesTasks && peer.channel->isEmpty())
+        return false;
     const Milliseconds interval = peer.repeat ? retryInterval : peer.urgent ? Milliseconds { 0 }
         : peer.channel->isEmpty()                                           ? keepAliveInterval(peer)
                                                                             : maxMessageDelay;
@@ -288,6 +305,7 @@
             if (!replyResult.accepted)
                 return;
             peer.lastReplyAt = now;
+            peer.unansweredSince.reset();
             peer.refusedConnections = 0;
             peer.urgent = peer.urgent || (!reply.channel.accepted && !peer.channel->isEmpty());
         }
@@ -368,7 +386,7 @@
     reply.channel.accepted = batchResult.accepted;
     if (batchResult.peerRestarted)
         logPeerRestart(batch.sender, batch.stamp.processIncarnation, "batch");
-    if (!batchResult.accepted && batch.stamp.receiverProcessIncarnation == m_context.processIncarnation)
+    if (!batchResult.accepted && !batch.messages.empty() && batch.stamp.receiverProcessIncarnation == m_context.processIncarnation)
         m_context.log.write(events::staleBatch, { { "peer", batch.sender }, { "messages", static_cast<std::int64_t>(batch.messages.size()) } });
     return reply;
 }
@@ -380,9 +398,14 @@
     std::vector<UnresponsivePeer> unresponsive;
     const std::lock_guard<std::mutex> lock(m_mutex);
     for (const auto& entry : m_peers) {
-        const Milliseconds silence = toMilliseconds(bootTimeNow() - entry.second->lastReplyAt);
-        if (entry.second->member && silence > responsiveThreshold)
-            unresponsive.push_back({ entry.first, silence, entry.second->refusedConnections > 1 });
+        const Peer& peer = *entry.second;
+        if (!peer.member || !peer.unansweredSince)
+            continue;
+        // A VM that is not a regular contact is silent only since a batch to it was due.
+        const TimePoint silentSince = std::max(peer.lastReplyAt, *peer.unansweredSince - maxSharingKeepAliveInterval);
+        const Milliseconds silence = toMilliseconds(bootTimeNow() - silentSince);
+        if (silence > responsiveThreshold)
+            unresponsive.push_back({ entry.first, silence, peer.refusedConnections > 1 });
     }
     return unresponsive;
 }
--- a/tests/unit/unit-dispatcher.cpp
+++ b/tests/unit/unit-dispatcher.cpp
@@ -199,6 +199,36 @@
     CHECK(fixture.port.lostPeers == std::vector<VmId> { "y" });
 }
 
+// Between VMs that are not regular contacts there may have been no messages for a long time: a first task sent there must
+// not be taken for lost at once.
+TEST_CASE("dispatcher waits for an owner that it had not been in contact with")
+{
+    DispatcherLimits limits;
+    limits.contacts = { 1, 0, 0 };
+    RecordingDispatcherPort port;
+    Dispatcher dispatcher(port, "x", limits);
+    TimePoint now { std::chrono::hours { 1 } };
+    dispatcher.setView(viewOf(1, { "x", "y" }), now);
+    CHECK(dispatcher.contacts().empty());
+    dispatcher.onPeerReply("y", true, now);
+    now += Seconds { 60 };
+    dispatcher.tick(now);
+    CHECK(port.lostPeers.empty());
+    dispatcher.onPeerMessages("y", {}, capacityFor(1, 2), now);
+    dispatcher.onPeerReply("y", false, now - Seconds { 60 });
+    dispatcher.submit(1, jobOf("j", 1), routeNamed("proof"), now);
+    REQUIRE(port.sent.size() == 1);
+    dispatcher.tick(now);
+    CHECK(port.lostPeers.empty());
+
+    SECTION("and takes it for lost if it does not reply")
+    {
+        now += ownerLossTimeout(limits) + Milliseconds { 1 };
+        dispatcher.tick(now);
+        CHECK(port.lostPeers == std::vector<VmId> { "y" });
+    }
+}
+
 TEST_CASE("dispatcher ignores an older view")
 {
     DispatcherFixture fixture;
