--- a/packages/fleet/include/egrettrestle/fleet/caller_server.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/caller_server.hpp
@@ -28,11 +28,13 @@
     void handleSubmission(const std::shared_ptr<HttpExchange>& exchange, const CallerRequest& call);
     HttpResponse handleReadinessProbe(const HttpRequest& request) const;
     bool isReady() const;
+    void reportRejectedConnections();
 
     FleetContext& m_context;
     std::unique_ptr<AsyncHttpServer> m_callerServer;
     std::unique_ptr<AsyncHttpServer> m_readinessServer;
     std::unique_ptr<AsyncHttpServer> m_metricsServer;
+    std::uint64_t m_reportedRejections = 0;
 };
 
 } // namespace egrettrestle
--- a/packages/fleet/src/caller_server.cpp
+++ b/packages/fleet/src/caller_server.cpp
@@ -14,6 +14,7 @@
     constexpr int drainSafetyFactor = 3;
     constexpr int maxCallerConnections = 800;
     constexpr int maxProbeConnections = 8;
+    constexpr Milliseconds rejectionReportInterval { 1'000 };
     constexpr std::size_t maxRequestBodyBytes = 1024 * 1024;
     constexpr Milliseconds idleTimeout { 600'000 };
 
@@ -39,6 +40,7 @@
     absl::Status status = m_callerServer->start();
     if (!status.ok())
         return status;
+    m_context.loop.runEvery(rejectionReportInterval, [this] { reportRejectedConnections(); });
     limits.maxConnections = maxProbeConnections;
     m_readinessServer = std::make_unique<AsyncHttpServer>(m_context.loop, m_context.settings.readinessAddress, limits, [this](const std::shared_ptr<HttpExchange>& exchange) { exchange->reply(handleReadinessProbe(exchange->request())); });
     status = m_readinessServer->start();
@@ -76,6 +78,14 @@
     m_callerServer->closeAfterReplies();
 }
 
+void CallerServer::reportRejectedConnections()
+{
+    const std::uint64_t rejected = m_callerServer->rejectedConnections();
+    if (rejected > m_reportedRejections)
+        m_context.log.write(events::connectionsRejected, { { "port", "caller" }, { "count", static_cast<std::int64_t>(rejected - m_reportedRejections) } });
+    m_reportedRejections = rejected;
+}
+
 bool CallerServer::isReady() const
 {
     if (m_context.draining)
--- a/packages/fleet/src/peer_links.cpp
+++ b/packages/fleet/src/peer_links.cpp
@@ -65,23 +65,22 @@
     : m_context(context)
     , m_client(context.loop)
 {
+    AsyncHttpServerLimits limits;
+    limits.maxConnections = maxPeerConnections;
+    m_server = std::make_unique<AsyncHttpServer>(m_context.loop, m_context.settings.peerAddress, limits, [this](const std::shared_ptr<HttpExchange>& exchange) { handleRequest(exchange); });
 }
 
 PeerLinks::~PeerLinks() = default;
 
 absl::Status PeerLinks::start()
 {
-    AsyncHttpServerLimits limits;
-    limits.maxConnections = maxPeerConnections;
-    m_server = std::make_unique<AsyncHttpServer>(m_context.loop, m_context.settings.peerAddress, limits, [this](const std::shared_ptr<HttpExchange>& exchange) { handleRequest(exchange); });
     return m_server->start();
 }
 
 void PeerLinks::prepareStop()
 {
     m_stopping = true;
-    if (m_server)
-        m_server->prepareStop();
+    m_server->prepareStop();
 }
 
 void PeerLinks::stop()
@@ -91,8 +90,7 @@
         std::unique_lock<std::mutex> lock(m_mutex);
         m_batchEnded.wait(lock, [this] { return m_batchesInFlight == 0; });
     }
-    if (m_server)
-        m_server->stop();
+    m_server->stop();
 }
 
 void PeerLinks::setView(const View& view)
@@ -238,7 +236,7 @@
             if (isDue(*entry.second, now))
                 due.push_back(entry.second);
         }
-        const std::uint64_t rejected = m_server ? m_server->rejectedConnections() : 0;
+        const std::uint64_t rejected = m_server->rejectedConnections();
         newlyRejected = rejected - m_rejectedConnections;
         m_rejectedConnections = rejected;
     }
--- a/tests/unit/unit-async-http.cpp
+++ b/tests/unit/unit-async-http.cpp
@@ -389,7 +389,8 @@
     AsyncHttpClient client(running.loop);
     RawServer server([](Poco::Net::StreamSocket& connection) {
         RawServer::readRequest(connection);
-        const std::string reply = "HTTP/1.1 200 OK\r\nContent-Length: 20000000\r\n\r\n" + std::string(20'000'000, 'x');
+        std::string reply = "HTTP/1.1 200 OK\r\nContent-Length: 20000000\r\n\r\n";
+        reply.resize(reply.size() + 20'000'000, 'x');
         try {
             connection.sendBytes(reply.data(), static_cast<int>(reply.size()));
         } catch (const Poco::Exception&) {
