Answer requests that arrive while a VM ends; explore dispatchers without regular contact

Found by reading: a request that had arrived on an idle connection, or on a new one, was not read once idle connections close. Change: the server for callers waits for replies up to the grace period (the daemon's watchdog bounds the whole); connections with input are not idle; a new connection gets 200 ms for its first request.

--- a/packages/fleet/src/caller_server.cpp
+++ b/packages/fleet/src/caller_server.cpp
@@ -36,6 +36,8 @@
     limits.maxBodyBytes = maxRequestBodyBytes;
     limits.maxConnections = maxCallerConnections;
     limits.idleTimeout = idleTimeout;
+    // Jobs taken while draining end by the reply deadline; the daemon limits the whole time of stopping.
+    limits.stopTimeout = m_context.settings.gracePeriod;
     m_callerServer = std::make_unique<AsyncHttpServer>(m_context.loop, m_context.settings.callerAddress, limits, [this](const std::shared_ptr<HttpExchange>& exchange) { handleRequest(exchange); });
     absl::Status status = m_callerServer->start();
     if (!status.ok())
--- a/packages/http/include/egrettrestle/http/async_server.hpp
+++ b/packages/http/include/egrettrestle/http/async_server.hpp
@@ -37,8 +37,8 @@
     Milliseconds sendTimeout { 10'000 };
     /// An idle connection is closed after this time.
     Milliseconds idleTimeout { 60'000 };
-    /// How long stop() waits for the requests in progress.
-    Milliseconds stopTimeout { 400 };
+    /// How long stop() waits for the replies to requests in progress.
+    Milliseconds stopTimeout { 500 };
 };
 
 /// An HTTP/1.1 server on an event loop: connections cost memory, but no threads. The requests of a connection are handled
@@ -56,7 +56,7 @@
     absl::Status start();
 
     /// Ends keep-alive: from now on idle connections are closed and each reply ends its connection, so that clients
-    /// connect to another server. Thread-safe.
+    /// connect to another server. Requests that have arrived are still answered. Thread-safe.
     void closeAfterReplies();
 
     /// Makes connections close as soon as they are idle. Does not block. Thread-safe.
--- a/packages/http/src/async_server.cpp
+++ b/packages/http/src/async_server.cpp
@@ -41,6 +41,10 @@
     // Input is discarded for this long after an error reply, so that the client can read the reply: closing a connection
     // with unread input resets it.
     constexpr Milliseconds lingerTimeout { 1'000 };
+    // Time for a new client's first request while the server is ending.
+    constexpr Milliseconds endingIdleTimeout { 200 };
+    // Time for requests that are being received when the server stops.
+    constexpr Milliseconds stopReceiveTimeout { 400 };
 
     HttpResponse errorReply(int status, const char* field, const std::string& detail)
     {
@@ -104,6 +108,8 @@
     void add(const std::shared_ptr<Connection>& connection);
     void remove(const std::shared_ptr<Connection>& connection);
     void closeIdleConnections();
+    /// Closes the connections on which no request is being served.
+    void closeUnlessServing();
 };
 
 /// Serves the requests of one connection, one after another. Used on the loop's thread only.
@@ -118,7 +124,9 @@
 
     void serveNext()
     {
-        if (m_server->stopping || m_server->closing) {
+        const bool ending = m_server->stopping || m_server->closing;
+        // A request that has arrived, or that a new client is about to send, is still answered.
+        if (ending && m_requestNumber > 0 && m_buffer.size() == 0 && !hasInput()) {
             close();
             return;
         }
@@ -131,7 +139,7 @@
             readRequest();
             return;
         }
-        startTimer(m_server->limits.idleTimeout);
+        startTimer(ending ? endingIdleTimeout : m_server->limits.idleTimeout);
         m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const ErrorCode& error) {
             if (self->m_phase != Phase::Idle)
                 return;
@@ -149,7 +157,11 @@
         sendError(errorReply(httpStatus::unavailable, "connection", "too many connections"));
     }
 
-    bool isIdle() const { return m_phase == Phase::Idle; }
+    /// Whether the connection can be closed without an effect on a request.
+    bool isIdle() { return m_phase == Phase::Idle && !hasInput(); }
+
+    /// Whether a request has been received and its reply not been sent.
+    bool isServing() const { return m_phase == Phase::Handling || m_phase == Phase::Writing; }
 
     void sendReply(const HttpResponse& response)
     {
@@ -480,6 +492,15 @@
     }
 }
 
+void AsyncHttpServer::State::closeUnlessServing()
+{
+    const std::set<std::shared_ptr<Connection>> open = connections;
+    for (const std::shared_ptr<Connection>& connection : open) {
+        if (!connection->isServing())
+            connection->close();
+    }
+}
+
 AsyncHttpServer::AsyncHttpServer(EventLoop& loop, std::string address, AsyncHttpServerLimits limits, Handler handler)
     : m_state(std::make_shared<State>(loop, limits, std::move(handler)))
 {
@@ -534,8 +555,12 @@
         state->acceptor.close(ignored);
         state->closeIdleConnections();
     });
+    const auto allClosed = [this] { return m_state->openConnections == 0; };
     std::unique_lock<std::mutex> lock(m_state->mutex);
-    m_state->allClosed.wait_for(lock, m_state->limits.stopTimeout, [this] { return m_state->openConnections == 0; });
+    if (!m_state->allClosed.wait_for(lock, stopReceiveTimeout, allClosed)) {
+        m_state->loop.post([state = m_state] { state->closeUnlessServing(); });
+        m_state->allClosed.wait_for(lock, m_state->limits.stopTimeout, allClosed);
+    }
     lock.unlock();
     std::promise<void> closed;
     m_state->loop.post([state = m_state, &closed] {
--- a/tests/model/dispatch_simulation.cpp
+++ b/tests/model/dispatch_simulation.cpp
@@ -137,10 +137,11 @@
     std::shared_ptr<bool> completed = std::make_shared<bool>(false);
 };
 
-DispatchSimulation::DispatchSimulation(std::uint64_t seed, DispatchFaults faults, DispatchRules rules)
+DispatchSimulation::DispatchSimulation(std::uint64_t seed, DispatchFaults faults, DispatchRules rules, ContactLimits contacts)
     : m_random(seed)
     , m_faults(faults)
     , m_rules(rules)
+    , m_contacts(contacts)
 {
 }
 
@@ -148,6 +149,7 @@
 {
     DispatcherLimits limits;
     limits.owner.leaseDuration = Milliseconds { 600 };
+    limits.contacts = m_contacts;
     if (!m_rules.leaseExpiryWait)
         limits.owner.leaseExpiryMargin = -limits.owner.leaseDuration;
     if (!m_rules.orphanedRunWait)
@@ -203,8 +205,10 @@
         if (!starved || chance(starvedTickShare))
             process->dispatcher.tick(m_now);
         for (int other = 0; other < vmCount; ++other) {
-            if (other != number)
-                flush(*process, vmId(other));
+            const VmId otherVm = vmId(other);
+            const bool due = process->dispatcher.contacts().count(otherVm) > 0 || process->dispatcher.sharesTasks(otherVm) || !process->channel(otherVm).isEmpty();
+            if (other != number && due)
+                flush(*process, otherVm);
         }
         after(tickInterval, *tick);
     };
--- a/tests/model/dispatch_simulation.hpp
+++ b/tests/model/dispatch_simulation.hpp
@@ -67,7 +67,7 @@
 /// follow the platform's rules for leases, fencing tokens, run numbers and reports of ended runs.
 class DispatchSimulation {
 public:
-    DispatchSimulation(std::uint64_t seed, DispatchFaults faults, DispatchRules rules = {});
+    DispatchSimulation(std::uint64_t seed, DispatchFaults faults, DispatchRules rules = {}, ContactLimits contacts = {});
     ~DispatchSimulation();
 
     /// Runs the schedule to its end.
@@ -118,6 +118,7 @@
     std::mt19937_64 m_random;
     DispatchFaults m_faults;
     DispatchRules m_rules;
+    ContactLimits m_contacts;
     TimePoint m_now { std::chrono::hours { 1 } };
     std::uint64_t m_lastEventNumber = 0;
     std::priority_queue<Scheduled> m_scheduled;
--- a/tests/model/explore_dispatch.cpp
+++ b/tests/model/explore_dispatch.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 using namespace egrettrestle::model;
+using egrettrestle::ContactLimits;
 
 /// Exit codes: 0 if no schedule is bad, 1 if one is, 2 for invalid arguments.
 constexpr int badArguments = 2;
@@ -40,17 +41,20 @@
         "orders", "probability that an order is lost, that its reply is lost, and that it is late", cxxopts::value<double>()->default_value("0.03"))("slow", "probability that a message is slow", cxxopts::value<double>()->default_value("0.05"))(
         "kills", "number of VM crashes", cxxopts::value<int>()->default_value("3"))("power-offs", "number of times that all VMs crash", cxxopts::value<int>()->default_value("1"))(
         "cuts", "number of network partitions of a VM", cxxopts::value<int>()->default_value("2"))("strains", "number of times that a VM is starved of CPU", cxxopts::value<int>()->default_value("2"))(
-        "silences", "number of times that an upstream does not reply", cxxopts::value<int>()->default_value("3"))("without", "name of the rule to disable", cxxopts::value<std::string>()->default_value(""));
+        "silences", "number of times that an upstream does not reply", cxxopts::value<int>()->default_value("3"))("neighbours", "regular contacts of a VM on each side; all other VMs if not given", cxxopts::value<std::size_t>())("without", "name of the rule to disable", cxxopts::value<std::string>()->default_value(""));
     const cxxopts::ParseResult arguments = options.parse(argc, argv);
     const double orders = arguments["orders"].as<double>();
     const DispatchFaults faults { orders, orders, orders, arguments["kills"].as<int>(), arguments["cuts"].as<int>(), arguments["silences"].as<int>(), arguments["strains"].as<int>(),
         arguments["slow"].as<double>(), arguments["power-offs"].as<int>() };
     const DispatchRules rules = rulesWithout(arguments["without"].as<std::string>());
+    ContactLimits contacts;
+    if (arguments.count("neighbours") > 0)
+        contacts = { 0, arguments["neighbours"].as<std::size_t>(), 0 };
     const std::uint64_t first = arguments["seed"].as<std::uint64_t>();
     const int count = arguments["count"].as<int>();
     int bad = 0;
     for (std::uint64_t seed = first; seed < first + static_cast<std::uint64_t>(count); ++seed) {
-        const DispatchResult result = DispatchSimulation(seed, faults, rules).run();
+        const DispatchResult result = DispatchSimulation(seed, faults, rules, contacts).run();
         for (const std::string& overlap : result.concurrentRuns)
             std::cout << "seed " << seed << ": concurrent runs of one task, " << overlap << '\n';
         for (const std::string& job : result.falseRefusals)
--- a/tests/model/unit-dispatch-rules.cpp
+++ b/tests/model/unit-dispatch-rules.cpp
@@ -45,6 +45,23 @@
     }
 }
 
+// Between VMs that are no regular contacts, the time-stamps of both sides are old when a first task or claim is sent.
+TEST_CASE("dispatchers without regular contact to all others never run a task twice at the same time")
+{
+    const DispatchFaults faults { 0.03, 0.03, 0.03, 3, 2, 3, 2, 0.05, 1 };
+    for (const std::size_t neighbours : { std::size_t { 0 }, std::size_t { 1 } }) {
+        const ContactLimits contacts { 0, neighbours, 0 };
+        for (std::uint64_t seed = 300'000; seed < 300'000 + schedulesPerCase; ++seed) {
+            DispatchSimulation simulation(seed, faults, {}, contacts);
+            const DispatchResult result = simulation.run();
+            CAPTURE(neighbours, seed, result.concurrentRuns, result.falseRefusals);
+            CHECK(result.started > 0);
+            CHECK(result.concurrentRuns.empty());
+            CHECK(result.falseRefusals.empty());
+        }
+    }
+}
+
 TEST_CASE("regression: schedules in which a task ran twice at the same time")
 {
     // Causes: a run claim lost before the first poll of the upstream; a withdrawal answered by a restarted process; an ended
--- a/tests/unit/unit-async-http.cpp
+++ b/tests/unit/unit-async-http.cpp
@@ -274,6 +274,21 @@
         CHECK(connection.receive().empty());
     }
 
+    SECTION("stop() waits for the reply to a request in progress")
+    {
+        AsyncHttpServerLimits limits;
+        limits.stopTimeout = Seconds { 5 };
+        AsyncHttpServer patient(running.loop, "127.0.0.1:0", limits, [&running](const std::shared_ptr<HttpExchange>& exchange) {
+            running.loop.runAfter(Milliseconds { 700 }, [exchange] { exchange->reply({}); });
+        });
+        REQUIRE(patient.start().ok());
+        RawConnection connection(patient.port());
+        connection.send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+        std::this_thread::sleep_for(Milliseconds { 50 });
+        patient.stop();
+        CHECK(connection.receive().find("HTTP/1.1 200") == 0);
+    }
+
     SECTION("stop() returns although a request is still in progress")
     {
         RawConnection connection(server.port());
@@ -331,6 +346,37 @@
     }
 }
 
+// A VM that was asked to end closed connections on which a request had just arrived.
+TEST_CASE("AsyncHttpServer answers requests that arrive while it is ending")
+{
+    RunningLoop running;
+    AsyncHttpServer server(running.loop, "127.0.0.1:0", {}, echo());
+    REQUIRE(server.start().ok());
+    const std::string request = "GET /late HTTP/1.1\r\nHost: a\r\n\r\n";
+
+    SECTION("on a connection that was idle before")
+    {
+        RawConnection connection(server.port());
+        connection.send("GET /first HTTP/1.1\r\nHost: a\r\n\r\n");
+        connection.receive("/first");
+        running.loop.post([] { std::this_thread::sleep_for(Milliseconds { 100 }); });
+        // The request arrives while the loop is busy, and the server is told to end before the loop sees the request.
+        server.closeAfterReplies();
+        connection.send(request);
+        CHECK(connection.receive().find("/late") != std::string::npos);
+    }
+
+    SECTION("on a new connection")
+    {
+        server.closeAfterReplies();
+        RawConnection connection(server.port());
+        connection.send(request);
+        const std::string reply = connection.receive();
+        CHECK(reply.find("/late") != std::string::npos);
+        CHECK(reply.find("Connection: close") != std::string::npos);
+    }
+}
+
 // Which failures prove that a request was not sent decides whether a task may be started elsewhere at once.
 TEST_CASE("AsyncHttpClient reports how far a call without a reply got")
 {
