--- a/packages/fleet/include/egrettrestle/fleet/peer_links.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/peer_links.hpp
@@ -66,6 +66,8 @@
     void fetchConfiguration(const std::string& address);
     void logPeerRestart(const VmId& vm, std::uint64_t processIncarnation, const char* seen);
     PeerChannel& channel(const VmId& vm);
+    /// Time from one batch to the next, whose reply has been received or has timed out.
+    Milliseconds sendInterval(const Peer& peer) const;
     bool isDue(const Peer& peer, TimePoint now) const;
     void removeFormerMembers(TimePoint now);
     Milliseconds keepAliveInterval(const Peer& peer) const;
--- a/packages/fleet/src/peer_links.cpp
+++ b/packages/fleet/src/peer_links.cpp
@@ -197,6 +197,16 @@
     return batch;
 }
 
+/// Called with m_mutex held.
+Milliseconds PeerLinks::sendInterval(const Peer& peer) const
+{
+    if (peer.repeat)
+        return retryInterval;
+    if (peer.urgent)
+        return Milliseconds { 0 };
+    return peer.channel->isEmpty() ? keepAliveInterval(peer) : maxMessageDelay;
+}
+
 /// Called with m_mutex held.
 bool PeerLinks::isDue(const Peer& peer, TimePoint now) const
 {
@@ -204,10 +214,7 @@
         return false;
     if (!peer.contact && !peer.sharesTasks && peer.channel->isEmpty())
         return false;
-    const Milliseconds interval = peer.repeat ? retryInterval : peer.urgent ? Milliseconds { 0 }
-        : peer.channel->isEmpty()                                           ? keepAliveInterval(peer)
-                                                                            : maxMessageDelay;
-    return now - peer.lastSent >= interval;
+    return now - peer.lastSent >= sendInterval(peer);
 }
 
 /// Called with m_mutex held.
--- a/tests/model/dispatch_simulation.cpp
+++ b/tests/model/dispatch_simulation.cpp
@@ -206,7 +206,8 @@
             process->dispatcher.tick(m_now);
         for (int other = 0; other < vmCount; ++other) {
             const VmId otherVm = vmId(other);
-            const bool due = process->dispatcher.contacts().count(otherVm) > 0 || process->dispatcher.sharesTasks(otherVm) || !process->channel(otherVm).isEmpty();
+            const bool isMesh = m_contacts.meshMembers >= vmCount;
+            const bool due = isMesh || process->dispatcher.contacts().count(otherVm) > 0 || process->dispatcher.sharesTasks(otherVm) || !process->channel(otherVm).isEmpty();
             if (other != number && due)
                 flush(*process, otherVm);
         }
