Log how an upstream became unreachable, which runs it had and whether it is replaced

Cause: the logs of the incident show "runs-lost", cause "lease-lapsed", for a crash, a cut and a late VM alike, without the runs. Change: polls carry how their connection failed; the owner reports an upstream as unreachable (refused, closed, timed-out, replaced) with its runs, and as reachable when the same incarnation answers again; lost runs are listed and counted by route.

--- a/packages/base/include/egrettrestle/base/event.hpp
+++ b/packages/base/include/egrettrestle/base/event.hpp
@@ -84,13 +84,15 @@
     inline constexpr Event upstreamResumed { 6104, Severity::Info, "upstream-resumed", "A run on a paused upstream succeeded." };
     inline constexpr Event upstreamFenced { 6105, Severity::Warning, "upstream-fenced", "An upstream rejects this VM's orders because it has a later owner." };
     inline constexpr Event upstreamRestarted { 6106, Severity::Warning, "upstream-reborn", "An upstream has restarted and has lost the state of its runs." };
-    inline constexpr Event runsLost { 6107, Severity::Warning, "runs-lost", "An upstream is silent and the lease of its runs has expired." };
+    inline constexpr Event runsLost { 6107, Severity::Warning, "runs-lost", "An upstream is unreachable and the lease of its runs, listed with their run numbers and routes, has expired." };
     inline constexpr Event startUnanswered { 6108, Severity::Warning, "start-unanswered", "An upstream did not answer the order to start a run; a status query determines whether the run was started." };
     inline constexpr Event runStopped { 6109, Severity::Info, "run-stopped", "A run was ordered to stop." };
     inline constexpr Event requestExpired { 6110, Severity::Info, "request-expired", "A run could not be started in time." };
     inline constexpr Event upstreamListed { 6111, Severity::Info, "upstream-listed", "Discovery lists a new upstream, or a listed upstream has changed." };
     inline constexpr Event upstreamUnlisted { 6112, Severity::Info, "upstream-unlisted", "Discovery no longer lists an upstream." };
     inline constexpr Event entryRejected { 6113, Severity::Warning, "entry-rejected", "A discovery entry does not describe an upstream." };
+    inline constexpr Event upstreamUnreachable { 6114, Severity::Warning, "upstream-unreachable", "Several polls of an upstream in a row have failed; the cause says how the last one did, and `runs` which runs are there." };
+    inline constexpr Event upstreamReachable { 6115, Severity::Info, "upstream-reachable", "An unreachable upstream answers again and is the same incarnation." };
     inline constexpr Event storeLost { 7001, Severity::Warning, "store-lost", "The platform's store does not answer; the last known state stays in force." };
     inline constexpr Event storeRecovered { 7002, Severity::Info, "store-back", "The platform's store answers again." };
     inline constexpr Event vmListLost { 7003, Severity::Warning, "vm-list-lost", "The platform's VM list does not answer; the last known list stays in force." };
--- a/packages/base/include/egrettrestle/base/metrics.hpp
+++ b/packages/base/include/egrettrestle/base/metrics.hpp
@@ -28,6 +28,9 @@
     /// Counts a task sent to an upstream.
     void countStart(const std::string& kind);
 
+    /// Counts a run that was lost with its upstream; `cause` says how the upstream failed.
+    void countLostRun(const std::string& route, const std::string& cause);
+
     /// Records the response time of a job.
     void observeResponse(const std::string& urgencyClass, Duration responseTime);
 
--- a/packages/base/src/event.cpp
+++ b/packages/base/src/event.cpp
@@ -90,6 +90,8 @@
         events::upstreamListed,
         events::upstreamUnlisted,
         events::entryRejected,
+        events::upstreamUnreachable,
+        events::upstreamReachable,
         events::storeLost,
         events::storeRecovered,
         events::vmListLost,
--- a/packages/base/src/metrics.cpp
+++ b/packages/base/src/metrics.cpp
@@ -26,6 +26,7 @@
         , wasted(counterFamily(registry, "wasted_messages_total", "Messages that contributed nothing to an answer, by use"))
         , messageBytes(counterFamily(registry, "message_bytes_total", "Bytes of message bodies sent and received, by use"))
         , starts(counterFamily(registry, "task_starts_total", "Tasks sent to an upstream"))
+        , lostRuns(counterFamily(registry, "lost_runs_total", "Runs lost with their upstream, by route and cause"))
         , responses(prometheus::BuildHistogram().Name("egrettrestle_response_seconds").Help("Response time of jobs").Register(registry))
         , gauges(prometheus::BuildGauge().Name("egrettrestle_state").Help("Current values by name").Register(registry))
     {
@@ -36,6 +37,7 @@
     prometheus::Family<prometheus::Counter>& wasted;
     prometheus::Family<prometheus::Counter>& messageBytes;
     prometheus::Family<prometheus::Counter>& starts;
+    prometheus::Family<prometheus::Counter>& lostRuns;
     prometheus::Family<prometheus::Histogram>& responses;
     prometheus::Family<prometheus::Gauge>& gauges;
 };
@@ -66,6 +68,11 @@
     m_families->starts.Add({ { "kind", kind } }).Increment();
 }
 
+void Metrics::countLostRun(const std::string& route, const std::string& cause)
+{
+    m_families->lostRuns.Add({ { "class", route }, { "cause", cause } }).Increment();
+}
+
 void Metrics::observeResponse(const std::string& urgencyClass, Duration responseTime)
 {
     m_families->responses.Add({ { "class", urgencyClass } }, responseBuckets).Observe(toSeconds(responseTime));
--- a/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
+++ b/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
@@ -120,6 +120,8 @@
     TimePoint lastSuccessfulPoll;
     /// Number of consecutive failed polls.
     int failedPolls = 0;
+    /// Why the upstream is unreachable: how the last failed poll ended. Empty while it is reachable.
+    std::string unreachableCause;
     /// When the reply to the pending regular poll is overdue; empty if no poll is pending or it has been repeated.
     std::optional<TimePoint> pollReplyDueAt;
     /// When all runs under the leases granted so far must have ended.
@@ -135,6 +137,13 @@
     Resources available() const { return info.capacity - used; }
 };
 
+/// A run that was at an upstream when it became unreachable or lost its runs, for the log and the metrics.
+struct LostRun {
+    TaskRun run;
+    /// Empty for a run that no executor has claimed.
+    std::string route;
+};
+
 /// A decision of an owner, reported for the log.
 struct OwnerEvent {
     enum class Kind {
@@ -144,6 +153,8 @@
         Resumed,
         Fenced,
         Restarted,
+        Unreachable,
+        Reachable,
         RunsLost,
         StartUnanswered,
         RunStopped,
@@ -161,6 +172,8 @@
     Milliseconds age { 0 };
     /// For Owned and Fenced the token; otherwise the number of runs concerned, queued requests or consecutive pauses.
     std::uint64_t count = 0;
+    /// The runs that were at an upstream when it became unreachable or lost them.
+    std::vector<LostRun> runs = {};
 };
 
 } // namespace egrettrestle
--- a/packages/decision/include/egrettrestle/decision/upstream_orders.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_orders.hpp
@@ -61,11 +61,22 @@
     Unknown,
 };
 
+/// How the connection of an order or poll without a reply ended.
+enum class ConnectionFailure {
+    None,
+    /// No connection was accepted: nothing listens at the address, or something on the way rejects connections.
+    Refused,
+    /// An open connection was closed or reset.
+    Closed,
+    TimedOut,
+};
+
 /// Reply to a start or stop order.
 struct OrderReply {
     OrderOutcome outcome = OrderOutcome::Unknown;
     /// The upstream's clock when it replied.
-    std::optional<UpstreamClock> clock;
+    std::optional<UpstreamClock> clock = {};
+    ConnectionFailure failure = ConnectionFailure::None;
 };
 
 /// An upstream's record of a run that has ended. Numbering restarts at 1 when the upstream restarts.
@@ -80,6 +91,7 @@
     OrderOutcome outcome = OrderOutcome::Unknown;
     /// The upstream's clock when it replied.
     std::optional<UpstreamClock> clock;
+    ConnectionFailure failure = ConnectionFailure::None;
     /// Unix time of the upstream's start; empty if not reported.
     std::optional<Milliseconds> startedAt;
     std::vector<TaskRun> running;
--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -181,6 +181,9 @@
     void pause(OwnedUpstream& upstream, const TaskRun& run, const char* cause, TimePoint now);
     /// Whether another run of the same job and executor is queued here or held at an owned upstream.
     bool hasOtherRunsOfJob(const OwnedRun& run) const;
+    /// Counts a failed poll, and reports the upstream as unreachable once several have failed in a row, or for another
+    /// cause than before.
+    void recordFailedPoll(OwnedUpstream& upstream, const PollReply& reply, TimePoint now);
     void processEndedRuns(OwnedUpstream& upstream, const PollReply& reply, TimePoint now);
     /// Compares the runs listed by a poll with those held here: confirms starts, adopts unknown runs, returns runs that
     /// are provably gone, and stops those whose start remains unconfirmed.
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -36,6 +36,31 @@
         return names.at(cause);
     }
 
+    const char* causeName(OrderOutcome outcome, ConnectionFailure failure)
+    {
+        if (outcome == OrderOutcome::WrongUpstream)
+            return "replaced";
+        switch (failure) {
+        case ConnectionFailure::Refused:
+            return "refused";
+        case ConnectionFailure::Closed:
+            return "closed";
+        case ConnectionFailure::TimedOut:
+            return "timed-out";
+        case ConnectionFailure::None:
+            break;
+        }
+        return "invalid-reply";
+    }
+
+    std::vector<LostRun> runsAt(const OwnedUpstream& upstream)
+    {
+        std::vector<LostRun> runs;
+        for (const auto& entry : upstream.runs)
+            runs.push_back({ entry.first, entry.second.request.route });
+        return runs;
+    }
+
     UpstreamClock upstreamTimeAt(const OwnedUpstream& upstream, TimePoint now)
     {
         return upstream.clockOffset.value_or(Milliseconds { 0 }) + toMilliseconds(now.time_since_epoch());
@@ -118,7 +143,7 @@
         OwnedUpstream& upstream = found->second;
         const bool restarted = upstream.info.startedAt.count() > 0 && info.startedAt.count() > 0 && info.startedAt > upstream.info.startedAt;
         if (restarted) {
-            m_port.recordEvent({ EventKind::Restarted, info.id, {}, "discovery", {}, upstream.runs.size() });
+            m_port.recordEvent({ EventKind::Restarted, info.id, {}, "discovery", {}, upstream.runs.size(), runsAt(upstream) });
             returnLostRuns(upstream);
             m_upstreams.erase(found);
         } else {
@@ -342,13 +367,13 @@
     if (reply.outcome != OrderOutcome::Accepted) {
         // A poll answered since this one was sent has shown that the upstream is reachable.
         if (owned->lastSuccessfulPoll <= sentAt)
-            ++owned->failedPolls;
+            recordFailedPoll(*owned, reply, now);
         return;
     }
     owned->pollReplyDueAt.reset();
     const bool restarted = reply.startedAt && owned->info.startedAt.count() > 0 && *reply.startedAt > owned->info.startedAt;
     if (restarted) {
-        m_port.recordEvent({ EventKind::Restarted, upstream, {}, "look", {}, owned->runs.size() });
+        m_port.recordEvent({ EventKind::Restarted, upstream, {}, "look", {}, owned->runs.size(), runsAt(*owned) });
         returnLostRuns(*owned);
         owned->acknowledgedEnd = 0;
         owned->clockOffset.reset();
@@ -356,6 +381,9 @@
     if (reply.startedAt && *reply.startedAt >= owned->info.startedAt)
         owned->info.startedAt = *reply.startedAt;
     updateClockOffset(*owned, reply.clock, now);
+    if (!owned->unreachableCause.empty())
+        m_port.recordEvent({ EventKind::Reachable, upstream, {}, owned->unreachableCause, toMilliseconds(now - owned->lastSuccessfulPoll), owned->runs.size() });
+    owned->unreachableCause.clear();
     owned->failedPolls = 0;
     owned->lastSuccessfulPoll = now;
     owned->startsBlocked = false;
@@ -368,6 +396,18 @@
     startQueuedRuns(now);
 }
 
+void UpstreamOwner::recordFailedPoll(OwnedUpstream& upstream, const PollReply& reply, TimePoint now)
+{
+    ++upstream.failedPolls;
+    if (upstream.failedPolls < failedPollsBeforeUnreachable)
+        return;
+    const std::string cause = causeName(reply.outcome, reply.failure);
+    if (cause == upstream.unreachableCause)
+        return;
+    upstream.unreachableCause = cause;
+    m_port.recordEvent({ EventKind::Unreachable, upstream.info.id, {}, cause, toMilliseconds(now - upstream.lastSuccessfulPoll), upstream.runs.size(), runsAt(upstream) });
+}
+
 void UpstreamOwner::processEndedRuns(OwnedUpstream& upstream, const PollReply& reply, TimePoint now)
 {
     for (const RunEndRecord& end : reply.ended) {
@@ -596,7 +636,7 @@
         // Before the first successful poll, which carries the new token, the previous owner can still extend the lease.
         const bool unreachable = (upstream.synced && upstream.failedPolls >= failedPollsBeforeUnreachable) || upstream.unlisted;
         if (unreachable && now > upstream.leasesExpiredBy && !upstream.runs.empty()) {
-            m_port.recordEvent({ EventKind::RunsLost, entry.first, {}, "lease-lapsed", toMilliseconds(now - upstream.lastSuccessfulPoll), upstream.runs.size() });
+            m_port.recordEvent({ EventKind::RunsLost, entry.first, {}, upstream.unlisted ? "unlisted" : upstream.unreachableCause, toMilliseconds(now - upstream.lastSuccessfulPoll), upstream.runs.size(), runsAt(upstream) });
             returnLostRuns(upstream);
         }
         if (upstream.unlisted && upstream.runs.empty() && now > upstream.leasesExpiredBy)
--- a/packages/fleet/src/dispatch_service.cpp
+++ b/packages/fleet/src/dispatch_service.cpp
@@ -32,6 +32,15 @@
         return run.task.job + '.' + std::to_string(run.task.step) + '.' + std::to_string(run.task.index) + '#' + std::to_string(run.number);
     }
 
+    /// Lists runs with their routes, separated by spaces.
+    std::string runsToString(const std::vector<LostRun>& runs)
+    {
+        std::string text;
+        for (const LostRun& lost : runs)
+            text += (text.empty() ? "" : " ") + runToString(lost.run) + '/' + lost.route;
+        return text;
+    }
+
     const Event& eventOf(OwnerEvent::Kind kind)
     {
         static const std::map<OwnerEvent::Kind, const Event*> events {
@@ -41,6 +50,8 @@
             { OwnerEvent::Kind::Resumed, &events::upstreamResumed },
             { OwnerEvent::Kind::Fenced, &events::upstreamFenced },
             { OwnerEvent::Kind::Restarted, &events::upstreamRestarted },
+            { OwnerEvent::Kind::Unreachable, &events::upstreamUnreachable },
+            { OwnerEvent::Kind::Reachable, &events::upstreamReachable },
             { OwnerEvent::Kind::RunsLost, &events::runsLost },
             { OwnerEvent::Kind::StartUnanswered, &events::startUnanswered },
             { OwnerEvent::Kind::RunStopped, &events::runStopped },
@@ -169,7 +180,11 @@
 
 void DispatchService::recordEvent(const OwnerEvent& event)
 {
-    m_context.log.write(eventOf(event.kind), { { "request", event.run.task.job }, { "run", runToString(event.run) }, { "upstream", event.upstream }, { "cause", event.cause }, { "ageMs", event.age.count() }, { "count", static_cast<std::int64_t>(event.count) } });
+    if (event.kind == OwnerEvent::Kind::RunsLost || event.kind == OwnerEvent::Kind::Restarted) {
+        for (const LostRun& lost : event.runs)
+            m_context.metrics.countLostRun(lost.route, event.cause);
+    }
+    m_context.log.write(eventOf(event.kind), { { "request", event.run.task.job }, { "run", runToString(event.run) }, { "upstream", event.upstream }, { "cause", event.cause }, { "ageMs", event.age.count() }, { "count", static_cast<std::int64_t>(event.count) }, { "runs", runsToString(event.runs) } });
 }
 
 void DispatchService::recordEvent(const JobEvent& event)
--- a/packages/fleet/src/store_watcher.cpp
+++ b/packages/fleet/src/store_watcher.cpp
@@ -158,7 +158,7 @@
         return differs;
     });
     if (changed)
-        m_context.log.write(events::upstreamListed, { { "upstream", upstream->id }, { "revision", static_cast<std::int64_t>(entry.modRevision) }, { "state", upstream->draining ? "draining" : "ready" }, { "startedAt", upstream->startedAt.count() } });
+        m_context.log.write(events::upstreamListed, { { "upstream", upstream->id }, { "revision", static_cast<std::int64_t>(entry.modRevision) }, { "address", upstream->address }, { "state", upstream->draining ? "draining" : "ready" }, { "startedAt", upstream->startedAt.count() }, { "milliCores", upstream->capacity.milliCores } });
 }
 
 void StoreWatcher::removeUpstream(Stream& stream, const std::string& key)
--- a/tests/unit/unit-upstream-owner.cpp
+++ b/tests/unit/unit-upstream-owner.cpp
@@ -640,3 +640,68 @@
         CHECK(fixture.port.polls.size() == before + 1);
     }
 }
+
+// Guards against logs in which a crashed upstream, one that was cut off and a slow one look alike.
+TEST_CASE("owner reports how an upstream became unreachable, which runs are there and whether the same incarnation returns")
+{
+    OwnerFixture fixture;
+    fixture.poll(fixture.reply());
+    const TaskRun run = fixture.startOne("j");
+    const auto failPolls = [&fixture](OrderOutcome outcome, ConnectionFailure failure) {
+        for (int poll = 0; poll < 2; ++poll) {
+            PollReply reply;
+            reply.outcome = outcome;
+            reply.failure = failure;
+            fixture.advance(Milliseconds { 40 });
+            fixture.poll(reply);
+        }
+    };
+
+    SECTION("with the cause and the runs, once for each cause")
+    {
+        struct Case {
+            OrderOutcome outcome;
+            ConnectionFailure failure;
+            const char* cause;
+        };
+        const Case cases[] = {
+            { OrderOutcome::NotSent, ConnectionFailure::Refused, "refused" },
+            { OrderOutcome::Unknown, ConnectionFailure::Closed, "closed" },
+            { OrderOutcome::Unknown, ConnectionFailure::TimedOut, "timed-out" },
+            { OrderOutcome::WrongUpstream, ConnectionFailure::None, "replaced" },
+            { OrderOutcome::Unhealthy, ConnectionFailure::None, "invalid-reply" },
+        };
+        for (const Case& example : cases) {
+            INFO(example.cause);
+            fixture.port.events.clear();
+            failPolls(example.outcome, example.failure);
+            REQUIRE(fixture.port.events.size() == 1);
+            CHECK(fixture.port.events[0].kind == OwnerEvent::Kind::Unreachable);
+            CHECK(fixture.port.events[0].cause == example.cause);
+            REQUIRE(fixture.port.events[0].runs.size() == 1);
+            CHECK(fixture.port.events[0].runs[0].run == run);
+            CHECK(fixture.port.events[0].runs[0].route == "proof");
+        }
+    }
+
+    SECTION("with the length of the silence when the same incarnation answers again")
+    {
+        failPolls(OrderOutcome::Unknown, ConnectionFailure::TimedOut);
+        fixture.advance(Milliseconds { 100 });
+        fixture.poll(fixture.reply({ run }));
+        REQUIRE(fixture.port.events.back().kind == OwnerEvent::Kind::Reachable);
+        CHECK(fixture.port.events.back().cause == "timed-out");
+        CHECK(fixture.port.events.back().age == Milliseconds { 180 });
+    }
+
+    SECTION("with the cause and the runs when their lease has expired")
+    {
+        failPolls(OrderOutcome::NotSent, ConnectionFailure::Refused);
+        fixture.advance(Milliseconds { 800 });
+        fixture.owner.tick(fixture.now);
+        REQUIRE(fixture.port.events.back().kind == OwnerEvent::Kind::RunsLost);
+        CHECK(fixture.port.events.back().cause == "refused");
+        REQUIRE(fixture.port.events.back().runs.size() == 1);
+        CHECK(fixture.port.events.back().runs[0].run == run);
+    }
+}
