Reproduce a task that crashes one upstream after another

Cause: JobExecutor::onReturned counts nothing for a lost run, so only the deadline of the caller bounds the starts of its task, and a job that was given up begins anew at the next VM. Change: tests only. The dispatch simulation has tasks that crash their upstream, upstreams that crash by themselves and come back under another id, callers with 8 s of patience that submit a job again after it was given up. "a job without a crashing task is never answered as failed when upstreams crash or are silent" passes, as nothing is condemned yet. The random sequences of the other cases are unchanged.

--- a/tests/model/dispatch_simulation.cpp
+++ b/tests/model/dispatch_simulation.cpp
@@ -22,6 +22,8 @@
     // Share of its ticks that a VM executes while it is starved of CPU.
     constexpr double starvedTickShare = 0.02;
     constexpr std::size_t slotsPerUpstream = 2;
+    constexpr Milliseconds timeToCrash { 20 };
+    constexpr Seconds callerTimeoutWithCrashes { 8 };
 
     VmId vmId(int number) { return "vm" + std::to_string(number); }
 
@@ -42,6 +44,9 @@
     std::map<TaskRef, RunNumber> highestEnded;
     std::uint64_t endedCount = 0;
     TimePoint silentUntil;
+    /// Set while the upstream is down after a crash: it rejects connections.
+    bool down = false;
+    std::vector<UpstreamId> formerIds;
 };
 
 /// One process of a VM: its dispatcher, and its channels to the other VMs.
@@ -179,7 +184,9 @@
 
 DispatchSimulation::Upstream& DispatchSimulation::upstream(const UpstreamId& id)
 {
-    return **std::find_if(m_upstreams.begin(), m_upstreams.end(), [&id](const auto& entry) { return entry->info.id == id; });
+    return **std::find_if(m_upstreams.begin(), m_upstreams.end(), [&id](const auto& entry) {
+        return entry->info.id == id || std::count(entry->formerIds.begin(), entry->formerIds.end(), id) > 0;
+    });
 }
 
 void DispatchSimulation::startVm(int number)
@@ -404,12 +411,19 @@
     const bool late = chance(m_faults.lateOrderProbability);
     if (late || silent || chance(m_faults.lostOrderProbability)) {
         if (late && !silent)
-            after(randomDuration(2'000, 6'000), [this, id, execute] { execute(upstream(id)); });
+            after(randomDuration(2'000, 6'000), [this, id, execute] {
+                if (!connectionFailure(id))
+                    execute(upstream(id));
+            });
         after(orderTimeout, [respond] { respond({}); });
         return;
     }
     const bool lost = chance(m_faults.lostReplyProbability);
     after(randomDuration(1, 5), [this, id, execute, respond, lost] {
+        if (const std::optional<OrderReply> failure = connectionFailure(id)) {
+            respond(*failure);
+            return;
+        }
         const OrderReply reply = execute(upstream(id));
         after(lost ? orderTimeout : randomDuration(1, 5), [respond, reply, lost] { respond(lost ? OrderReply {} : reply); });
     });
@@ -430,7 +444,19 @@
         return;
     }
     const bool lost = chance(m_faults.lostReplyProbability);
-    after(randomDuration(1, 5), [this, order, respond, lost] {
+    const auto respondIfDown = [this, order, respond] {
+        const std::optional<OrderReply> failure = connectionFailure(order.upstream);
+        if (!failure)
+            return false;
+        PollReply reply;
+        reply.outcome = failure->outcome;
+        reply.failure = failure->failure;
+        respond(reply);
+        return true;
+    };
+    after(randomDuration(1, 5), [this, order, respond, respondIfDown, lost] {
+        if (respondIfDown())
+            return;
         const PollReply firstReply = executePoll(upstream(order.upstream), order);
         const bool waits = order.wait.count() > 0 && firstReply.outcome == OrderOutcome::Accepted && firstReply.ended.empty();
         if (lost) {
@@ -444,7 +470,9 @@
         // The upstream replies when a run ends, or after the requested wait.
         const TimePoint end = m_now + order.wait;
         const std::shared_ptr<std::function<void()>> repeat = std::make_shared<std::function<void()>>();
-        *repeat = [this, order, respond, end, repeat] {
+        *repeat = [this, order, respond, respondIfDown, end, repeat] {
+            if (respondIfDown())
+                return;
             PollOrder again = order;
             again.leaseEnd.reset();
             const PollReply reply = executePoll(upstream(order.upstream), again);
@@ -478,6 +506,68 @@
         endRun(upstream, 0, RunOutcome::LeaseExpired);
 }
 
+bool DispatchSimulation::isCrashing(const TaskRef& task) const { return std::stoi(task.job) < m_faults.crashingJobs && task.index == 0; }
+
+void DispatchSimulation::countStartOfCrashingTask(const TaskRef& task)
+{
+    CrashCount& count = m_crashCounts[task];
+    if (count.crashes >= 3 && ++count.startsAfterThird == 3)
+        m_result.excessStarts.push_back(task.job);
+}
+
+std::optional<OrderReply> DispatchSimulation::connectionFailure(const UpstreamId& id)
+{
+    const Upstream& target = upstream(id);
+    if (target.down)
+        return OrderReply { OrderOutcome::NotSent, std::nullopt, ConnectionFailure::Refused };
+    if (target.info.id != id)
+        return OrderReply { OrderOutcome::WrongUpstream, std::nullopt };
+    return std::nullopt;
+}
+
+/// The upstream rejects connections for some seconds, and then returns under another id without its runs.
+void DispatchSimulation::crashUpstream(Upstream& crashed)
+{
+    if (crashed.down)
+        return;
+    for (const Upstream::ActiveRun& running : crashed.running) {
+        if (!isCrashing(running.run.task))
+            continue;
+        ++m_crashCounts[running.run.task].crashes;
+        ++m_result.crashesUnderTasks;
+    }
+    crashed.down = true;
+    crashed.running.clear();
+    crashed.ended.clear();
+    after(randomDuration(2'500, 3'500), [this, &crashed] {
+        const UpstreamId formerId = crashed.info.id;
+        crashed.formerIds.push_back(formerId);
+        crashed.info.id = crashed.formerIds.front() + '-' + std::to_string(crashed.formerIds.size());
+        crashed.info.startedAt = toMilliseconds(m_now.time_since_epoch());
+        crashed.token = {};
+        crashed.leaseEnd = UpstreamClock { 0 };
+        crashed.highestEnded.clear();
+        crashed.endedCount = 0;
+        crashed.down = false;
+        announceUpstream(crashed.info, formerId);
+    });
+}
+
+/// Discovery lists a new incarnation at once, and stops listing the former one after some time.
+void DispatchSimulation::announceUpstream(const UpstreamInfo& info, const UpstreamId& formerId)
+{
+    for (int number = 0; number < vmCount; ++number) {
+        after(randomDuration(10, 500), [this, number, info] {
+            if (m_vms[static_cast<std::size_t>(number)]->up)
+                m_vms[static_cast<std::size_t>(number)]->dispatcher.setUpstream(info, m_now);
+        });
+        after(randomDuration(800, 2'000), [this, number, formerId] {
+            if (m_vms[static_cast<std::size_t>(number)]->up)
+                m_vms[static_cast<std::size_t>(number)]->dispatcher.onUpstreamUnlisted(formerId, m_now);
+        });
+    }
+}
+
 OrderReply DispatchSimulation::executeStart(Upstream& target, const StartOrder& order)
 {
     const UpstreamClock clock = toMilliseconds(m_now.time_since_epoch());
@@ -506,6 +596,14 @@
     ++m_result.started;
     m_startedJobs.insert(order.run.task.job);
     target.running.push_back({ order.run, m_now + randomDuration(30, 400) });
+    if (isCrashing(order.run.task)) {
+        countStartOfCrashingTask(order.run.task);
+        after(timeToCrash, [this, &target, run = order.run] {
+            const auto isRun = [&run](const Upstream::ActiveRun& running) { return running.run == run; };
+            if (std::any_of(target.running.begin(), target.running.end(), isRun))
+                crashUpstream(target);
+        });
+    }
     return { OrderOutcome::Accepted, clock };
 }
 
@@ -561,6 +659,10 @@
     DispatchJob job;
     job.id = id;
     job.callerTimeout = Milliseconds { 3'000 };
+    if (m_faults.crashingJobs > 0) {
+        const TimePoint deadline = m_callerDeadlines.emplace(id, m_now + callerTimeoutWithCrashes).first->second;
+        job.callerTimeout = toMilliseconds(deadline - m_now);
+    }
     JobStep step;
     step.count = static_cast<std::uint32_t>(1 + number % 4);
     step.need = { 27'000, 64, 0 };
@@ -583,8 +685,20 @@
     Vm& vm = *m_vms[static_cast<std::size_t>(number)];
     const std::string job = vm.tickets[ticket];
     vm.tickets.erase(ticket);
+    const auto callerDeadline = m_callerDeadlines.find(job);
+    const bool submitsAgain = result.outcome == JobOutcome::GaveUp && callerDeadline != m_callerDeadlines.end() && m_now + resubmissionDelay < callerDeadline->second;
+    if (submitsAgain) {
+        after(resubmissionDelay, [this, job, number] { submitJob(std::stoi(job), (number + 1) % vmCount); });
+        return;
+    }
     m_answeredJobs.insert(job);
     switch (result.outcome) {
+    case JobOutcome::Failed:
+        if (std::stoi(job) < m_faults.crashingJobs)
+            ++m_result.crashingJobsFailed;
+        else
+            m_result.falseFailures.push_back(job);
+        return;
     case JobOutcome::Refused:
         ++m_result.refused;
         // A resubmitted job may have been started by the VM that crashed, so only jobs submitted once are checked.
@@ -629,6 +743,8 @@
                 after(randomDuration(0, 50), [this, number] { crashVm(number); });
         });
     }
+    for (int crash = 0; crash < m_faults.upstreamCrashes; ++crash)
+        after(randomDuration(1'500, 10'000), [this] { crashUpstream(*m_upstreams[static_cast<std::size_t>(randomDuration(0, upstreamCount - 1).count())]); });
     for (int period = 0; period < m_faults.silentPeriods; ++period) {
         after(randomDuration(1'500, 10'000), [this] {
             Upstream& silent = *m_upstreams[static_cast<std::size_t>(randomDuration(0, upstreamCount - 1).count())];
--- a/tests/model/dispatch_simulation.hpp
+++ b/tests/model/dispatch_simulation.hpp
@@ -35,6 +35,11 @@
     double slowMessageProbability = 0;
     /// Number of times that all VMs crash almost simultaneously.
     int fullOutages = 0;
+    /// Number of jobs whose first task crashes every upstream that starts it. Callers then wait for 8 s, and submit a job
+    /// that was given up again at another VM within that time.
+    int crashingJobs = 0;
+    /// Number of times that an upstream crashes by itself.
+    int upstreamCrashes = 0;
 };
 
 /// Safety rules that can be disabled, to show that the simulation then finds a bad schedule.
@@ -55,6 +60,14 @@
     std::vector<std::string> concurrentRuns;
     /// Jobs that were refused as not run although one of their tasks had started.
     std::vector<std::string> falseRefusals;
+    /// Tasks that were started three times more after three upstreams had crashed under them.
+    std::vector<std::string> excessStarts;
+    /// Jobs that were answered as failed although no task of theirs crashes upstreams.
+    std::vector<std::string> falseFailures;
+    /// Number of upstreams that crashed under a task.
+    int crashesUnderTasks = 0;
+    /// Number of crashing jobs that were answered as failed.
+    int crashingJobsFailed = 0;
     /// Number of runs that were started.
     int started = 0;
     /// Numbers of jobs by outcome.
@@ -110,6 +123,12 @@
     PollReply executePoll(Upstream& upstream, const PollOrder& order);
     void endDueRuns(Upstream& upstream);
     void endRun(Upstream& upstream, std::size_t index, RunOutcome outcome);
+    bool isCrashing(const TaskRef& task) const;
+    void countStartOfCrashingTask(const TaskRef& task);
+    void crashUpstream(Upstream& upstream);
+    void announceUpstream(const UpstreamInfo& info, const UpstreamId& formerId);
+    /// The outcome of an order to an upstream that is down or has been replaced by a new incarnation.
+    std::optional<OrderReply> connectionFailure(const UpstreamId& id);
     void submitJob(int number, int vm);
     void onReply(int vm, CallerTicket ticket, const JobResult& result);
     Upstream& upstream(const UpstreamId& id);
@@ -130,6 +149,14 @@
     std::set<std::string> m_startedJobs;
     std::map<std::string, int> m_submissions;
     std::set<std::string> m_answeredJobs;
+    /// When the caller of each job stops waiting; only set if there are crashing jobs.
+    std::map<std::string, TimePoint> m_callerDeadlines;
+
+    struct CrashCount {
+        int crashes = 0;
+        int startsAfterThird = 0;
+    };
+    std::map<TaskRef, CrashCount> m_crashCounts;
 };
 
 } // namespace egrettrestle::model
--- a/tests/model/unit-dispatch-rules.cpp
+++ b/tests/model/unit-dispatch-rules.cpp
@@ -62,6 +62,65 @@
     }
 }
 
+namespace {
+
+struct CrashCase {
+    const char* name;
+    DispatchFaults faults;
+    std::uint64_t firstSeed;
+};
+
+DispatchFaults withCrashes(DispatchFaults faults, int crashingJobs, int upstreamCrashes)
+{
+    faults.crashingJobs = crashingJobs;
+    faults.upstreamCrashes = upstreamCrashes;
+    return faults;
+}
+
+}
+
+// Guards against a task that takes down one upstream after another because lost runs are not counted, or are counted by one
+// VM only, so that another VM starts the task anew after a crash of the first one or a resubmission.
+TEST_CASE("a task that crashes the upstreams that start it is not started without limit")
+{
+    const CrashCase cases[] = {
+        { "one crashing job", withCrashes({}, 1, 0), 400'000 },
+        { "three crashing jobs", withCrashes({}, 3, 0), 410'000 },
+        { "crashing jobs while VMs crash", withCrashes({ 0, 0, 0, 4, 0, 0 }, 2, 0), 420'000 },
+        { "crashing jobs, VM crashes, slow messages, silent upstreams", withCrashes({ 0, 0, 0, 2, 0, 2, 0, 0.05 }, 2, 1), 430'000 },
+    };
+    for (const CrashCase& example : cases) {
+        for (std::uint64_t seed = example.firstSeed; seed < example.firstSeed + schedulesPerCase; ++seed) {
+            const DispatchResult result = DispatchSimulation(seed, example.faults).run();
+            CAPTURE(example.name, seed, result.excessStarts, result.concurrentRuns, result.falseRefusals);
+            CHECK(result.crashesUnderTasks > 0);
+            CHECK(result.excessStarts.empty());
+            CHECK(result.concurrentRuns.empty());
+            CHECK(result.falseRefusals.empty());
+        }
+    }
+}
+
+// Guards against condemning tasks that were merely at an upstream that crashed by itself, was cut off or was silent.
+TEST_CASE("a job without a crashing task is never answered as failed when upstreams crash or are silent")
+{
+    const CrashCase cases[] = {
+        { "upstreams crash by themselves", withCrashes({}, 0, 6), 440'000 },
+        { "upstreams are silent", withCrashes({ 0, 0, 0, 0, 0, 6 }, 0, 0), 450'000 },
+        { "beside crashing jobs", withCrashes({}, 3, 2), 460'000 },
+        { "upstreams crash and are silent, VMs are partitioned", withCrashes({ 0, 0, 0, 1, 2, 4 }, 0, 3), 470'000 },
+    };
+    for (const CrashCase& example : cases) {
+        for (std::uint64_t seed = example.firstSeed; seed < example.firstSeed + schedulesPerCase; ++seed) {
+            const DispatchResult result = DispatchSimulation(seed, example.faults).run();
+            CAPTURE(example.name, seed, result.falseFailures, result.concurrentRuns);
+            CHECK(result.started > 0);
+            CHECK(result.falseFailures.empty());
+            CHECK(result.concurrentRuns.empty());
+        }
+    }
+}
+
 TEST_CASE("regression: schedules in which a task ran twice at the same time")
 {
     // Causes: a run claim lost before the first poll of the upstream; a withdrawal answered by a restarted process; an ended
