Confine a route whose tasks crash upstreams to a part of them

What callers saw: jobs of all routes refused as overloaded, since a tenth of the jobs of one route kept up to 30 of 48 upstreams down: each crash takes an upstream away for 3.3 s and ends the runs beside the culprit. Cause: no bound on what one kind of request can take from the others (blast radius). Counting crashes by task cannot help here: half of the crashes are the first ones of their tasks. Change: with each suspected crash the owner reports which routes were on the crashed upstream and on which share of its upstreams. RouteCrashDetector sums log likelihood ratios (CUSUM) and so tells routes that are present at crashes by their size from those that cause them. While a route crashes upstreams, an owner lets it use 0.4 of its upstreams, those that are down included (bulkhead), its tasks that were at a crash must be alone on an upstream, and its capacity and queue are reported apart, so that its jobs are refused at once and those of others are not. The evidence halves every 2 s, which opens the bulkhead. Ruled out: refusing the route (nine of ten of its jobs are sound); giving jobs up after one crash (innocent ones would fail).

--- a/packages/decision/include/egrettrestle/decision/capacity_table.hpp
+++ b/packages/decision/include/egrettrestle/decision/capacity_table.hpp
@@ -48,10 +48,11 @@
 
     /// The number of tasks of a service that an owner can start immediately; negative if more are queued or on their way to
     /// it than it can start.
-    std::int64_t freeTasks(const VmId& owner, const std::string& service) const;
+    /// For a route that the owner confines to a part of its upstreams, only these count.
+    std::int64_t freeTasks(const VmId& owner, const std::string& service, const std::string& route = {}) const;
 
     /// Total capacity of the reachable owners for a service; the tasks ahead are those of `priority` and more urgent ones.
-    CapacityTotals totals(const std::string& service, int priority) const;
+    CapacityTotals totals(const std::string& service, int priority, const std::string& route = {}) const;
 
     /// Sets the rack, service and owner of an upstream.
     void setPlacement(const UpstreamInfo& upstream, const VmId& owner);
@@ -66,10 +67,10 @@
     /// capacity, else any one with the most, else the one with the shortest queue relative to its capacity. Owners in
     /// `except` are not chosen. With a `rack`, owners of upstreams in it are preferred instead of `self` and local ones.
     /// Returns nothing if no reachable owner has capacity for the service.
-    std::optional<VmId> chooseOwner(const VmId& self, const std::string& service, const std::vector<VmId>& except, const std::string& rack = {}) const;
+    std::optional<VmId> chooseOwner(const VmId& self, const std::string& service, const std::vector<VmId>& except, const std::string& rack = {}, const std::string& route = {}) const;
 
     /// The reachable owner other than `except` with the most free capacity; nothing if none has any.
-    std::optional<VmId> ownerWithCapacity(const std::string& service, const VmId& except) const;
+    std::optional<VmId> ownerWithCapacity(const std::string& service, const VmId& except, const std::string& route = {}) const;
 
 private:
     struct Entry {
@@ -87,8 +88,10 @@
     };
 
     std::set<VmId> ownersIn(const std::string& service, const std::string& rack) const;
-    static std::int64_t freeTasksOf(const Entry& entry, const std::string& service);
-    static std::int64_t totalTasksOf(const Entry& entry, const std::string& service);
+    static std::int64_t freeTasksOf(const Entry& entry, const std::string& service, const std::string& route = {});
+    static std::int64_t totalTasksOf(const Entry& entry, const std::string& service, const std::string& route = {});
+    /// The capacity of a route that the owner confines; null if it does not.
+    static const RouteCapacity* confinedRoute(const Entry& entry, const std::string& route);
     static std::int64_t queuedTasksOf(const Entry& entry, const std::string& service);
 
     std::map<VmId, Entry> m_owners;
--- a/packages/decision/include/egrettrestle/decision/crash_table.hpp
+++ b/packages/decision/include/egrettrestle/decision/crash_table.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include <egrettrestle/decision/dispatch_types.hpp>
+#include <egrettrestle/decision/route_crash_detector.hpp>
 
 namespace egrettrestle {
 
@@ -50,7 +51,10 @@
     /// these tasks anew.
     std::vector<UpstreamCrash> reportsOfRepeatedCrashes() const;
 
-    /// Removes reports that are older than the retention time.
+    /// Whether the tasks of a route crash upstreams at present.
+    bool isCrashing(const std::string& route) const { return m_detector.isCrashing(route); }
+
+    /// Removes reports that are older than the retention time, and lets the evidence against routes fade.
     void expire(TimePoint now);
 
     std::size_t size() const { return m_crashes.size(); }
@@ -60,6 +64,7 @@
         CrashEvidence evidence = CrashEvidence::Suspected;
         std::vector<TaskRef> suspects;
         bool alone = false;
+        bool exposuresRecorded = false;
     };
 
     /// The crashes of all upstreams on which a task was, whatever else was there.
@@ -72,6 +77,7 @@
     std::map<UpstreamIncarnation, Entry> m_crashes;
     /// Incarnations with an unrefuted crash, by suspect.
     std::map<TaskRef, std::vector<UpstreamIncarnation>> m_crashesByTask;
+    RouteCrashDetector m_detector;
     /// When each entry of `m_crashes` was made, oldest first.
     std::deque<std::pair<TimePoint, UpstreamIncarnation>> m_order;
 };
--- a/packages/decision/include/egrettrestle/decision/dispatch_types.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatch_types.hpp
@@ -255,6 +255,15 @@
 
 inline UpstreamIncarnation incarnationOf(const UpstreamInfo& info) { return { info.id, info.startedAt }; }
 
+/// How far a route was exposed to a crash.
+struct RouteExposure {
+    std::string route;
+    /// Whether a task of the route was running on the crashed upstream.
+    bool present = false;
+    /// Share of the owner's upstreams that were running tasks of the route.
+    double share = 0;
+};
+
 /// Sent by an owner to other VMs to report that an upstream may have crashed, has crashed, or has not.
 struct UpstreamCrash {
     UpstreamIncarnation incarnation;
@@ -263,6 +272,8 @@
     std::vector<TaskRef> suspects = {};
     /// Whether the one suspect was the only task there.
     bool alone = false;
+    /// The routes with tasks on the owner's upstreams; only if the upstream rejects connections or has been replaced.
+    std::vector<RouteExposure> exposures = {};
 };
 
 /// Capacity of an owner's upstreams of one service and kind of hardware, in tasks with the typical need.
@@ -277,6 +288,17 @@
     double slowness = 1;
 };
 
+/// Capacity for a route that is confined to a part of an owner's upstreams, and the route's tasks queued there. They count
+/// neither in the owner's other queues nor against its other capacity.
+struct RouteCapacity {
+    std::string route;
+    std::uint32_t freeTasks = 0;
+    std::uint32_t totalTasks = 0;
+    std::uint32_t queuedTasks = 0;
+    /// Sum of the expected durations of the queued tasks.
+    Milliseconds queuedWork { 0 };
+};
+
 /// Tasks of one service and priority that are queued at an owner.
 struct QueueBacklog {
     std::string service;
@@ -292,6 +314,7 @@
     Resources typicalNeed;
     std::vector<KindCapacity> kinds;
     std::vector<QueueBacklog> queues;
+    std::vector<RouteCapacity> confinedRoutes;
     /// How many run requests the sender had received from the report's receiver.
     std::uint64_t requestsReceived = 0;
     /// Epoch of the sender's view if all its upstreams under that view have been polled. Otherwise 0, and the report
--- a/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
+++ b/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
@@ -48,6 +48,9 @@
     /// Share of the owned upstreams of a service, but at least one, that may be down after crashes or kept for a task that
     /// must be alone, before such a task has to wait. The rest stays for the other tasks.
     double suspectShare = 0.25;
+    /// Share of the owned upstreams of a service, but at least one, that a route may use, together with those that are down,
+    /// while its tasks crash upstreams.
+    double crashingRouteShare = 0.4;
     /// Factor on the duration of a task that runs outside the rack of its data.
     double remoteDataFactor = 1;
 };
@@ -133,6 +136,7 @@
     /// The tasks that may have caused its crash, and their executors; kept until it is reachable again.
     std::vector<TaskRef> suspects;
     std::set<VmId> suspectExecutors;
+    std::vector<RouteExposure> exposures;
     /// Whether no run was there that this VM did not know.
     bool knewAllRuns = false;
     /// Whether its last run, or several, are waited for so that a task that must be alone can start.
--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -206,6 +206,15 @@
     CrashCount possibleCrashesOf(const RunRequest& request) const;
     /// Whether a run has to be the only one on its upstream, since it may crash it.
     bool mustBeAlone(const RunRequest& request) const;
+    /// The routes with runs at the owned upstreams, when one of these has crashed.
+    std::vector<RouteExposure> exposuresTo(const OwnedUpstream& crashed) const;
+    /// The owned upstreams of a service on which a route may run while its tasks crash upstreams: those that it uses, and
+    /// others up to its share. A bulkhead.
+    std::set<UpstreamId> upstreamsForCrashingRoute(const std::string& service, const std::string& route, TimePoint now) const;
+    /// Capacity for the queued and running routes that crash upstreams.
+    std::vector<RouteCapacity> confinedRoutes(TimePoint now) const;
+    /// Forgets the routes that no longer crash upstreams.
+    void updateCrashingRoutes();
     /// Whether a task under which an upstream may have crashed is on the upstream. Such tasks are kept apart.
     bool hasSuspect(const OwnedUpstream& upstream) const;
     /// Whether an upstream has, or is reserved for, a run that must be alone.
@@ -263,6 +272,8 @@
     /// Moving average of the needs of requested tasks; all zero until one has been seen.
     Resources m_typicalNeed;
     bool m_startsEnabled = true;
+    /// The services of the requested routes whose tasks crash upstreams, by route.
+    std::map<std::string, std::string> m_crashingRoutes;
 };
 
 } // namespace egrettrestle
--- a/packages/decision/src/capacity_table.cpp
+++ b/packages/decision/src/capacity_table.cpp
@@ -38,19 +38,30 @@
     return found != m_owners.end() && found->second.report.completeAtEpoch >= epoch;
 }
 
-std::int64_t CapacityTable::freeTasksOf(const Entry& entry, const std::string& service)
+const RouteCapacity* CapacityTable::confinedRoute(const Entry& entry, const std::string& route)
 {
+    const auto found = std::find_if(entry.report.confinedRoutes.begin(), entry.report.confinedRoutes.end(), [&route](const RouteCapacity& capacity) { return capacity.route == route; });
+    return found == entry.report.confinedRoutes.end() ? nullptr : &*found;
+}
+
+std::int64_t CapacityTable::freeTasksOf(const Entry& entry, const std::string& service, const std::string& route)
+{
+    const RouteCapacity* confined = confinedRoute(entry, route);
     std::int64_t free = 0;
     for (const KindCapacity& kind : entry.report.kinds) {
         if (kind.service == service)
             free += kind.freeTasks;
     }
     const std::uint64_t requestsInTransit = entry.requestsSent > entry.report.requestsReceived ? entry.requestsSent - entry.report.requestsReceived : 0;
+    if (confined)
+        return std::int64_t { confined->freeTasks } - static_cast<std::int64_t>(requestsInTransit) - confined->queuedTasks;
     return free - static_cast<std::int64_t>(requestsInTransit) - queuedTasksOf(entry, service);
 }
 
-std::int64_t CapacityTable::totalTasksOf(const Entry& entry, const std::string& service)
+std::int64_t CapacityTable::totalTasksOf(const Entry& entry, const std::string& service, const std::string& route)
 {
+    if (const RouteCapacity* confined = confinedRoute(entry, route))
+        return confined->totalTasks;
     std::int64_t total = 0;
     for (const KindCapacity& kind : entry.report.kinds) {
         if (kind.service == service)
@@ -69,21 +80,26 @@
     return tasks;
 }
 
-std::int64_t CapacityTable::freeTasks(const VmId& owner, const std::string& service) const
+std::int64_t CapacityTable::freeTasks(const VmId& owner, const std::string& service, const std::string& route) const
 {
     const auto found = m_owners.find(owner);
-    return found == m_owners.end() ? 0 : freeTasksOf(found->second, service);
+    return found == m_owners.end() ? 0 : freeTasksOf(found->second, service, route);
 }
 
-CapacityTotals CapacityTable::totals(const std::string& service, int priority) const
+CapacityTotals CapacityTable::totals(const std::string& service, int priority, const std::string& route) const
 {
     CapacityTotals totals;
     for (const auto& owner : m_owners) {
         const Entry& entry = owner.second;
         if (!entry.reachable)
             continue;
-        totals.freeTasks += std::max<std::int64_t>(0, freeTasksOf(entry, service));
-        totals.totalTasks += totalTasksOf(entry, service);
+        totals.freeTasks += std::max<std::int64_t>(0, freeTasksOf(entry, service, route));
+        totals.totalTasks += totalTasksOf(entry, service, route);
+        if (const RouteCapacity* confined = confinedRoute(entry, route)) {
+            totals.tasksAhead += confined->queuedTasks;
+            totals.workAhead += confined->queuedWork;
+            continue;
+        }
         for (const QueueBacklog& queue : entry.report.queues) {
             if (queue.service != service || queue.priority > priority)
                 continue;
@@ -124,13 +140,13 @@
     return mostCapacity == capacityByRack.end() ? std::string() : mostCapacity->first;
 }
 
-std::optional<VmId> CapacityTable::chooseOwner(const VmId& self, const std::string& service, const std::vector<VmId>& except, const std::string& rack) const
+std::optional<VmId> CapacityTable::chooseOwner(const VmId& self, const std::string& service, const std::vector<VmId>& except, const std::string& rack, const std::string& route) const
 {
     const auto isExcluded = [&except](const VmId& id) { return std::find(except.begin(), except.end(), id) != except.end(); };
     const std::set<VmId> rackOwners = rack.empty() ? std::set<VmId> {} : ownersIn(service, rack);
     const std::set<VmId>& preferred = rackOwners.empty() ? m_localOwners : rackOwners;
     const bool preferSelf = rackOwners.empty() || rackOwners.count(self) > 0;
-    if (preferSelf && freeTasks(self, service) > 0 && !isExcluded(self))
+    if (preferSelf && freeTasks(self, service, route) > 0 && !isExcluded(self))
         return self;
     std::optional<VmId> mostCapacity;
     std::int64_t maxFreeTasks = 0;
@@ -139,10 +155,10 @@
     double shortestRelativeQueue = std::numeric_limits<double>::max();
     for (const auto& owner : m_owners) {
         const Entry& entry = owner.second;
-        const std::int64_t total = totalTasksOf(entry, service);
+        const std::int64_t total = totalTasksOf(entry, service, route);
         if (!entry.reachable || total == 0 || isExcluded(owner.first))
             continue;
-        const std::int64_t free = freeTasksOf(entry, service);
+        const std::int64_t free = freeTasksOf(entry, service, route);
         const bool isPreferred = preferred.count(owner.first) > 0;
         const bool better = isPreferred == mostCapacityIsPreferred ? free > maxFreeTasks : isPreferred;
         if (free > 0 && better) {
@@ -159,12 +175,12 @@
     return mostCapacity ? mostCapacity : shortestQueue;
 }
 
-std::optional<VmId> CapacityTable::ownerWithCapacity(const std::string& service, const VmId& except) const
+std::optional<VmId> CapacityTable::ownerWithCapacity(const std::string& service, const VmId& except, const std::string& route) const
 {
     std::optional<VmId> best;
     std::int64_t maxFreeTasks = 0;
     for (const auto& owner : m_owners) {
-        const std::int64_t free = owner.second.reachable && owner.first != except ? freeTasksOf(owner.second, service) : 0;
+        const std::int64_t free = owner.second.reachable && owner.first != except ? freeTasksOf(owner.second, service, route) : 0;
         if (free > maxFreeTasks) {
             maxFreeTasks = free;
             best = owner.first;
--- a/packages/decision/src/crash_table.cpp
+++ b/packages/decision/src/crash_table.cpp
@@ -27,6 +27,10 @@
 {
     const bool isNew = m_crashes.count(crash.incarnation) == 0;
     Entry& entry = m_crashes[crash.incarnation];
+    if (!entry.exposuresRecorded && !crash.exposures.empty()) {
+        entry.exposuresRecorded = true;
+        m_detector.record(crash.exposures);
+    }
     if (isNew)
         m_order.emplace_back(now, crash.incarnation);
     if (entry.evidence == CrashEvidence::Refuted)
@@ -159,6 +163,7 @@
 
 void CrashTable::expire(TimePoint now)
 {
+    m_detector.decay(now);
     while (!m_order.empty() && now - m_order.front().first > retention) {
         remove(m_order.front().second);
         m_order.pop_front();
--- a/packages/decision/src/job_executor.cpp
+++ b/packages/decision/src/job_executor.cpp
@@ -102,7 +102,7 @@
         result.run = std::max(result.run, stepEnds.back());
         widestStep = std::max(widestStep, step.count);
     }
-    result.capacity = m_capacities.totals(route.service, route.priority);
+    result.capacity = m_capacities.totals(route.service, route.priority, route.name);
     const std::int64_t shortfall = result.capacity.tasksAhead + widestStep - result.capacity.freeTasks;
     if (shortfall <= 0 || result.capacity.totalTasks == 0)
         return result;
@@ -166,8 +166,8 @@
             continue;
         const bool unsuitable = owner && std::find(task.unsuitableOwners.begin(), task.unsuitableOwners.end(), *owner) != task.unsuitableOwners.end();
         const std::string& rack = preferredRack(job, task.step);
-        if (!owner || unsuitable || !rack.empty() || m_capacities.freeTasks(*owner, job.route.service) <= 0)
-            owner = m_capacities.chooseOwner(m_self, job.route.service, task.unsuitableOwners, rack);
+        if (!owner || unsuitable || !rack.empty() || m_capacities.freeTasks(*owner, job.route.service, job.route.name) <= 0)
+            owner = m_capacities.chooseOwner(m_self, job.route.service, task.unsuitableOwners, rack, job.route.name);
         if (owner)
             sendTask(job, task, *owner, now);
     }
@@ -507,9 +507,9 @@
 void JobExecutor::moveQueuedTasks(Job& job, TimePoint now)
 {
     for (Task& task : job.tasks) {
-        if (task.state != TaskState::Sent || task.orphanedUntil || now - task.sentAt < m_limits.moveAfter || m_capacities.freeTasks(task.owner, job.route.service) > 0)
+        if (task.state != TaskState::Sent || task.orphanedUntil || now - task.sentAt < m_limits.moveAfter || m_capacities.freeTasks(task.owner, job.route.service, job.route.name) > 0)
             continue;
-        if (!m_capacities.ownerWithCapacity(job.route.service, task.owner))
+        if (!m_capacities.ownerWithCapacity(job.route.service, task.owner, job.route.name))
             return;
         withdrawTask(job, task, true);
     }
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -1,6 +1,7 @@
 #include <egrettrestle/decision/upstream_owner.hpp>
 
 #include <algorithm>
+#include <cmath>
 #include <limits>
 
 namespace egrettrestle {
@@ -208,6 +209,8 @@
 void UpstreamOwner::request(const VmId& executor, const RunRequest& request, TimePoint now)
 {
     updateTypicalNeed(request.need);
+    if (m_crashes.isCrashing(request.route))
+        m_crashingRoutes[request.route] = request.service;
     // The executor may be a new process, or not have been in contact with those who reported the crashes.
     const std::vector<UpstreamCrash> crashes = m_crashes.reportsFor(request.run.task);
     if (static_cast<int>(crashes.size()) > request.crashes.total) {
@@ -424,6 +427,8 @@
 void UpstreamOwner::recordSuspects(OwnedUpstream& upstream) const
 {
     upstream.knewAllRuns = upstream.synced && upstream.claimsResolved;
+    // A cut shows as time-outs, which say nothing about routes.
+    upstream.exposures = upstream.unreachableCause == "timed-out" ? std::vector<RouteExposure> {} : exposuresTo(upstream);
     upstream.suspects.clear();
     upstream.suspectExecutors.clear();
     for (const auto& entry : upstream.runs) {
@@ -451,7 +456,7 @@
     if (evidence == CrashEvidence::Refuted)
         m_port.reportCrash({ incarnation, evidence }, upstream.suspectExecutors);
     else
-        m_port.reportCrash({ incarnation, evidence, upstream.suspects, upstream.suspects.size() == 1 && upstream.knewAllRuns }, upstream.suspectExecutors);
+        m_port.reportCrash({ incarnation, evidence, upstream.suspects, upstream.suspects.size() == 1 && upstream.knewAllRuns, upstream.exposures }, upstream.suspectExecutors);
 }
 
 void UpstreamOwner::onCrashConfirmed(OwnedUpstream& upstream)
@@ -481,7 +486,97 @@
 
 bool UpstreamOwner::mustBeAlone(const RunRequest& request) const
 {
-    return needsUpstreamAlone(possibleCrashesOf(request));
+    const CrashCount crashes = possibleCrashesOf(request);
+    return needsUpstreamAlone(crashes) || (crashes.total > 0 && m_crashes.isCrashing(request.route));
+}
+
+std::vector<RouteExposure> UpstreamOwner::exposuresTo(const OwnedUpstream& crashed) const
+{
+    std::map<std::string, RouteExposure> exposures;
+    std::size_t upstreams = 0;
+    for (const auto& entry : m_upstreams) {
+        const OwnedUpstream& upstream = entry.second;
+        if (upstream.info.service != crashed.info.service || !upstream.synced || upstream.replaced)
+            continue;
+        ++upstreams;
+        std::set<std::string> routes;
+        for (const auto& run : upstream.runs)
+            routes.insert(run.second.request.route);
+        for (const std::string& route : routes) {
+            RouteExposure& exposure = exposures[route];
+            exposure.route = route;
+            exposure.present = exposure.present || &upstream == &crashed;
+            exposure.share += 1;
+        }
+    }
+    std::vector<RouteExposure> result;
+    for (auto& entry : exposures) {
+        // The route of a run that was found at the upstream is unknown.
+        if (entry.first.empty())
+            continue;
+        entry.second.share /= static_cast<double>(upstreams);
+        result.push_back(entry.second);
+    }
+    return result;
+}
+
+std::set<UpstreamId> UpstreamOwner::upstreamsForCrashingRoute(const std::string& service, const std::string& route, TimePoint now) const
+{
+    std::set<UpstreamId> usable;
+    std::vector<const OwnedUpstream*> unused;
+    std::size_t owned = 0;
+    std::size_t taken = 0;
+    for (const auto& entry : m_upstreams) {
+        const OwnedUpstream& upstream = entry.second;
+        if (upstream.info.service != service || upstream.replaced)
+            continue;
+        ++owned;
+        const bool uses = std::any_of(upstream.runs.begin(), upstream.runs.end(), [&route](const auto& run) { return run.second.request.route == route; });
+        taken += uses || upstream.crashReported ? 1 : 0;
+        if (uses && !upstream.crashReported)
+            usable.insert(entry.first);
+        else if (!upstream.crashReported && acceptsRuns(upstream, m_limits, now))
+            unused.push_back(&upstream);
+    }
+    const std::size_t most = std::max<std::size_t>(1, static_cast<std::size_t>(std::lround(static_cast<double>(owned) * m_limits.crashingRouteShare)));
+    // Those with fewest other runs, so that a crash loses few of them.
+    std::sort(unused.begin(), unused.end(), [](const OwnedUpstream* left, const OwnedUpstream* right) { return left->used.milliCores < right->used.milliCores; });
+    for (std::size_t index = 0; index < unused.size() && taken + index < most; ++index)
+        usable.insert(unused[index]->info.id);
+    return usable;
+}
+
+std::vector<RouteCapacity> UpstreamOwner::confinedRoutes(TimePoint now) const
+{
+    std::map<std::string, RouteCapacity> capacities;
+    for (const auto& crashing : m_crashingRoutes) {
+        RouteCapacity& capacity = capacities[crashing.first];
+        capacity.route = crashing.first;
+        for (const UpstreamId& id : upstreamsForCrashingRoute(crashing.second, crashing.first, now)) {
+            const OwnedUpstream& upstream = m_upstreams.at(id);
+            if (!m_startsEnabled || !acceptsRuns(upstream, m_limits, now) || isKeptForOneTask(upstream))
+                continue;
+            capacity.freeTasks += tasksThatFit(upstream.available(), m_typicalNeed);
+            capacity.totalTasks += tasksThatFit(upstream.info.capacity, m_typicalNeed);
+        }
+    }
+    for (const QueuedRun& queuedRun : m_queue) {
+        const auto capacity = capacities.find(queuedRun.request.route);
+        if (capacity == capacities.end() || mustBeAlone(queuedRun.request))
+            continue;
+        ++capacity->second.queuedTasks;
+        capacity->second.queuedWork += queuedRun.request.expectedRunTime;
+    }
+    std::vector<RouteCapacity> result;
+    for (auto& entry : capacities)
+        result.push_back(entry.second);
+    return result;
+}
+
+void UpstreamOwner::updateCrashingRoutes()
+{
+    for (auto entry = m_crashingRoutes.begin(); entry != m_crashingRoutes.end();)
+        entry = m_crashes.isCrashing(entry->first) ? std::next(entry) : m_crashingRoutes.erase(entry);
 }
 
 bool UpstreamOwner::hasSuspect(const OwnedUpstream& upstream) const
@@ -752,6 +847,7 @@
 
 void UpstreamOwner::tick(TimePoint now)
 {
+    updateCrashingRoutes();
     expireQueuedRuns(now);
     m_earlyClaims.erase(std::remove_if(m_earlyClaims.begin(), m_earlyClaims.end(), [this, now](const EarlyClaim& earlyClaim) { return now - earlyClaim.since > m_limits.earlyClaimTimeout; }), m_earlyClaims.end());
     std::vector<UpstreamId> expiredUpstreams;
@@ -878,12 +974,14 @@
 {
     const bool suspect = possibleCrashesOf(request).total > 0;
     const bool alone = mustBeAlone(request);
+    const bool confined = !alone && m_crashes.isCrashing(request.route);
+    const std::set<UpstreamId> usable = confined ? upstreamsForCrashingRoute(request.service, request.route, now) : std::set<UpstreamId> {};
     OwnedUpstream* best = nullptr;
     double bestDuration = 0;
     std::int64_t bestLeft = 0;
     for (auto& entry : m_upstreams) {
         OwnedUpstream& upstream = entry.second;
-        if (!suits(upstream, request, now) || !fits(request.need, upstream.available()))
+        if (!suits(upstream, request, now) || !fits(request.need, upstream.available()) || (confined && usable.count(entry.first) == 0))
             continue;
         const bool isKept = isKeptForOneTask(upstream);
         if (alone ? !upstream.runs.empty() || (!isKept && !mayKeepUpstreamForOneTask(request.service)) : isKept || (suspect && hasSuspect(upstream)))
@@ -1000,7 +1098,7 @@
     std::map<std::pair<std::string, int>, QueueBacklog> queues;
     for (const QueuedRun& queuedRun : m_queue) {
         // It does not wait for the capacity that is reported here.
-        if (mustBeAlone(queuedRun.request))
+        if (mustBeAlone(queuedRun.request) || m_crashingRoutes.count(queuedRun.request.route) > 0)
             continue;
         QueueBacklog& queue = queues[{ queuedRun.request.service, queuedRun.request.priority }];
         queue.service = queuedRun.request.service;
@@ -1010,6 +1108,7 @@
     }
     for (auto& queue : queues)
         report.queues.push_back(queue.second);
+    report.confinedRoutes = confinedRoutes(now);
     return report;
 }
 
--- a/packages/wire/src/dispatch_messages.cpp
+++ b/packages/wire/src/dispatch_messages.cpp
@@ -95,7 +95,10 @@
         json suspects = json::array();
         for (const TaskRef& task : crash.suspects)
             suspects.push_back({ { "job", task.job }, { "step", task.step }, { "index", task.index } });
-        return { { "is", "crash" }, { "upstream", crash.incarnation.upstream }, { "startedAt", crash.incarnation.startedAt.count() }, { "evidence", static_cast<int>(crash.evidence) }, { "suspects", std::move(suspects) }, { "alone", crash.alone } };
+        json exposures = json::array();
+        for (const RouteExposure& exposure : crash.exposures)
+            exposures.push_back({ { "route", exposure.route }, { "present", exposure.present }, { "share", exposure.share } });
+        return { { "is", "crash" }, { "upstream", crash.incarnation.upstream }, { "startedAt", crash.incarnation.startedAt.count() }, { "evidence", static_cast<int>(crash.evidence) }, { "suspects", std::move(suspects) }, { "alone", crash.alone }, { "exposures", std::move(exposures) } };
     }
 
     UpstreamCrash readCrash(ObjectReader& reader, std::vector<ValidationError>& errors)
@@ -108,6 +111,10 @@
             ObjectReader item(element, reader.pointer("suspects", crash.suspects.size()), dispatchErrorCodes, errors);
             crash.suspects.push_back({ item.text("job"), static_cast<std::uint32_t>(item.number("step")), static_cast<std::uint32_t>(item.number("index")) });
         }
+        for (const json& element : reader.arrayOrEmpty("exposures")) {
+            ObjectReader item(element, reader.pointer("exposures", crash.exposures.size()), dispatchErrorCodes, errors);
+            crash.exposures.push_back({ item.text("route"), item.boolean("present"), item.real("share") });
+        }
         return crash;
     }
 
@@ -180,8 +187,14 @@
         json queues = json::array();
         for (const QueueBacklog& queue : capacity.queues)
             queues.push_back({ { "service", queue.service }, { "priority", queue.priority }, { "tasks", queue.tasks }, { "workMs", queue.work.count() } });
+        json routes = json::array();
+        for (const RouteCapacity& route : capacity.confinedRoutes)
+            routes.push_back({ { "route", route.route }, { "free", route.freeTasks }, { "total", route.totalTasks }, { "tasks", route.queuedTasks }, { "workMs", route.queuedWork.count() } });
         const json need { { "cpu", capacity.typicalNeed.milliCores }, { "memory", capacity.typicalNeed.memoryMb }, { "accelerators", capacity.typicalNeed.accelerators } };
-        return { { "need", need }, { "kinds", std::move(kinds) }, { "queues", std::move(queues) }, { "seen", capacity.requestsReceived }, { "completeUnder", capacity.completeAtEpoch.value } };
+        json value { { "need", need }, { "kinds", std::move(kinds) }, { "queues", std::move(queues) }, { "seen", capacity.requestsReceived }, { "completeUnder", capacity.completeAtEpoch.value } };
+        if (!routes.empty())
+            value["confined"] = std::move(routes);
+        return value;
     }
 
     CapacityReport readCapacity(ObjectReader& reader, std::vector<ValidationError>& errors)
@@ -201,6 +214,10 @@
             ObjectReader item(element, reader.pointer("queues", capacity.queues.size()), dispatchErrorCodes, errors);
             capacity.queues.push_back({ item.text("service"), static_cast<int>(item.number("priority")), static_cast<std::uint32_t>(item.number("tasks")), item.milliseconds("workMs") });
         }
+        for (const json& element : reader.arrayOrEmpty("confined")) {
+            ObjectReader item(element, reader.pointer("confined", capacity.confinedRoutes.size()), dispatchErrorCodes, errors);
+            capacity.confinedRoutes.push_back({ item.text("route"), static_cast<std::uint32_t>(item.number("free")), static_cast<std::uint32_t>(item.number("total")), static_cast<std::uint32_t>(item.number("tasks")), item.milliseconds("workMs") });
+        }
         return capacity;
     }
 
--- a/tests/unit/unit-placement.cpp
+++ b/tests/unit/unit-placement.cpp
@@ -167,3 +167,27 @@
         CHECK(estimator.slowness("slow") == Approx(1.3).margin(0.1));
     }
 }
+
+// Guards against jobs of a confined route that are accepted for capacity that they cannot use, and against other routes that
+// are refused because of its queue.
+TEST_CASE("capacity table counts a confined route apart")
+{
+    CapacityTable table;
+    CapacityReport report = capacityFor(6, 16);
+    report.confinedRoutes.push_back({ "proof", 1, 4, 3, Milliseconds { 300 } });
+    table.update("x", report);
+    table.update("y", capacityFor(2, 16));
+    CHECK(table.freeTasks("x", "print", "quote") == 6);
+    CHECK(table.freeTasks("x", "print", "proof") == -2);
+    const CapacityTotals confined = table.totals("print", 0, "proof");
+    CHECK(confined.freeTasks == 2);
+    CHECK(confined.totalTasks == 20);
+    CHECK(confined.tasksAhead == 3);
+    CHECK(confined.workAhead == Milliseconds { 300 });
+    const CapacityTotals other = table.totals("print", 0, "quote");
+    CHECK(other.freeTasks == 8);
+    CHECK(other.totalTasks == 32);
+    CHECK(other.tasksAhead == 0);
+    CHECK(table.chooseOwner("x", "print", {}, {}, "proof") == VmId { "y" });
+    CHECK(table.chooseOwner("x", "print", {}, {}, "quote") == VmId { "x" });
+}
--- a/tests/unit/unit-upstream-owner.cpp
+++ b/tests/unit/unit-upstream-owner.cpp
@@ -746,6 +746,16 @@
         CHECK_FALSE(fixture.port.crashes[0].alone);
     }
 
+    SECTION("with the routes that were on the crashed upstream and on the others")
+    {
+        failPolls(OrderOutcome::NotSent, ConnectionFailure::Refused);
+        REQUIRE(fixture.port.crashes.size() == 1);
+        REQUIRE(fixture.port.crashes[0].exposures.size() == 1);
+        CHECK(fixture.port.crashes[0].exposures[0].route == "proof");
+        CHECK(fixture.port.crashes[0].exposures[0].present);
+        CHECK(fixture.port.crashes[0].exposures[0].share == Approx(1));
+    }
+
     SECTION("polls that time out are suspected only when the lease of the runs has expired")
     {
         failPolls(OrderOutcome::Unknown, ConnectionFailure::TimedOut);
@@ -754,6 +764,7 @@
         fixture.owner.tick(fixture.now);
         REQUIRE(fixture.port.crashes.size() == 1);
         CHECK(fixture.port.crashes[0].evidence == CrashEvidence::Suspected);
+        CHECK(fixture.port.crashes[0].exposures.empty());
     }
 
     SECTION("the same incarnation that answers again refutes the crash")
@@ -799,6 +810,95 @@
     }
 }
 
+// Guards against a route whose tasks crash upstreams and so takes the capacity of all others (bulkhead).
+TEST_CASE("owner confines a route that crashes upstreams to a part of them")
+{
+    OwnerFixture fixture;
+    for (const char* id : { "u2", "u3", "u4", "u5", "u6", "u7", "u8" })
+        fixture.owner.acquire(upstreamNamed(id), token, fixture.now);
+    for (const UpstreamId& id : fixture.owner.owned())
+        fixture.owner.onPollReply(id, *fixture.owner.nextPoll(id, fixture.now), fixture.reply(), fixture.now, fixture.now);
+    const auto request = [&fixture](const std::string& job, const std::string& route) {
+        RunRequest value = requestFor(job, 0, fixture.now + Seconds { 1 });
+        value.route = route;
+        fixture.owner.request("x", value, fixture.now);
+    };
+    const auto upstreamsOf = [&fixture](char job) {
+        std::set<UpstreamId> ids;
+        for (const StartOrder& order : fixture.port.starts) {
+            if (order.run.task.job[0] == job)
+                ids.insert(order.upstream);
+        }
+        return ids;
+    };
+    fixture.crashes.expire(fixture.now);
+    for (int crash = 0; crash < 8; ++crash)
+        fixture.crashes.record({ { "v" + std::to_string(crash), Milliseconds { 1 } }, CrashEvidence::Suspected, { { "p", 0, 0 } }, false, { { "proof", true, 0.3 }, { "quote", false, 0.5 } } }, fixture.now);
+    REQUIRE(fixture.crashes.isCrashing("proof"));
+
+    SECTION("of which the other routes still have the rest")
+    {
+        for (int job = 0; job < 20; ++job)
+            request("p" + std::to_string(job), "proof");
+        CHECK(upstreamsOf('p').size() == 3);
+        CHECK(fixture.port.starts.size() == 6);
+        for (int job = 0; job < 20; ++job)
+            request("q" + std::to_string(job), "quote");
+        CHECK(fixture.port.starts.size() == 16);
+    }
+
+    SECTION("less those that are down")
+    {
+        for (const char* id : { "u1", "u2" }) {
+            for (int poll = 0; poll < 2; ++poll) {
+                PollReply refused;
+                refused.outcome = OrderOutcome::NotSent;
+                refused.failure = ConnectionFailure::Refused;
+                fixture.owner.onPollReply(id, *fixture.owner.nextPoll(id, fixture.now), refused, fixture.now, fixture.now);
+            }
+        }
+        for (int job = 0; job < 20; ++job)
+            request("p" + std::to_string(job), "proof");
+        CHECK(upstreamsOf('p').size() == 1);
+    }
+
+    SECTION("and reports its capacity and queue apart")
+    {
+        for (int job = 0; job < 5; ++job)
+            request("p" + std::to_string(job), "proof");
+        const CapacityReport before = fixture.owner.capacityReport(fixture.now);
+        REQUIRE(before.confinedRoutes.size() == 1);
+        CHECK(before.confinedRoutes[0].freeTasks == 1);
+        CHECK(before.confinedRoutes[0].totalTasks == 6);
+        CHECK(before.kinds.at(0).freeTasks == 11);
+        for (int job = 5; job < 9; ++job)
+            request("p" + std::to_string(job), "proof");
+        const CapacityReport after = fixture.owner.capacityReport(fixture.now);
+        CHECK(after.confinedRoutes.at(0).queuedTasks == 3);
+        CHECK(after.queues.empty());
+    }
+
+    SECTION("until it stops")
+    {
+        for (int job = 0; job < 20; ++job)
+            request("p" + std::to_string(job), "proof");
+        fixture.crashes.expire(fixture.now + Seconds { 10 });
+        fixture.owner.tick(fixture.now);
+        CHECK(fixture.port.starts.size() == 16);
+        CHECK(fixture.owner.capacityReport(fixture.now).confinedRoutes.empty());
+    }
+
+    SECTION("and gives its tasks that were at a crash an upstream of their own")
+    {
+        RunRequest suspect = requestFor("s", 0, fixture.now + Seconds { 1 });
+        suspect.crashes.total = 1;
+        fixture.owner.request("x", suspect, fixture.now);
+        for (int job = 0; job < 20; ++job)
+            request("q" + std::to_string(job), "quote");
+        CHECK(fixture.port.starts.size() == 15);
+    }
+}
+
 // Guards against a second crash that cannot be attributed, and against suspects that take all upstreams from other tasks.
 TEST_CASE("owner keeps tasks apart that may have crashed an upstream")
 {
--- a/tests/unit/unit-wire.cpp
+++ b/tests/unit/unit-wire.cpp
@@ -149,6 +149,7 @@
     batch.capacity.typicalNeed = { 27'000, 64, 1 };
     batch.capacity.completeAtEpoch = { 4 };
     batch.capacity.kinds.push_back({ "print", "a", 2, 8, 1.5 });
+    batch.capacity.confinedRoutes.push_back({ "proof", 1, 4, 3, Milliseconds { 300 } });
     batch.capacity.queues.push_back({ "print", 1, 4, Milliseconds { 400 } });
     RunRequest request;
     request.run = { { "j", 1, 2 }, 3 };
@@ -164,7 +165,7 @@
     batch.messages.push_back({ {}, {}, {}, RunReturned { run, ReturnReason::Superseded }, {}, {} });
     batch.messages.push_back({ {}, {}, {}, {}, RunWithdrawal { run, true }, {} });
     batch.messages.push_back({ {}, {}, {}, {}, {}, RunClaim { run, "u", { 6 } } });
-    batch.messages.push_back({ {}, {}, {}, {}, {}, {}, false, UpstreamCrash { { "u", Milliseconds { 1'770'450'107'235 } }, CrashEvidence::Confirmed, { run.task }, true } });
+    batch.messages.push_back({ {}, {}, {}, {}, {}, {}, false, UpstreamCrash { { "u", Milliseconds { 1'770'450'107'235 } }, CrashEvidence::Confirmed, { run.task }, true, { { "proof", true, 0.25 } } } });
 
     SECTION("batches are unchanged by a round trip; times are relative to the receiver's clock")
     {
@@ -193,6 +194,16 @@
         CHECK(crash.evidence == CrashEvidence::Confirmed);
         CHECK(crash.suspects == std::vector<TaskRef> { run.task });
         CHECK(crash.alone);
+        REQUIRE(crash.exposures.size() == 1);
+        CHECK(crash.exposures[0].route == "proof");
+        CHECK(crash.exposures[0].present);
+        CHECK(crash.exposures[0].share == Approx(0.25));
+        REQUIRE(reparsed->capacity.confinedRoutes.size() == 1);
+        CHECK(reparsed->capacity.confinedRoutes[0].route == "proof");
+        CHECK(reparsed->capacity.confinedRoutes[0].freeTasks == 1);
+        CHECK(reparsed->capacity.confinedRoutes[0].totalTasks == 4);
+        CHECK(reparsed->capacity.confinedRoutes[0].queuedTasks == 3);
+        CHECK(reparsed->capacity.confinedRoutes[0].queuedWork == Milliseconds { 300 });
         CHECK(reparsed->capacity.typicalNeed == batch.capacity.typicalNeed);
     }
 
