Count runs found after a hand-over with the need that their executors state

Cause: a claim named the run but not its size, so the new owner counted each run found with the moving average of task needs; a run that appears and that nobody claims was counted with it as well. Change: claims carry the need; an unclaimed run takes all that is free until it has ended. Claims without a need, of builds before this one, count as before. Tests: "owner starts nothing beyond the capacity that runs of unknown or untypical size leave" failed in 4 checks and passes. "owner follows the capacity of an upstream that shrinks and grows while runs are there" passed without a change: shrinking stops nothing and leaves no negative room, what is being stopped counts, growth is used at the next tick. Conclusion: capacity that shrinks and grows, and LIMIT, have a test each.

--- a/packages/decision/include/egrettrestle/decision/dispatch_types.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatch_types.hpp
@@ -231,6 +231,8 @@
     UpstreamId upstream;
     /// Epoch of the sender's view. An owner that has not adopted that view yet cannot tell what is running there.
     FencingToken epoch;
+    /// Resources that the run needs.
+    Resources need = {};
 };
 
 /// What is known about an upstream that became unreachable while runs were there.
--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -231,7 +231,9 @@
     /// Compares the runs listed by a poll with those held here: confirms starts, adopts unknown runs, returns runs that
     /// are provably gone, and stops those whose start remains unconfirmed.
     void reconcileRuns(OwnedUpstream& upstream, const PollReply& reply, TimePoint sentAt, TimePoint now);
-    /// Records a run that the upstream lists and no executor has claimed yet.
+    /// Sets the need of a run that was found at the upstream, as its executor states it.
+    void setNeed(OwnedUpstream& upstream, OwnedRun& run, const Resources& need);
+    /// Records a run that the upstream lists and no executor has claimed yet. It takes all free capacity.
     void adoptUnknownRun(OwnedUpstream& upstream, const TaskRun& run, TimePoint now);
     void returnLostRuns(OwnedUpstream& upstream);
     /// Requests an extra poll if the regular one is overdue, or if only a poll can prove that a stopped run never
--- a/packages/decision/src/job_executor.cpp
+++ b/packages/decision/src/job_executor.cpp
@@ -404,7 +404,7 @@
 {
     task.claimSentAt = now;
     recordJobEvent(JobEvent::Kind::ClaimSent, job, task.upstream, now);
-    m_port.send(task.owner, { {}, {}, {}, {}, {}, RunClaim { runOf(job, task), task.upstream, m_epoch } });
+    m_port.send(task.owner, { {}, {}, {}, {}, {}, RunClaim { runOf(job, task), task.upstream, m_epoch, job.request.steps[task.step].need } });
     if (task.state == TaskState::Withdrawn)
         withdrawTask(job, task, false);
 }
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -273,6 +273,7 @@
     const auto found = upstream->runs.find(claim.run);
     if (found != upstream->runs.end()) {
         found->second.executor = executor;
+        setNeed(*upstream, found->second, claim.need);
         m_port.notify(executor, { {}, RunStarted { claim.run, claim.upstream, upstream->token }, {}, {}, {}, {} });
         return;
     }
@@ -283,7 +284,7 @@
     // The first poll shows whether the run is there; until then it is assumed to be running.
     OwnedRun run;
     run.request.run = claim.run;
-    run.request.need = m_typicalNeed;
+    run.request.need = claim.need == Resources {} ? m_typicalNeed : claim.need;
     run.request.latestStart = now;
     run.executor = executor;
     run.state = RunState::Running;
@@ -744,11 +745,20 @@
     }
 }
 
+void UpstreamOwner::setNeed(OwnedUpstream& upstream, OwnedRun& run, const Resources& need)
+{
+    // A claim by an earlier build states none.
+    const Resources known = need == Resources {} ? m_typicalNeed : need;
+    upstream.used = upstream.used - run.request.need + known;
+    run.request.need = known;
+}
+
 void UpstreamOwner::adoptUnknownRun(OwnedUpstream& upstream, const TaskRun& run, TimePoint now)
 {
     OwnedRun adopted;
     adopted.request.run = run;
-    adopted.request.need = m_typicalNeed;
+    // Its size is unknown, and an upstream that does not check its capacity would start whatever is ordered beside it.
+    adopted.request.need = fits(m_typicalNeed, upstream.available()) ? upstream.available() : m_typicalNeed;
     adopted.request.latestStart = now;
     adopted.state = RunState::Running;
     adopted.startSentAt = now;
--- a/packages/wire/src/dispatch_messages.cpp
+++ b/packages/wire/src/dispatch_messages.cpp
@@ -69,6 +69,12 @@
         return { static_cast<std::int64_t>(reader.number("cpu")), static_cast<std::int64_t>(reader.number("memory")), static_cast<std::int64_t>(reader.number("accelerators")) };
     }
 
+    /// Batches of earlier builds lack them in some messages.
+    Resources readResourcesOrNone(ObjectReader& reader)
+    {
+        return { static_cast<std::int64_t>(reader.numberOr("cpu", 0)), static_cast<std::int64_t>(reader.numberOr("memory", 0)), static_cast<std::int64_t>(reader.numberOr("accelerators", 0)) };
+    }
+
     RunRequest readRequest(ObjectReader& reader, TimePoint now)
     {
         RunRequest request;
@@ -147,6 +153,9 @@
             json value = runJson("claim", message.claim->run);
             value["upstream"] = message.claim->upstream;
             value["epoch"] = message.claim->epoch.value;
+            value["cpu"] = message.claim->need.milliCores;
+            value["memory"] = message.claim->need.memoryMb;
+            value["accelerators"] = message.claim->need.accelerators;
             return value;
         }
         json value = runJson("withdrawn", message.withdrawal->run);
@@ -169,7 +178,7 @@
         else if (kind == "returned")
             message.returned = RunReturned { readRun(reader), readEnum(reader, "reason", ReturnReason::Unschedulable, errors) };
         else if (kind == "claim")
-            message.claim = RunClaim { readRun(reader), reader.text("upstream"), { reader.number("epoch") } };
+            message.claim = RunClaim { readRun(reader), reader.text("upstream"), { reader.number("epoch") }, readResourcesOrNone(reader) };
         else if (kind == "withdrawn")
             message.withdrawal = RunWithdrawal { readRun(reader), reader.boolean("onlyIfWaiting"), reader.textOr("upstream", "") };
         else if (kind == "crash")
--- a/tests/unit/unit-upstream-owner.cpp
+++ b/tests/unit/unit-upstream-owner.cpp
@@ -998,3 +998,97 @@
         CHECK(fixture.port.notifications[2].message.returned->reason == ReturnReason::Withdrawn);
     }
 }
+
+// Guards against runs that are stopped because capacity has shrunk, and against capacity reports that are negative or late.
+TEST_CASE("owner follows the capacity of an upstream that shrinks and grows while runs are there")
+{
+    OwnerFixture fixture;
+    fixture.poll(fixture.reply());
+    const TaskRun first = fixture.startOne("j1");
+    const TaskRun second = fixture.startOne("j2");
+    const auto freeTasks = [&fixture] { return fixture.owner.capacityReport(fixture.now).kinds.at(0).freeTasks; };
+    const auto totalTasks = [&fixture] { return fixture.owner.capacityReport(fixture.now).kinds.at(0).totalTasks; };
+    fixture.owner.acquire(upstreamNamed("u1", 30'000), token, fixture.now);
+
+    SECTION("below what runs: nothing is stopped, nothing starts, and the free capacity is none")
+    {
+        fixture.owner.tick(fixture.now);
+        fixture.poll(fixture.reply({ first, second }));
+        CHECK(fixture.port.stops.empty());
+        CHECK(freeTasks() == 0);
+        CHECK(totalTasks() == 1);
+        fixture.owner.request("x", requestFor("j3", 0, fixture.now + Seconds { 1 }), fixture.now);
+        CHECK(fixture.port.starts.size() == 2);
+    }
+
+    SECTION("a run that has ended leaves no room while the others fill the smaller capacity")
+    {
+        fixture.owner.request("x", requestFor("j3", 0, fixture.now + Seconds { 1 }), fixture.now);
+        fixture.poll(fixture.reply({ second }, { fixture.end(first, RunOutcome::Done) }));
+        CHECK(fixture.port.starts.size() == 2);
+        fixture.poll(fixture.reply({}, { fixture.end(second, RunOutcome::Done) }));
+        CHECK(fixture.port.starts.size() == 3);
+    }
+
+    SECTION("a run that is being stopped still counts")
+    {
+        fixture.owner.request("x", requestFor("j3", 0, fixture.now + Seconds { 1 }), fixture.now);
+        fixture.owner.withdraw("x", { first, false, "u1" }, fixture.now);
+        fixture.owner.withdraw("x", { second, false, "u1" }, fixture.now);
+        fixture.owner.onStopReply(fixture.port.stops.at(0), { OrderOutcome::Accepted, std::nullopt }, fixture.now);
+        fixture.owner.tick(fixture.now);
+        CHECK(fixture.port.starts.size() == 2);
+    }
+
+    SECTION("growth is used at once")
+    {
+        fixture.owner.request("x", requestFor("j3", 0, fixture.now + Seconds { 1 }), fixture.now);
+        fixture.owner.acquire(upstreamNamed("u1", 128'000), token, fixture.now);
+        CHECK(totalTasks() == 4);
+        CHECK(freeTasks() == 2);
+        fixture.owner.tick(fixture.now);
+        CHECK(fixture.port.starts.size() == 3);
+    }
+}
+
+// Guards against a start that exceeds the capacity of an upstream that does not check it itself (LIMIT), after a hand-over
+// to an owner that does not know the needs of the runs there.
+TEST_CASE("owner starts nothing beyond the capacity that runs of unknown or untypical size leave")
+{
+    OwnerFixture fixture;
+    const TaskRun large { { "large", 0, 0 }, 1 };
+    fixture.owner.request("x", requestFor("k", 0, fixture.now + Seconds { 1 }), fixture.now);
+
+    SECTION("a claimed run counts with the need that its executor states, before and after the first poll")
+    {
+        for (const bool claimedFirst : { true, false }) {
+            OwnerFixture later;
+            later.owner.request("x", requestFor("k", 0, later.now + Seconds { 1 }), later.now);
+            const RunClaim claim { large, "u1", token, { 50'000, 64, 0 } };
+            if (claimedFirst)
+                later.owner.claim("x", claim, later.now);
+            later.poll(later.reply({ large }));
+            if (!claimedFirst)
+                later.owner.claim("x", claim, later.now);
+            later.owner.tick(later.now);
+            CHECK(later.port.starts.empty());
+            later.poll(later.reply({}, { { 1, large, RunOutcome::Done } }));
+            CHECK(later.port.starts.size() == 1);
+        }
+    }
+
+    SECTION("a run that appears and that nobody claims takes all that is free until it has ended")
+    {
+        fixture.owner.acquire(upstreamNamed("u1", 128'000), token, fixture.now);
+        fixture.poll(fixture.reply());
+        REQUIRE(fixture.port.starts.size() == 1);
+        fixture.owner.onStartReply(fixture.port.starts[0], { OrderOutcome::Accepted, std::nullopt }, fixture.now);
+        fixture.poll(fixture.reply({ fixture.port.starts[0].run, large }));
+        REQUIRE(fixture.port.stops.size() == 1);
+        fixture.owner.request("x", requestFor("m", 0, fixture.now + Seconds { 1 }), fixture.now);
+        CHECK(fixture.port.starts.size() == 1);
+        CHECK(fixture.owner.capacityReport(fixture.now).kinds.at(0).freeTasks == 0);
+        fixture.poll(fixture.reply({ fixture.port.starts[0].run }, { { 1, large, RunOutcome::Stopped } }));
+        CHECK(fixture.port.starts.size() == 2);
+    }
+}
--- a/tests/unit/unit-wire.cpp
+++ b/tests/unit/unit-wire.cpp
@@ -164,7 +164,7 @@
     batch.messages.push_back({ {}, {}, RunEnded { run, "u", RunOutcome::Failed, Milliseconds { 20 }, "a" }, {}, {}, {} });
     batch.messages.push_back({ {}, {}, {}, RunReturned { run, ReturnReason::Superseded }, {}, {} });
     batch.messages.push_back({ {}, {}, {}, {}, RunWithdrawal { run, true }, {} });
-    batch.messages.push_back({ {}, {}, {}, {}, {}, RunClaim { run, "u", { 6 } } });
+    batch.messages.push_back({ {}, {}, {}, {}, {}, RunClaim { run, "u", { 6 }, { 50'000, 64, 1 } } });
     batch.messages.push_back({ {}, {}, {}, {}, {}, {}, false, UpstreamCrash { { "u", Milliseconds { 1'770'450'107'235 } }, CrashEvidence::Confirmed, { run.task }, true, { { "proof", true, 0.25 } } } });
 
     SECTION("batches are unchanged by a round trip; times are relative to the receiver's clock")
@@ -180,6 +180,7 @@
         CHECK(reparsed->messages[3].returned->reason == ReturnReason::Superseded);
         CHECK(reparsed->messages[4].withdrawal->onlyIfWaiting);
         CHECK(reparsed->messages[5].claim->epoch.value == 6);
+        CHECK(reparsed->messages[5].claim->need == Resources { 50'000, 64, 1 });
         CHECK(reparsed->stamp.processIncarnation == 7);
         CHECK(reparsed->stamp.receiverProcessIncarnation == 8);
         CHECK(reparsed->stamp.echoedTimestamp == 99);
