--- a/packages/decision/src/dispatcher.cpp
+++ b/packages/decision/src/dispatcher.cpp
@@ -320,8 +320,9 @@
     std::set<VmId> receivers = m_contacts;
     receivers.insert(executors.begin(), executors.end());
     receivers.insert(m_self);
+    // The executors decide about the suspects; the others only have to know in time for a later submission.
     for (const VmId& vm : receivers)
-        send(vm, { {}, {}, {}, {}, {}, {}, false, crash });
+        send(vm, { {}, {}, {}, {}, {}, {}, executors.count(vm) == 0, crash });
 }
 
 void Dispatcher::shareCrashReports(const VmId& vm)
--- a/tests/unit/unit-dispatcher.cpp
+++ b/tests/unit/unit-dispatcher.cpp
@@ -253,3 +253,54 @@
     fixture.dispatcher.tick(fixture.now);
     CHECK(fixture.dispatcher.ownedUpstreams().empty());
 }
+
+// Guards against counts of crashes that are lost with the VM that has them, or unknown to the VM that gets a job next.
+TEST_CASE("dispatcher shares what it knows of crashes")
+{
+    DispatcherFixture fixture;
+    fixture.setUp({ "x", "y", "z" });
+    fixture.poll();
+    const auto reportsTo = [&fixture](const VmId& vm) {
+        std::vector<PeerMessage> reports;
+        for (const SentMessage& sent : fixture.port.sent) {
+            if (sent.vm == vm && sent.message.crash)
+                reports.push_back(sent.message);
+        }
+        return reports;
+    };
+
+    SECTION("a suspected crash goes to every contact, and at once to the executor of a suspect")
+    {
+        PeerMessage request;
+        request.request = requestFor("j", 0, fixture.now + Seconds { 1 });
+        fixture.dispatcher.onPeerMessages("y", { request }, {}, fixture.now);
+        REQUIRE(fixture.port.starts.size() == 1);
+        fixture.dispatcher.onStartReply(fixture.port.starts[0], { OrderOutcome::Accepted, std::nullopt }, fixture.now);
+        for (int poll = 0; poll < 2; ++poll) {
+            PollReply refused;
+            refused.outcome = OrderOutcome::NotSent;
+            refused.failure = ConnectionFailure::Refused;
+            fixture.dispatcher.onPollReply(*fixture.dispatcher.nextPoll(fixture.upstream, fixture.now), refused, fixture.now, fixture.now);
+        }
+        REQUIRE(reportsTo("y").size() == 1);
+        CHECK_FALSE(reportsTo("y")[0].deferrable);
+        REQUIRE(reportsTo("z").size() == 1);
+        CHECK(reportsTo("z")[0].deferrable);
+        CHECK(reportsTo("z")[0].crash->suspects == std::vector<TaskRef> { { "j", 0, 0 } });
+    }
+
+    SECTION("repeated crashes of a task are told to a VM that has restarted")
+    {
+        for (const char* id : { "a", "b" }) {
+            PeerMessage report;
+            report.crash = UpstreamCrash { { id, Milliseconds { 1 } }, CrashEvidence::Confirmed, { { "j", 0, 0 } }, true };
+            fixture.dispatcher.onPeerMessages("y", { report }, {}, fixture.now);
+        }
+        CHECK(reportsTo("z").empty());
+        fixture.dispatcher.onPeerRestarted("z", fixture.now);
+        CHECK(reportsTo("z").size() == 2);
+        fixture.dispatcher.submit(1, jobOf("j", 1), routeNamed("proof"), fixture.now);
+        REQUIRE(fixture.port.replies.size() == 1);
+        CHECK(fixture.port.replies[0].reply.outcome == JobOutcome::Failed);
+    }
+}
