Give the crash handling of an owner files of its own

Cause: upstream_owner.cpp had 1,150 lines, its tests 1,100, with two concerns. Change: upstream_owner_crashes.cpp, owned_upstream.cpp, unit-upstream-owner-crashes.cpp and owner_fixture.hpp; moved, not changed, but for one condition: a reservation also ends when its upstream drains or is no longer listed.

--- a/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
+++ b/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
@@ -139,7 +139,7 @@
     std::vector<RouteExposure> exposures;
     /// Whether no run was there that this VM did not know.
     bool knewAllRuns = false;
-    /// Whether its last run, or several, are waited for so that a task that must be alone can start.
+    /// Whether nothing new is started there, so that it becomes empty for a task that must be alone.
     bool reserved = false;
     /// When the reply to the pending regular poll is overdue; empty if no poll is pending or it has been repeated.
     std::optional<TimePoint> pollReplyDueAt;
@@ -156,6 +156,12 @@
     Resources available() const { return info.capacity - used; }
 };
 
+/// How many tasks with the given need fit into a capacity; 0 if nothing is needed.
+std::uint32_t tasksThatFit(const Resources& capacity, const Resources& need);
+
+/// Whether runs may be started on an upstream now, apart from its free capacity.
+bool acceptsRuns(const OwnedUpstream& upstream, const OwnerLimits& limits, TimePoint now);
+
 /// A run that was at an upstream when it became unreachable or lost its runs, for the log and the metrics.
 struct LostRun {
     TaskRun run;
