Count a crash of an upstream that was only cut off before

What callers would see: an upstream whose suspected crash was refuted, and that crashes within the next minute, counted for no task, so its culprit had one start more. Cause: CrashTable took a refutation as final for the incarnation (state that outlives what it was about). Found by reading the change once more. Change: a suspicion counts again 1 s after a refutation, a confirmation always; a confirmed crash is never refuted. Tests: unit-crash-table "an incarnation that was cut off before can still crash" failed in 3 checks and passes.

--- a/packages/decision/include/egrettrestle/decision/crash_table.hpp
+++ b/packages/decision/include/egrettrestle/decision/crash_table.hpp
@@ -29,7 +29,8 @@
 /// counts once, however many VMs report it. Bounded in size and time. Not thread-safe.
 class CrashTable {
 public:
-    /// Stores a report. Confirmation and refutation are final; a refuted crash counts for no task.
+    /// Stores a report. A refuted crash counts for no task, but the same incarnation may crash later. A confirmed crash is
+    /// never refuted, since another incarnation has taken its place.
     void record(const UpstreamCrash& crash, TimePoint now);
 
     /// The crashes that a task may have caused. Those that another task explains, whose crashes are conclusive, do not count.
@@ -65,6 +66,7 @@
         std::vector<TaskRef> suspects;
         bool alone = false;
         bool exposuresRecorded = false;
+        TimePoint refutedAt {};
     };
 
     /// The crashes of all upstreams on which a task was, whatever else was there.
--- a/packages/decision/src/crash_table.cpp
+++ b/packages/decision/src/crash_table.cpp
@@ -8,6 +8,8 @@
 
     // Longer than any caller goes on submitting a job again.
     constexpr Seconds retention { 60 };
+    // Suspicions that were on their way when the crash was refuted arrive within this time.
+    constexpr Seconds lateReportTime { 1 };
     // A fleet in which this many upstreams crash within the retention time forgets the oldest crashes.
     constexpr std::size_t maxEntries = 4'096;
 
@@ -25,23 +27,29 @@
 
 void CrashTable::record(const UpstreamCrash& crash, TimePoint now)
 {
-    const bool isNew = m_crashes.count(crash.incarnation) == 0;
+    const bool isKnown = m_crashes.count(crash.incarnation) > 0;
     Entry& entry = m_crashes[crash.incarnation];
+    const bool wasRefuted = entry.evidence == CrashEvidence::Refuted;
+    const bool isLate = wasRefuted && crash.evidence == CrashEvidence::Suspected && now - entry.refutedAt < lateReportTime;
+    const bool isOverruled = entry.evidence == CrashEvidence::Confirmed && crash.evidence == CrashEvidence::Refuted;
+    if (isLate || isOverruled)
+        return;
+    const bool isNew = !isKnown || wasRefuted;
     if (!entry.exposuresRecorded && !crash.exposures.empty()) {
         entry.exposuresRecorded = true;
         m_detector.record(crash.exposures);
     }
-    if (isNew)
+    if (!isKnown)
         m_order.emplace_back(now, crash.incarnation);
-    if (entry.evidence == CrashEvidence::Refuted)
-        return;
     if (crash.evidence == CrashEvidence::Refuted) {
         remove(crash.incarnation);
-        m_crashes[crash.incarnation].evidence = CrashEvidence::Refuted;
+        Entry& refuted = m_crashes[crash.incarnation];
+        refuted.evidence = CrashEvidence::Refuted;
+        refuted.refutedAt = now;
         return;
     }
-    if (crash.evidence == CrashEvidence::Confirmed)
-        entry.evidence = CrashEvidence::Confirmed;
+    if (wasRefuted || crash.evidence == CrashEvidence::Confirmed)
+        entry.evidence = crash.evidence;
     for (const TaskRef& task : crash.suspects) {
         std::vector<UpstreamIncarnation>& incarnations = m_crashesByTask[task];
         if (std::find(incarnations.begin(), incarnations.end(), crash.incarnation) != incarnations.end())
--- a/tests/unit/unit-crash-table.cpp
+++ b/tests/unit/unit-crash-table.cpp
@@ -39,6 +39,21 @@
         CHECK_FALSE(table.isSuspected(lifeOf("u1")));
     }
 
+    SECTION("an incarnation that was cut off before can still crash")
+    {
+        table.record({ lifeOf("u1"), CrashEvidence::Suspected, { neighbour } }, now);
+        table.record({ lifeOf("u1"), CrashEvidence::Refuted }, now);
+        now += Seconds { 2 };
+        table.record({ lifeOf("u1"), CrashEvidence::Suspected, { culprit }, true }, now);
+        CHECK(table.crashesOf(culprit).possible.alone == 1);
+        CHECK(table.crashesOf(neighbour).possible.total == 0);
+        table.record({ lifeOf("u1"), CrashEvidence::Refuted }, now);
+        table.record({ lifeOf("u1"), CrashEvidence::Confirmed, { culprit }, true }, now);
+        CHECK(table.crashesOf(culprit).confirmed.total == 1);
+        table.record({ lifeOf("u1"), CrashEvidence::Refuted }, now);
+        CHECK(table.crashesOf(culprit).confirmed.total == 1);
+    }
+
     SECTION("a crash reported by several VMs counts once, two lives of one upstream count twice")
     {
         for (int report = 0; report < 3; ++report)
