Grant no lease beyond the time by which a run that cannot be stopped has to end

Cause: mayExtendLease() asked only whether the executors of the runs are in contact. While no stop of a withdrawn run was accepted, polls extended its lease without limit, although docs/PROGRAMS.md counts on the lease for just that run. Runs of a restarted executor had no executor any more, which counted as in contact.

Ruled out: a late withdrawal (the first stop is sent in the millisecond of the 504); a late lapse (the last lease before the 504 would have ended at 5187).

Change: a withdrawal of a job that has ended says by when its runs must have ended, and the owner grants no lease, by poll or start, beyond that time until a stop is accepted. Stops are repeated after 80 ms, and a start that no poll lists is given up once its order has expired, so that neighbours under the same lease rarely pay.

--- a/packages/decision/include/egrettrestle/decision/dispatch_types.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatch_types.hpp
@@ -223,6 +223,9 @@
     bool onlyIfWaiting = false;
     /// The upstream at which the run was last reported as running; empty if it was not.
     UpstreamId upstream = {};
+    /// When the run must have ended, because the job may then be running elsewhere: its callers may submit it again. Empty
+    /// while the job is in progress.
+    std::optional<TimePoint> endBy = {};
 };
 
 /// Sent by an executor to the new owner of an upstream to claim a run there as its own.
--- a/packages/decision/include/egrettrestle/decision/job_executor.hpp
+++ b/packages/decision/include/egrettrestle/decision/job_executor.hpp
@@ -57,6 +57,9 @@
     double contentionFactor = 1.15;
     /// Lower bound of the retry delay given to refused callers.
     Milliseconds minRetryAfter { 1'000 };
+    /// The withdrawn runs of a job must have ended this long after the job has: its callers may then submit it to another
+    /// VM.
+    Milliseconds withdrawnRunLimit { 1'050 };
     /// After this time without a reply from an owner, none of the runs that it held for this VM can still be running:
     /// the owner stops the runs of an unresponsive executor, and their leases expire.
     Milliseconds ownerLossTimeout { 1'700 };
@@ -266,6 +269,8 @@
         bool anyStarted = false;
         /// Set once the outcome is decided; outstanding tasks are withdrawn.
         bool ending = false;
+        /// When the withdrawn runs must have ended; set with `ending`.
+        std::optional<TimePoint> runsEndBy;
         std::size_t resent = 0;
         JobResult finalReply;
         bool replied = false;
--- a/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
+++ b/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
@@ -30,6 +30,9 @@
     Milliseconds leaseExpiryMargin { 60 };
     /// Fraction by which an upstream's clock may be slower than this VM's.
     double clockDrift = 0.02;
+    /// The runs of an executor that has restarted must have ended this long after its last contact, when its callers may
+    /// submit their jobs to other VMs.
+    Milliseconds orphanedRunLimit { 1'050 };
     /// An upstream without a successful poll for this long gets no new runs.
     Milliseconds upstreamTimeout { 450 };
     /// A run is considered hanging after its expected duration times this factor, plus the allowance.
@@ -95,6 +98,8 @@
     /// Whether an extra poll was requested to prove that.
     bool absencePollRequested = false;
     TimePoint stopSentAt;
+    /// When the run must have ended. The lease is not extended beyond this time until a stop is accepted.
+    std::optional<TimePoint> endBy;
     /// Whether the outcome of the start order is unknown.
     bool unconfirmed = false;
 };
--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -165,7 +165,8 @@
 
     /// Whether the executor has been in contact within the executor timeout. True for an executor never heard from.
     bool isResponsive(const VmId& executor, TimePoint now) const;
-    /// Whether all executors with runs at the upstream are responsive.
+    /// Whether a lease granted now may cover all runs at the upstream: their executors are responsive, and none of them has
+    /// to end before the lease does.
     bool mayExtendLease(const OwnedUpstream& upstream, TimePoint now) const;
     /// Starts queued runs, in order of priority, wherever an upstream has capacity.
     void startQueuedRuns(TimePoint now);
--- a/packages/decision/src/job_executor.cpp
+++ b/packages/decision/src/job_executor.cpp
@@ -449,12 +449,13 @@
 void JobExecutor::withdrawTask(const Job& job, Task& task, bool onlyIfWaiting)
 {
     task.state = TaskState::Withdrawn;
-    m_port.send(task.owner, { {}, {}, {}, {}, RunWithdrawal { runOf(job, task), onlyIfWaiting, task.upstream }, {} });
+    m_port.send(task.owner, { {}, {}, {}, {}, RunWithdrawal { runOf(job, task), onlyIfWaiting, task.upstream, job.runsEndBy }, {} });
 }
 
 void JobExecutor::end(Job& job, JobOutcome outcome, const std::string& reason, TimePoint now)
 {
     job.ending = true;
+    job.runsEndBy = now + m_limits.withdrawnRunLimit;
     job.finalReply = { outcome, outcome == JobOutcome::Refused ? m_limits.minRetryAfter : Milliseconds { 0 }, reason };
     for (Task& task : job.tasks) {
         if (task.state == TaskState::Sent || task.state == TaskState::Running)
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -16,6 +16,9 @@
     // Consecutive failed polls after which an upstream is considered unreachable. A single one, which already suspends
     // new starts there, may be due to one lost packet.
     constexpr int failedPollsBeforeUnreachable = 2;
+    // A stop without a reply is repeated after this time; replies usually take a few milliseconds. It is well below the time
+    // after which a run that cannot be stopped keeps the lease from being extended.
+    constexpr Milliseconds stopRetryInterval { 80 };
     // A pause doubled this many times exceeds the maximum pause.
     constexpr int maxPauseDoublings = 6;
 
@@ -66,11 +69,23 @@
         upstream.clockReadAt = now;
     }
 
-    void recordLease(OwnedUpstream& upstream, const OwnerLimits& limits, TimePoint now)
+    /// When all runs under a lease that is granted now have ended.
+    TimePoint leaseExpiredBy(const OwnedUpstream& upstream, const OwnerLimits& limits, TimePoint now)
     {
         const Duration sampleAge = upstream.clockOffset ? now - upstream.clockReadAt : Duration { 0 };
         const Duration drift = std::chrono::duration_cast<Duration>((limits.leaseDuration + sampleAge) * limits.clockDrift);
-        upstream.leasesExpiredBy = std::max(upstream.leasesExpiredBy, now + limits.leaseDuration + drift + limits.leaseExpiryMargin);
+        return now + limits.leaseDuration + drift + limits.leaseExpiryMargin;
+    }
+
+    void recordLease(OwnedUpstream& upstream, const OwnerLimits& limits, TimePoint now)
+    {
+        upstream.leasesExpiredBy = std::max(upstream.leasesExpiredBy, leaseExpiredBy(upstream, limits, now));
+    }
+
+    void limitRun(OwnedRun& run, const std::optional<TimePoint>& endBy)
+    {
+        if (endBy)
+            run.endBy = std::min(run.endBy.value_or(*endBy), *endBy);
     }
 
     bool hasLabel(const UpstreamInfo& info, const std::string& label)
@@ -101,11 +116,14 @@
     return executor == m_self || lastContact == m_lastContact.end() || now - lastContact->second <= m_limits.executorTimeout;
 }
 
-// A lease covers all runs at an upstream, so a single run without a responsive executor prevents its extension.
+// A lease covers all runs at an upstream, so a single run that has to end prevents its extension. The other runs expire
+// with it only if every repetition of the stop gets no reply until then.
 bool UpstreamOwner::mayExtendLease(const OwnedUpstream& upstream, TimePoint now) const
 {
-    return std::all_of(upstream.runs.begin(), upstream.runs.end(), [this, now](const auto& entry) {
-        return entry.second.stopAcceptedAt || isResponsive(entry.second.executor, now);
+    const TimePoint leaseEnd = leaseExpiredBy(upstream, m_limits, now);
+    return std::all_of(upstream.runs.begin(), upstream.runs.end(), [this, now, leaseEnd](const auto& entry) {
+        const OwnedRun& run = entry.second;
+        return run.stopAcceptedAt || (isResponsive(run.executor, now) && (!run.endBy || leaseEnd <= *run.endBy));
     });
 }
 
@@ -217,8 +235,10 @@
         const auto found = entry.second.runs.find(run);
         if (found == entry.second.runs.end() || !matchesUpstream(entry.first) || found->second.executor != executor)
             continue;
-        if (!withdrawal.onlyIfWaiting)
-            stopRun(entry.second, found->second, StopCause::Withdrawn, now);
+        if (withdrawal.onlyIfWaiting)
+            return;
+        limitRun(found->second, withdrawal.endBy);
+        stopRun(entry.second, found->second, StopCause::Withdrawn, now);
         return;
     }
     // The run may be at an upstream that this VM does not yet know it owns. The executor repeats the claim, and the
@@ -279,10 +299,14 @@
     // An executor that is still alive thereby learns the fate of each of its tasks.
     for (const TaskRun& run : dequeueRunsOf(executor))
         returnRun(executor, run, ReturnReason::Withdrawn);
+    const auto lastContact = m_lastContact.find(executor);
+    const TimePoint endBy = (lastContact == m_lastContact.end() ? now : lastContact->second) + m_limits.orphanedRunLimit;
     for (auto& entry : m_upstreams) {
         for (auto& run : entry.second.runs) {
-            if (run.second.executor == executor)
-                stopRun(entry.second, run.second, StopCause::ExecutorGone, now);
+            if (run.second.executor != executor)
+                continue;
+            limitRun(run.second, endBy);
+            stopRun(entry.second, run.second, StopCause::ExecutorGone, now);
         }
     }
 }
@@ -290,10 +314,13 @@
 void UpstreamOwner::onExecutorRestarted(const VmId& executor, TimePoint now)
 {
     dequeueRunsOf(executor);
+    const auto lastContact = m_lastContact.find(executor);
+    const TimePoint endBy = (lastContact == m_lastContact.end() ? now : lastContact->second) + m_limits.orphanedRunLimit;
     for (auto& entry : m_upstreams) {
         for (auto& run : entry.second.runs) {
             if (run.second.executor != executor)
                 continue;
+            limitRun(run.second, endBy);
             stopRun(entry.second, run.second, StopCause::ExecutorGone, now);
             // The new incarnation may have a run of the same job and number, and must not be notified of this one's
             // end.
@@ -493,7 +520,9 @@
             continue;
         const bool confirmedBeforePoll = run.state == RunState::Running && run.confirmedAt < sentAt;
         const bool stoppedBeforePoll = run.state == RunState::Stopping && run.stopAcceptedAt && *run.stopAcceptedAt < sentAt;
-        if (confirmedBeforePoll || stoppedBeforePoll)
+        // Its start order is refused from now on.
+        const bool neverStarted = run.unconfirmed && leaseExpiredBy(upstream, m_limits, run.startSentAt) < sentAt;
+        if (confirmedBeforePoll || stoppedBeforePoll || neverStarted)
             lostRuns.push_back(entry.first);
     }
     for (const TaskRun& run : lostRuns) {
@@ -671,7 +700,6 @@
 
 void UpstreamOwner::checkRuns(OwnedUpstream& upstream, TimePoint now)
 {
-    constexpr Milliseconds stopRetryInterval { 150 };
     for (auto& entry : upstream.runs) {
         OwnedRun& run = entry.second;
         if (run.state == RunState::Stopping && !run.stopAcceptedAt && now - run.stopSentAt > stopRetryInterval && upstream.failedPolls == 0) {
--- a/packages/fleet/include/egrettrestle/fleet/fleet_settings.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/fleet_settings.hpp
@@ -26,6 +26,8 @@
     Milliseconds maxLeaseDuration { 1'000 };
     /// The longest time that an upstream takes to stop a task.
     Milliseconds maxStopDuration { 50 };
+    /// The shortest time after a lost connection, or after a job was given up, until its caller submits it again.
+    Milliseconds resubmissionDelay { 1'300 };
     /// Time from the termination signal until the process is killed.
     Milliseconds gracePeriod { 6'000 };
     /// Factor on the run time of a task that runs on another rack than its data.
--- a/packages/fleet/src/dispatch_service.cpp
+++ b/packages/fleet/src/dispatch_service.cpp
@@ -15,6 +15,8 @@
     // Share of the platform's longest lease that is requested: with shorter leases the tasks of an unresponsive upstream
     // can be started elsewhere sooner.
     constexpr double leaseFraction = 0.6;
+    // Time for this VM to notice that a caller has left, and for its messages to reach the owners of the job's runs.
+    constexpr Milliseconds disconnectNoticeTime { 250 };
 
     DispatcherLimits limitsOf(const FleetSettings& settings)
     {
@@ -22,6 +24,8 @@
         limits.owner.leaseDuration = Milliseconds { static_cast<std::int64_t>(static_cast<double>(settings.maxLeaseDuration.count()) * leaseFraction) };
         limits.owner.maxStopDuration = settings.maxStopDuration;
         limits.owner.remoteDataFactor = settings.remoteDataFactor;
+        limits.owner.orphanedRunLimit = std::max(Milliseconds { 0 }, settings.resubmissionDelay - disconnectNoticeTime);
+        limits.executor.withdrawnRunLimit = limits.owner.orphanedRunLimit;
         return limits;
     }
 
--- a/packages/fleet/src/fleet_settings.cpp
+++ b/packages/fleet/src/fleet_settings.cpp
@@ -63,6 +63,7 @@
             { { "store", "address", nullptr, "address of the platform's store" }, addressSetter(&FleetSettings::storeAddress, false) },
             { { "bounds", "longestLeaseMs", "1000", "maximum lease duration that upstreams grant, milliseconds" }, numberSetter<FleetSettings>(100, 60'000, [](FleetSettings& settings, int value) { settings.maxLeaseDuration = Milliseconds { value }; }) },
             { { "bounds", "stopMs", "50", "maximum time that an upstream takes to stop a task, milliseconds" }, numberSetter<FleetSettings>(0, 10'000, [](FleetSettings& settings, int value) { settings.maxStopDuration = Milliseconds { value }; }) },
+            { { "bounds", "resubmitMs", "1300", "shortest time after a lost connection or a job that was given up until its caller submits the job again, milliseconds" }, numberSetter<FleetSettings>(0, 60'000, [](FleetSettings& settings, int value) { settings.resubmissionDelay = Milliseconds { value }; }) },
             { { "bounds", "graceS", "6", "time from the termination signal until the process is killed, seconds" }, setStopGrace },
             { { "bounds", "farFactor", "1", "factor by which a task's run time increases outside the rack that holds its data" }, setFarFactor },
         };
--- a/packages/wire/src/dispatch_messages.cpp
+++ b/packages/wire/src/dispatch_messages.cpp
@@ -162,9 +162,19 @@
         value["onlyIfWaiting"] = message.withdrawal->onlyIfWaiting;
         if (!message.withdrawal->upstream.empty())
             value["upstream"] = message.withdrawal->upstream;
+        if (message.withdrawal->endBy)
+            value["endWithinMs"] = std::max<std::int64_t>(0, toMilliseconds(*message.withdrawal->endBy - now).count());
         return value;
     }
 
+    RunWithdrawal readWithdrawal(ObjectReader& reader, TimePoint now)
+    {
+        RunWithdrawal withdrawal { readRun(reader), reader.boolean("onlyIfWaiting"), reader.textOr("upstream", "") };
+        if (reader.has("endWithinMs"))
+            withdrawal.endBy = now + reader.milliseconds("endWithinMs");
+        return withdrawal;
+    }
+
     PeerMessage readMessage(ObjectReader& reader, TimePoint now, std::vector<ValidationError>& errors)
     {
         PeerMessage message;
@@ -180,7 +190,7 @@
         else if (kind == "claim")
             message.claim = RunClaim { readRun(reader), reader.text("upstream"), { reader.number("epoch") }, readResourcesOrNone(reader) };
         else if (kind == "withdrawn")
-            message.withdrawal = RunWithdrawal { readRun(reader), reader.boolean("onlyIfWaiting"), reader.textOr("upstream", "") };
+            message.withdrawal = readWithdrawal(reader, now);
         else if (kind == "crash")
             message.crash = readCrash(reader, errors);
         else
--- a/tests/unit/unit-job-executor.cpp
+++ b/tests/unit/unit-job-executor.cpp
@@ -603,3 +603,25 @@
         CHECK(fixture.port.replies.empty());
     }
 }
+
+TEST_CASE("executor tells owners by when the runs of a job that has ended must have ended")
+{
+    ExecutorFixture fixture;
+    fixture.submit(jobOf("j", 1));
+    const TaskRun run = fixture.request(0).run;
+    fixture.executor.onStarted("x", { run, "u1", {} }, fixture.now);
+    fixture.now += Milliseconds { 1'480 };
+    fixture.executor.tick(fixture.now);
+    REQUIRE(fixture.port.sent.back().message.withdrawal);
+    const TimePoint endBy = fixture.now + fixture.limits.withdrawnRunLimit;
+    CHECK(fixture.port.sent.back().message.withdrawal->endBy == endBy);
+
+    SECTION("also the next owner of the upstream, to which less time is left")
+    {
+        fixture.now += Milliseconds { 300 };
+        fixture.executor.onOwnersChanged({ { "u1", "y" } }, { 7 }, {}, fixture.now);
+        REQUIRE(fixture.port.sent.back().vm == "y");
+        REQUIRE(fixture.port.sent.back().message.withdrawal);
+        CHECK(fixture.port.sent.back().message.withdrawal->endBy == endBy);
+    }
+}
--- a/tests/unit/unit-upstream-owner.cpp
+++ b/tests/unit/unit-upstream-owner.cpp
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <egrettrestle/decision/job_executor.hpp>
+
 #include "owner_fixture.hpp"
 
 using namespace egrettrestle;
@@ -151,6 +153,35 @@
         CHECK(fixture.lastMessage().returned);
     }
 
+    SECTION("an unconfirmed start that no poll lists is returned without an accepted stop once its order has expired, and not before")
+    {
+        fixture.owner.request("x", requestFor("j", 0, fixture.now + Seconds { 1 }), fixture.now);
+        const StartOrder order = fixture.port.starts.back();
+        fixture.advance(Milliseconds { 120 });
+        fixture.owner.onStartReply(order, {}, fixture.now);
+        fixture.advance(fixture.limits.leaseDuration - Milliseconds { 120 });
+        fixture.poll(fixture.reply());
+        CHECK(fixture.port.notifications.empty());
+        fixture.advance(Milliseconds { 100 });
+        fixture.poll(fixture.reply());
+        REQUIRE(fixture.port.notifications.size() == 1);
+        REQUIRE(fixture.lastMessage().returned);
+        CHECK(fixture.lastMessage().returned->reason == ReturnReason::Lost);
+    }
+
+    SECTION("an unconfirmed start that a poll lists is not returned when its order has expired")
+    {
+        fixture.owner.request("x", requestFor("j", 0, fixture.now + Seconds { 1 }), fixture.now);
+        const StartOrder order = fixture.port.starts.back();
+        fixture.advance(Milliseconds { 120 });
+        fixture.owner.onStartReply(order, {}, fixture.now);
+        fixture.poll(fixture.reply({ order.run }));
+        fixture.advance(Milliseconds { 700 });
+        fixture.poll(fixture.reply({ order.run }));
+        CHECK(fixture.owner.running() == 1);
+        CHECK_FALSE(fixture.lastMessage().returned);
+    }
+
     SECTION("runs of an unreachable upstream are returned as lost only after their lease has expired")
     {
         const TaskRun run = fixture.startOne("j");
@@ -679,3 +710,102 @@
         CHECK(fixture.port.starts.size() == 2);
     }
 }
+
+namespace {
+
+/// Polls every 50 ms, without a reply to any stop order, while the upstream lists the given runs. Returns the latest lease
+/// end that was granted, on the owner's clock.
+TimePoint latestLeaseWhileStopsAreUnanswered(OwnerFixture& fixture, const std::vector<TaskRun>& running, Milliseconds duration)
+{
+    TimePoint latest = fixture.now;
+    const TimePoint end = fixture.now + duration;
+    while (fixture.now < end) {
+        fixture.advance(Milliseconds { 50 });
+        fixture.owner.onExecutorContact("x", fixture.now);
+        fixture.owner.onExecutorContact("y", fixture.now);
+        fixture.owner.tick(fixture.now);
+        const PollOrder order = *fixture.owner.nextPoll("u1", fixture.now);
+        if (order.leaseEnd)
+            latest = std::max(latest, fixture.now + fixture.limits.leaseDuration);
+        fixture.owner.onPollReply("u1", order, fixture.reply(running), fixture.now, fixture.now);
+    }
+    return latest;
+}
+
+}
+
+// Guards against a run of a job that was given up, whose stops are executed late: with its lease extended it continued beside
+// the run of the same task at the VM to which the caller submitted the job again.
+TEST_CASE("owner lets the lease expire by the time at which a run whose stop is not accepted has to end")
+{
+    OwnerFixture fixture;
+    fixture.poll(fixture.reply());
+    const TaskRun run = fixture.startOne("j");
+
+    SECTION("for a run that was withdrawn because its job has ended")
+    {
+        const TimePoint endBy = fixture.now + ExecutorLimits {}.withdrawnRunLimit;
+        fixture.owner.withdraw("x", { run, false, "u1", endBy }, fixture.now);
+        CHECK(latestLeaseWhileStopsAreUnanswered(fixture, { run }, Seconds { 3 }) < endBy);
+        CHECK(fixture.port.stops.size() > 4);
+    }
+
+    SECTION("for a run that was being stopped for another cause when its job ended")
+    {
+        fixture.advance(Seconds { 2 });
+        fixture.poll(fixture.reply({ run }));
+        fixture.owner.tick(fixture.now);
+        REQUIRE(fixture.port.stops.size() == 1);
+        const TimePoint endBy = fixture.now + ExecutorLimits {}.withdrawnRunLimit;
+        fixture.owner.withdraw("x", { run, false, "u1", endBy }, fixture.now);
+        CHECK(latestLeaseWhileStopsAreUnanswered(fixture, { run }, Seconds { 3 }) < endBy);
+    }
+
+    SECTION("for a run whose executor has restarted, and therefore is not known any more")
+    {
+        fixture.owner.onExecutorContact("x", fixture.now);
+        const TimePoint endBy = fixture.now + fixture.limits.orphanedRunLimit;
+        fixture.advance(Milliseconds { 200 });
+        fixture.owner.onExecutorRestarted("x", fixture.now);
+        CHECK(latestLeaseWhileStopsAreUnanswered(fixture, { run }, Seconds { 3 }) < endBy);
+    }
+
+    SECTION("for a run whose executor was lost and is in contact again")
+    {
+        fixture.owner.onExecutorContact("x", fixture.now);
+        const TimePoint endBy = fixture.now + fixture.limits.orphanedRunLimit;
+        fixture.advance(fixture.limits.executorTimeout + Milliseconds { 1 });
+        fixture.owner.onExecutorLost("x", fixture.now);
+        CHECK(latestLeaseWhileStopsAreUnanswered(fixture, { run }, Seconds { 3 }) < endBy);
+    }
+
+    SECTION("and extends it again, without a loss for the other runs, once a repeated stop is accepted")
+    {
+        RunRequest longRun = requestFor("neighbour", 0, fixture.now + Seconds { 1 });
+        longRun.expectedRunTime = Seconds { 5 };
+        fixture.owner.request("y", longRun, fixture.now);
+        const TaskRun neighbour = fixture.port.starts.back().run;
+        fixture.owner.onStartReply(fixture.port.starts.back(), { OrderOutcome::Accepted, std::nullopt }, fixture.now);
+        fixture.owner.withdraw("x", { run, false, "u1", fixture.now + ExecutorLimits {}.withdrawnRunLimit }, fixture.now);
+        const TimePoint latest = latestLeaseWhileStopsAreUnanswered(fixture, { run, neighbour }, Milliseconds { 700 });
+        CHECK(fixture.now < latest);
+        CHECK(fixture.port.stops.size() > 3);
+        fixture.owner.onStopReply(fixture.port.stops.back(), { OrderOutcome::Accepted, std::nullopt }, fixture.now);
+        CHECK(fixture.owner.nextPoll("u1", fixture.now)->leaseEnd);
+    }
+}
+
+// A start order carries a lease end as well, which applies to all runs at the upstream.
+TEST_CASE("owner starts nothing at an upstream whose lease must not be extended")
+{
+    OwnerFixture fixture;
+    fixture.poll(fixture.reply());
+    const TaskRun run = fixture.startOne("j");
+    fixture.owner.withdraw("x", { run, false, "u1", fixture.now + Milliseconds { 300 } }, fixture.now);
+    const std::size_t starts = fixture.port.starts.size();
+    fixture.owner.request("x", requestFor("next", 0, fixture.now + Seconds { 1 }), fixture.now);
+    CHECK(fixture.port.starts.size() == starts);
+    fixture.owner.onStopReply(fixture.port.stops.back(), { OrderOutcome::Accepted, std::nullopt }, fixture.now);
+    fixture.owner.tick(fixture.now);
+    CHECK(fixture.port.starts.size() == starts + 1);
+}
--- a/tests/unit/unit-wire.cpp
+++ b/tests/unit/unit-wire.cpp
@@ -163,10 +163,18 @@
     batch.messages.push_back({ {}, RunStarted { run, "u", { 5 } }, {}, {}, {}, {} });
     batch.messages.push_back({ {}, {}, RunEnded { run, "u", RunOutcome::Failed, Milliseconds { 20 }, "a" }, {}, {}, {} });
     batch.messages.push_back({ {}, {}, {}, RunReturned { run, ReturnReason::Superseded }, {}, {} });
-    batch.messages.push_back({ {}, {}, {}, {}, RunWithdrawal { run, true }, {} });
+    batch.messages.push_back({ {}, {}, {}, {}, RunWithdrawal { run, true, "u", now + Milliseconds { 900 } }, {} });
     batch.messages.push_back({ {}, {}, {}, {}, {}, RunClaim { run, "u", { 6 }, { 50'000, 64, 1 } } });
     batch.messages.push_back({ {}, {}, {}, {}, {}, {}, false, UpstreamCrash { { "u", Milliseconds { 1'770'450'107'235 } }, CrashEvidence::Confirmed, { run.task }, true, { { "proof", true, 0.25 } } } });
 
+    SECTION("a withdrawal of a job in progress has no time by which the run must have ended")
+    {
+        batch.messages = { { {}, {}, {}, {}, RunWithdrawal { run, true }, {} } };
+        const std::optional<DispatchBatch> reparsed = parseDispatchBatch(toText(batch, now), now);
+        REQUIRE(reparsed);
+        CHECK_FALSE(reparsed->messages[0].withdrawal->endBy);
+    }
+
     SECTION("batches are unchanged by a round trip; times are relative to the receiver's clock")
     {
         const TimePoint later = now + Seconds { 100 };
@@ -179,6 +187,7 @@
         CHECK(reparsed->messages[2].ended->outcome == RunOutcome::Failed);
         CHECK(reparsed->messages[3].returned->reason == ReturnReason::Superseded);
         CHECK(reparsed->messages[4].withdrawal->onlyIfWaiting);
+        CHECK(reparsed->messages[4].withdrawal->endBy == later + Milliseconds { 900 });
         CHECK(reparsed->messages[5].claim->epoch.value == 6);
         CHECK(reparsed->messages[5].claim->need == Resources { 50'000, 64, 1 });
         CHECK(reparsed->stamp.processIncarnation == 7);
