Match queued, ended and released runs by their executor as well

Runs of a VM that woke from a freeze and of the VM that has the job now both worked to their end.

Cause: UpstreamOwner::withdraw() looked up a queued run by task and number, and both submissions number their runs from 1. front-0's withdrawal removed front-1's run; front-0's own stayed queued and was started for nobody, and front-1 was later told that its run was not there. The records of ended and released runs had the same key, and a request erased those of another executor.

Change: queued runs and early claims are matched by executor; RecentRuns keeps ended and released runs by executor, or finds them by upstream, which starts each number of a task once.

Ruled out as the only cause: the overlaps of 4 to 15 ms in the same record are of runs stopped at once; they come from reading requests of callers that have left, and are not changed by this.

Test: unit-upstream-owner "owner distinguishes the executors of one job, who number its runs alike"; its four sections failed before.

--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -9,6 +9,7 @@
 #include <egrettrestle/decision/crash_table.hpp>
 #include <egrettrestle/decision/dispatch_types.hpp>
 #include <egrettrestle/decision/owned_upstream.hpp>
+#include <egrettrestle/decision/recent_runs.hpp>
 #include <egrettrestle/decision/run_time_estimator.hpp>
 #include <egrettrestle/decision/upstream_orders.hpp>
 
@@ -161,8 +162,6 @@
         TimePoint since;
     };
 
-    using EndedRuns = std::map<TaskRun, RunEnded>;
-
     /// Whether the executor has been in contact within the executor timeout. True for an executor never heard from.
     bool isResponsive(const VmId& executor, TimePoint now) const;
     /// Whether a lease granted now may cover all runs at the upstream: their executors are responsive, and none of them has
@@ -262,13 +261,9 @@
     /// Ordered by priority, then by latest start.
     std::vector<QueuedRun> m_queue;
     /// Runs that ended recently, for claims and withdrawals that arrive after the end.
-    EndedRuns m_recentEnds;
-    /// When each entry of `m_recentEnds` was made, oldest first.
-    std::vector<std::pair<TimePoint, TaskRun>> m_recentEndTimes;
+    RecentRuns<RunEnded> m_recentEnds;
     /// Runs that passed to another owner together with their upstream.
-    std::map<TaskRun, RunStarted> m_released;
-    /// When each entry of `m_released` was made, oldest first.
-    std::vector<std::pair<TimePoint, TaskRun>> m_releaseTimes;
+    RecentRuns<RunStarted> m_released;
     std::vector<EarlyClaim> m_earlyClaims;
     VmId m_self;
     std::map<VmId, TimePoint> m_lastContact;
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -106,6 +106,8 @@
     : m_port(port)
     , m_crashes(crashes)
     , m_limits(limits)
+    , m_recentEnds(limits.endedRunRetention)
+    , m_released(limits.endedRunRetention)
     , m_self(std::move(self))
 {
 }
@@ -180,8 +182,7 @@
     m_port.recordEvent({ EventKind::Released, upstream, {}, {}, toMilliseconds(now - owned->ownedSince), owned->runs.size() });
     for (const auto& entry : owned->runs) {
         const RunStarted started { entry.first, upstream, owned->token };
-        m_released[entry.first] = started;
-        m_releaseTimes.emplace_back(now, entry.first);
+        m_released.add(entry.second.executor, started, now);
         if (entry.second.state == RunState::Starting)
             m_port.notify(entry.second.executor, { {}, started, {}, {}, {}, {} });
     }
@@ -215,8 +216,8 @@
             m_port.notify(executor, { {}, {}, {}, {}, {}, {}, false, crash });
     }
     // These belong to an earlier submission of the job, whose run numbers started at 1 as well.
-    m_recentEnds.erase(request.run);
-    m_released.erase(request.run);
+    m_recentEnds.remove(executor, request.run);
+    m_released.remove(executor, request.run);
     enqueue({ executor, request, now });
     startQueuedRuns(now);
 }
@@ -224,7 +225,7 @@
 void UpstreamOwner::withdraw(const VmId& executor, const RunWithdrawal& withdrawal, TimePoint now)
 {
     const TaskRun& run = withdrawal.run;
-    const auto queuedRun = std::find_if(m_queue.begin(), m_queue.end(), [&run](const QueuedRun& entry) { return entry.request.run == run; });
+    const auto queuedRun = std::find_if(m_queue.begin(), m_queue.end(), [&](const QueuedRun& entry) { return entry.request.run == run && entry.executor == executor; });
     if (queuedRun != m_queue.end()) {
         m_queue.erase(queuedRun);
         returnRun(executor, run, ReturnReason::Withdrawn);
@@ -243,15 +244,15 @@
     }
     // The run may be at an upstream that this VM does not yet know it owns. The executor repeats the claim, and the
     // withdrawal with it.
-    const bool claimed = std::any_of(m_earlyClaims.begin(), m_earlyClaims.end(), [&run](const EarlyClaim& earlyClaim) { return earlyClaim.claim.run == run; });
+    const bool claimed = std::any_of(m_earlyClaims.begin(), m_earlyClaims.end(), [&](const EarlyClaim& earlyClaim) { return earlyClaim.claim.run == run && earlyClaim.executor == executor; });
     if (claimed)
         return;
-    const auto ended = m_recentEnds.find(run);
-    const auto released = m_released.find(run);
-    if (ended != m_recentEnds.end() && matchesUpstream(ended->second.upstream))
-        m_port.notify(executor, { {}, {}, ended->second, {}, {}, {} });
-    else if (released != m_released.end() && matchesUpstream(released->second.upstream))
-        m_port.notify(executor, { {}, released->second, {}, {}, {}, {} });
+    const RunEnded* ended = withdrawal.upstream.empty() ? m_recentEnds.find(executor, run) : m_recentEnds.findAt(withdrawal.upstream, run);
+    const RunStarted* released = withdrawal.upstream.empty() ? m_released.find(executor, run) : m_released.findAt(withdrawal.upstream, run);
+    if (ended)
+        m_port.notify(executor, { {}, {}, *ended, {}, {}, {} });
+    else if (released)
+        m_port.notify(executor, { {}, *released, {}, {}, {}, {} });
     else
         returnRun(executor, run, ReturnReason::Withdrawn);
 }
@@ -259,9 +260,8 @@
 void UpstreamOwner::claim(const VmId& executor, const RunClaim& claim, TimePoint now)
 {
     // A run with the same number may have ended at another upstream, in an earlier submission of the job.
-    const auto ended = m_recentEnds.find(claim.run);
-    if (ended != m_recentEnds.end() && ended->second.upstream == claim.upstream) {
-        m_port.notify(executor, { {}, {}, ended->second, {}, {}, {} });
+    if (const RunEnded* ended = m_recentEnds.findAt(claim.upstream, claim.run)) {
+        m_port.notify(executor, { {}, {}, *ended, {}, {}, {} });
         return;
     }
     OwnedUpstream* upstream = findUpstream(claim.upstream);
@@ -432,8 +432,7 @@
         const auto found = upstream.runs.find(end.run);
         if (found == upstream.runs.end()) {
             const RunEnded ended { end.run, upstream.info.id, end.outcome, Milliseconds { 0 } };
-            m_recentEnds[end.run] = ended;
-            m_recentEndTimes.emplace_back(now, end.run);
+            m_recentEnds.add({}, ended, now);
             continue;
         }
         const OwnedRun run = std::move(found->second);
@@ -448,8 +447,7 @@
     const bool measured = run.state != RunState::Starting && run.confirmedAt != TimePoint {};
     const Milliseconds took = measured ? toMilliseconds(now - run.confirmedAt) : Milliseconds { 0 };
     const RunEnded ended { run.request.run, upstream.info.id, outcome, took, upstream.info.kind };
-    m_recentEnds[run.request.run] = ended;
-    m_recentEndTimes.emplace_back(now, run.request.run);
+    m_recentEnds.add(run.executor, ended, now);
     if (outcome == RunOutcome::Done) {
         upstream.consecutiveFailures = 0;
         if (upstream.probing)
@@ -497,8 +495,7 @@
     for (const TaskRun& run : reply.running) {
         const auto found = upstream.runs.find(run);
         if (found == upstream.runs.end()) {
-            const auto ended = m_recentEnds.find(run);
-            if (ended == m_recentEnds.end() || ended->second.upstream != upstream.info.id)
+            if (!m_recentEnds.findAt(upstream.info.id, run))
                 adoptUnknownRun(upstream, run, now);
             continue;
         }
@@ -672,14 +669,8 @@
     }
     for (const UpstreamId& upstream : expiredUpstreams)
         release(upstream, now);
-    while (!m_recentEndTimes.empty() && now - m_recentEndTimes.front().first > m_limits.endedRunRetention) {
-        m_recentEnds.erase(m_recentEndTimes.front().second);
-        m_recentEndTimes.erase(m_recentEndTimes.begin());
-    }
-    while (!m_releaseTimes.empty() && now - m_releaseTimes.front().first > m_limits.endedRunRetention) {
-        m_released.erase(m_releaseTimes.front().second);
-        m_releaseTimes.erase(m_releaseTimes.begin());
-    }
+    m_recentEnds.expire(now);
+    m_released.expire(now);
     startQueuedRuns(now);
 }
 
--- a/tests/unit/unit-upstream-owner.cpp
+++ b/tests/unit/unit-upstream-owner.cpp
@@ -446,6 +446,59 @@
     }
 }
 
+// Guards against a VM that wakes from a suspension and withdraws a job that its caller has submitted elsewhere in the meantime:
+// the withdrawal removed the other VM's queued run, and its own was started for nobody.
+TEST_CASE("owner distinguishes the executors of one job, who number its runs alike")
+{
+    OwnerFixture fixture;
+    fixture.poll(fixture.reply());
+    const TaskRun run { { "j", 0, 0 }, 1 };
+
+    SECTION("a withdrawal removes the queued run of its sender only")
+    {
+        fixture.owner.request("x", requestFor("large", 0, fixture.now + Seconds { 1 }, 60'000), fixture.now);
+        fixture.owner.request("y", requestFor("j", 0, fixture.now + Seconds { 1 }), fixture.now);
+        fixture.owner.request("x", requestFor("j", 0, fixture.now + Seconds { 1 }), fixture.now);
+        fixture.port.notifications.clear();
+        fixture.owner.withdraw("x", { run, false }, fixture.now);
+        REQUIRE(fixture.port.notifications.size() == 1);
+        CHECK(fixture.port.notifications[0].vm == "x");
+        CHECK(fixture.lastMessage().returned->reason == ReturnReason::Withdrawn);
+        CHECK(fixture.owner.hasRunsOf("y"));
+        fixture.owner.withdraw("y", { run, false }, fixture.now);
+        CHECK_FALSE(fixture.owner.hasRunsOf("y"));
+    }
+
+    SECTION("a withdrawal is not answered with the end of another executor's run")
+    {
+        fixture.startOne("j");
+        fixture.advance(Milliseconds { 50 });
+        fixture.poll(fixture.reply({}, { fixture.end(run, RunOutcome::Done) }));
+        fixture.owner.withdraw("y", { run, false }, fixture.now);
+        REQUIRE(fixture.lastMessage().returned);
+        CHECK(fixture.port.notifications.back().vm == "y");
+    }
+
+    SECTION("nor with the location of another executor's run")
+    {
+        fixture.startOne("j");
+        fixture.owner.release("u1", fixture.now);
+        fixture.owner.withdraw("y", { run, false }, fixture.now);
+        CHECK(fixture.lastMessage().returned);
+    }
+
+    SECTION("another executor's request does not hide the end of a run")
+    {
+        fixture.startOne("j");
+        fixture.advance(Milliseconds { 50 });
+        fixture.poll(fixture.reply({}, { fixture.end(run, RunOutcome::Done) }));
+        fixture.owner.request("y", requestFor("j", 0, fixture.now + Seconds { 1 }), fixture.now);
+        fixture.owner.withdraw("x", { run, false }, fixture.now);
+        REQUIRE(fixture.lastMessage().ended);
+        CHECK(fixture.port.notifications.back().vm == "x");
+    }
+}
+
 TEST_CASE("owner stops issuing starts once it is fenced")
 {
     OwnerFixture fixture;
