Check after a pause of the process which callers have left, before anything is started for them

Cause: a request is handled however long it has waited in the socket, and its caller's disconnection is noticed by the wait that begins afterwards.

Change: PauseGuard notices more than 250 ms without activity, by the boot clock, at every use of the dispatcher. Until the connections of all waiting callers have been checked nothing is started for them and no messages are sent; runs of those that left end by a time that counts from the begin of the pause; a request that may have arrived during it has that much less time. The HTTP server does not handle a request whose client has left, and notices one that leaves behind pipelined input. An owner starts the runs of a batch once it has seen all of it, since a request from before a pause comes with its withdrawal.

--- a/packages/base/src/event.cpp
+++ b/packages/base/src/event.cpp
@@ -31,6 +31,7 @@
         events::stopCutShort,
         events::unexpectedError,
         events::connectionsRejected,
+        events::processResumed,
         events::badRequest,
         events::unknownKind,
         events::jobTooLarge,
--- a/packages/decision/include/egrettrestle/decision/dispatcher.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatcher.hpp
@@ -8,6 +8,7 @@
 #include <egrettrestle/decision/contacts.hpp>
 #include <egrettrestle/decision/job_executor.hpp>
 #include <egrettrestle/decision/ownership.hpp>
+#include <egrettrestle/decision/pause_guard.hpp>
 #include <egrettrestle/decision/upstream_owner.hpp>
 
 namespace egrettrestle {
@@ -31,6 +32,7 @@
     /// A VM without contact or without accepting messages for this long gets no new tasks.
     Milliseconds peerTimeout { 350 };
     ContactLimits contacts;
+    PauseLimits pause;
 };
 
 /// Time after an owner's last reply until none of its runs for this VM can still be running: the owner may accept this
@@ -83,12 +85,28 @@
     /// started there, and it is removed once none of its runs can still be running.
     void onUpstreamUnlisted(const UpstreamId& upstream, TimePoint now);
 
+    /// @}
+    /// @name pauses of the process
+    /// See PauseGuard.
+    /// @{
+
+    /// Records that the process is running; to be called before any other function, with the same time. Returns true if it has
+    /// just resumed after a pause. Then no run of a caller of this VM is started until onCallersChecked() is called.
+    bool onActivity(TimePoint now);
+
+    /// Records that onCallerDisconnected() was called for all callers that left during a pause.
+    void onCallersChecked(TimePoint now);
+
+    /// Whether callers may have left without this VM's knowledge. Messages to other VMs must then be held back.
+    bool hasUncheckedCallers() const { return m_pauseGuard.uncheckedSince().has_value(); }
+
     /// @}
     /// @name callers
     /// @{
 
-    /// Submits a job; see JobExecutor::submit().
-    void submit(CallerTicket ticket, const DispatchJob& request, const Route& route, TimePoint now);
+    /// Submits a job; see JobExecutor::submit(). If the request may have arrived during a pause, that much less time is left
+    /// for it, and it is refused if its caller may have left.
+    void submit(CallerTicket ticket, const DispatchJob& submitted, const Route& route, TimePoint now);
 
     /// Handles the disconnection of a caller. A job without any waiting caller is stopped.
     void onCallerDisconnected(CallerTicket ticket, TimePoint now);
@@ -222,6 +240,7 @@
     CrashTable m_crashes;
     UpstreamOwner m_owner;
     JobExecutor m_executor;
+    PauseGuard m_pauseGuard;
     View m_view;
     std::set<VmId> m_contacts;
     /// When the warm-up began, at the first tick or submission.
--- a/packages/decision/include/egrettrestle/decision/job_executor.hpp
+++ b/packages/decision/include/egrettrestle/decision/job_executor.hpp
@@ -133,10 +133,17 @@
     /// outcome; a job that is being stopped is executed again afterwards.
     void submit(CallerTicket ticket, const DispatchJob& request, const Route& route, TimePoint now);
 
+    /// Refuses a job that has not been submitted, with the given reason.
+    void refuse(CallerTicket ticket, const DispatchJob& request, const Route& route, const std::string& reason) { refuse(ticket, request, route, forecast(request, route), reason); }
+
     /// While a VM is warming up, it refuses no job for lack of capacity, since it does not know the capacity of the
     /// other VMs yet.
     void setWarmingUp(bool warmingUp) { m_warmingUp = warmingUp; }
 
+    /// Sets since when callers may have left without this VM's knowledge; empty if it knows who is connected. Until then no
+    /// task is sent, and the runs of jobs that end must have ended earlier.
+    void setCallersUncheckedSince(std::optional<TimePoint> since) { m_callersUncheckedSince = since; }
+
     /// Handles the disconnection of a caller. A job without any waiting caller is stopped.
     void onCallerDisconnected(CallerTicket ticket, TimePoint now);
 
@@ -327,6 +334,7 @@
     std::map<UpstreamId, VmId> m_owners;
     FencingToken m_epoch;
     bool m_warmingUp = false;
+    std::optional<TimePoint> m_callersUncheckedSince;
 };
 
 } // namespace egrettrestle
--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -69,6 +69,12 @@
     /// Enables or disables the start of new runs on all upstreams; initially enabled.
     void setStartsEnabled(bool enabled) { m_startsEnabled = enabled; }
 
+    /// Starts queued runs, in order of priority, wherever an upstream has capacity.
+    void startQueuedRuns(TimePoint now);
+
+    /// Enables or disables the start of queued runs of the executor on this VM; initially enabled.
+    void setOwnStartsEnabled(bool enabled) { m_ownStartsEnabled = enabled; }
+
     /// @}
     /// @name executors
     /// @{
@@ -167,8 +173,6 @@
     /// Whether a lease granted now may cover all runs at the upstream: their executors are responsive, and none of them has
     /// to end before the lease does.
     bool mayExtendLease(const OwnedUpstream& upstream, TimePoint now) const;
-    /// Starts queued runs, in order of priority, wherever an upstream has capacity.
-    void startQueuedRuns(TimePoint now);
     /// The upstream on which the run would finish first; among equals, the one with the least processor capacity left.
     OwnedUpstream* bestUpstreamFor(const RunRequest& request, TimePoint now);
     /// Expected duration on an upstream relative to one of the fastest kind in the rack of the task's data.
@@ -270,6 +274,7 @@
     /// Moving average of the needs of requested tasks; all zero until one has been seen.
     Resources m_typicalNeed;
     bool m_startsEnabled = true;
+    bool m_ownStartsEnabled = true;
     /// The services of the requested routes whose tasks crash upstreams, by route.
     std::map<std::string, std::string> m_crashingRoutes;
 };
--- a/packages/decision/src/dispatcher.cpp
+++ b/packages/decision/src/dispatcher.cpp
@@ -41,6 +41,7 @@
     , m_limits(limits)
     , m_owner(*this, m_crashes, limits.owner, m_self)
     , m_executor(*this, m_capacities, m_crashes, m_self, executorLimits(limits))
+    , m_pauseGuard(limits.pause)
 {
 }
 
@@ -127,8 +128,33 @@
         m_port.onOwnedUpstreamsChanged();
 }
 
-void Dispatcher::submit(CallerTicket ticket, const DispatchJob& request, const Route& route, TimePoint now)
+bool Dispatcher::onActivity(TimePoint now)
 {
+    const bool resumed = m_pauseGuard.onActivity(now);
+    if (resumed) {
+        m_executor.setCallersUncheckedSince(m_pauseGuard.uncheckedSince());
+        m_owner.setOwnStartsEnabled(false);
+    }
+    return resumed;
+}
+
+void Dispatcher::onCallersChecked(TimePoint now)
+{
+    m_pauseGuard.onCallersChecked();
+    m_executor.setCallersUncheckedSince({});
+    m_owner.setOwnStartsEnabled(true);
+    tick(now);
+}
+
+void Dispatcher::submit(CallerTicket ticket, const DispatchJob& submitted, const Route& route, TimePoint now)
+{
+    DispatchJob request = submitted;
+    const Milliseconds age = m_pauseGuard.onInput(now);
+    request.callerTimeout -= age;
+    if (age.count() > 0 && !m_executor.contains(request.id) && request.callerTimeout < m_executor.expectedRunTime(request, route)) {
+        m_executor.refuse(ticket, request, route, "read-late");
+        return;
+    }
     m_owner.seedTypicalNeed(request.steps.front().need);
     updateOwnCapacity(now);
     m_executor.setWarmingUp(isWarmingUp(now));
@@ -167,11 +193,15 @@
     const bool maySendTasks = std::any_of(messages.begin(), messages.end(), [](const PeerMessage& message) { return message.ended || message.returned; });
     if (maySendTasks)
         updateOwnCapacity(now);
+    // A run that a later message of the batch withdraws must not be started: its job may be running elsewhere by now.
+    m_owner.setStartsEnabled(false);
     for (const PeerMessage& message : messages) {
         if (message.request)
             ++peer.requestsReceived;
         handle(vm, message, now);
     }
+    m_owner.setStartsEnabled(true);
+    m_owner.startQueuedRuns(now);
     deliverLocalMessages(now);
 }
 
--- a/packages/decision/src/job_executor.cpp
+++ b/packages/decision/src/job_executor.cpp
@@ -156,6 +156,8 @@
 
 void JobExecutor::sendUnsent(Job& job, TimePoint now)
 {
+    if (m_callersUncheckedSince)
+        return;
     // Fills one owner before picking the next, since the tasks sent to one owner share messages.
     std::optional<VmId> owner;
     for (Task& task : job.tasks) {
@@ -455,7 +457,7 @@
 void JobExecutor::end(Job& job, JobOutcome outcome, const std::string& reason, TimePoint now)
 {
     job.ending = true;
-    job.runsEndBy = now + m_limits.withdrawnRunLimit;
+    job.runsEndBy = m_callersUncheckedSince.value_or(now) + m_limits.withdrawnRunLimit;
     job.finalReply = { outcome, outcome == JobOutcome::Refused ? m_limits.minRetryAfter : Milliseconds { 0 }, reason };
     for (Task& task : job.tasks) {
         if (task.state == TaskState::Sent || task.state == TaskState::Running)
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -736,7 +736,7 @@
             returnRun(queuedRun.executor, queuedRun.request.run, ReturnReason::Withdrawn);
             continue;
         }
-        const bool canStart = queuedRun.request.latestStart >= now && isResponsive(queuedRun.executor, now);
+        const bool canStart = queuedRun.request.latestStart >= now && isResponsive(queuedRun.executor, now) && (m_ownStartsEnabled || queuedRun.executor != m_self);
         OwnedUpstream* upstream = canStart ? bestUpstreamFor(queuedRun.request, now) : nullptr;
         if (upstream) {
             startRun(*upstream, queuedRun, now);
--- a/packages/fleet/include/egrettrestle/fleet/caller_server.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/caller_server.hpp
@@ -19,6 +19,8 @@
     void prepareStop() override;
     void stop() override;
 
+    /// Reports the disconnection of all callers that have left; see AsyncHttpServer::closeAbandonedConnections().
+    void closeAbandonedConnections();
     /// Closes idle connections, and every other one after its next reply, so that callers connect to other VMs.
     void closeConnectionsAfterReply();
 
--- a/packages/fleet/include/egrettrestle/fleet/dispatch_service.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/dispatch_service.hpp
@@ -26,7 +26,7 @@
     auto withDispatcher(Function function)
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
-        return function(m_dispatcher, bootTimeNow());
+        return function(m_dispatcher, beginActivity());
     }
 
     /// Receives the reply to a caller's job. Called with the dispatcher's lock held, so it must not use this object.
@@ -61,10 +61,15 @@
     void onOwnedUpstreamsChanged() override;
     void onPeerLost(const VmId& vm) override;
     void tick();
+    /// To be called with the lock held before each use of the dispatcher. Returns the current time, and has the callers'
+    /// connections checked if the process has just resumed after a pause.
+    TimePoint beginActivity();
+    void checkCallers();
 
     FleetContext& m_context;
     std::mutex m_mutex;
     Dispatcher m_dispatcher;
+    TimePoint m_lastActivity;
     std::map<CallerTicket, ReplyCallback> m_pending;
     CallerTicket m_lastTicket = 0;
     mutable std::mutex m_configurationMutex;
--- a/packages/fleet/src/caller_server.cpp
+++ b/packages/fleet/src/caller_server.cpp
@@ -75,6 +75,11 @@
         m_metricsServer->stop();
 }
 
+void CallerServer::closeAbandonedConnections()
+{
+    m_callerServer->closeAbandonedConnections();
+}
+
 void CallerServer::closeConnectionsAfterReply()
 {
     m_callerServer->closeAfterReplies();
--- a/packages/fleet/src/dispatch_service.cpp
+++ b/packages/fleet/src/dispatch_service.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <map>
 
+#include <egrettrestle/fleet/caller_server.hpp>
 #include <egrettrestle/fleet/peer_links.hpp>
 #include <egrettrestle/fleet/upstream_links.hpp>
 
@@ -110,12 +111,30 @@
     m_context.kernel.find<PeerLinks>(fleetServices::peerLinks).sendDueBatches();
 }
 
+TimePoint DispatchService::beginActivity()
+{
+    const TimePoint now = bootTimeNow();
+    if (m_dispatcher.onActivity(now)) {
+        m_context.log.write(events::processResumed, { { "pausedMs", toMilliseconds(now - m_lastActivity).count() }, { "jobs", static_cast<std::int64_t>(m_dispatcher.jobs()) } });
+        m_context.loop.post([this] { checkCallers(); });
+    }
+    m_lastActivity = now;
+    return now;
+}
+
+/// Called on the loop's thread, where disconnections are noticed.
+void DispatchService::checkCallers()
+{
+    m_context.kernel.find<CallerServer>(fleetServices::callerServer).closeAbandonedConnections();
+    withDispatcher([](Dispatcher& dispatcher, TimePoint now) { dispatcher.onCallersChecked(now); });
+}
+
 CallerTicket DispatchService::submit(const DispatchJob& request, const Route& route, ReplyCallback onReply)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
     const CallerTicket ticket = ++m_lastTicket;
     m_pending[ticket] = std::move(onReply);
-    m_dispatcher.submit(ticket, request, route, bootTimeNow());
+    m_dispatcher.submit(ticket, request, route, beginActivity());
     return ticket;
 }
 
@@ -123,7 +142,7 @@
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
     m_pending.erase(ticket);
-    m_dispatcher.onCallerDisconnected(ticket, bootTimeNow());
+    m_dispatcher.onCallerDisconnected(ticket, beginActivity());
 }
 
 bool DispatchService::setConfiguration(std::shared_ptr<const Configuration> configuration, const std::string& text, const char* source)
--- a/packages/fleet/src/peer_links.cpp
+++ b/packages/fleet/src/peer_links.cpp
@@ -179,7 +179,9 @@
     const std::shared_ptr<const Configuration> configuration = dispatch.configuration();
     batch.configurationVersion = configuration ? configuration->version : 0;
     bool sharesTasks = false;
+    bool held = false;
     dispatch.withDispatcher([&](Dispatcher& dispatcher, TimePoint now) {
+        held = dispatcher.hasUncheckedCallers();
         sharesTasks = dispatcher.sharesTasks(peer.id);
         batch.capacity = dispatcher.capacityReport(now);
         batch.capacity.requestsReceived = dispatcher.requestsReceived(peer.id);
@@ -189,9 +191,11 @@
     batch.stamp = peer.channel->batchHeader();
     const TimePoint now = bootTimeNow();
     const bool timestampExpired = now - peer.lastReplyAt > maxTimestampAge;
-    if (!timestampExpired || peer.repeat)
+    // A message from before a pause may request a run for a caller that has left; its withdrawal then follows in the same
+    // batch.
+    if (!held && (!timestampExpired || peer.repeat))
         batch.messages = peer.channel->pendingMessages();
-    peer.urgent = timestampExpired && peer.urgent;
+    peer.urgent = (held || timestampExpired) && peer.urgent;
     peer.lastSent = now;
     if (!peer.unansweredSince)
         peer.unansweredSince = now;
--- a/packages/http/include/egrettrestle/http/async_server.hpp
+++ b/packages/http/include/egrettrestle/http/async_server.hpp
@@ -42,7 +42,8 @@
 };
 
 /// An HTTP/1.1 server on an event loop: connections cost memory, but no threads. The requests of a connection are handled
-/// one after another. Every malformed request gets a reply; nothing that a client sends affects more than its connection.
+/// one after another; one whose client has closed the connection before it is read is not handled. Every malformed request gets a
+/// reply; nothing that a client sends affects more than its connection.
 class AsyncHttpServer {
 public:
     /// Handles a request on the loop's thread; it must not block. An exchange that is dropped without a reply closes its
@@ -55,6 +56,10 @@
     /// Binds the address and accepts connections. Returns Unavailable if the address cannot be bound.
     absl::Status start();
 
+    /// Checks at once which clients have left while their request is being handled, and reports their disconnection. To be
+    /// called on the loop's thread.
+    void closeAbandonedConnections();
+
     /// Ends keep-alive: from now on idle connections are closed and each reply ends its connection, so that clients
     /// connect to another server. Requests that have arrived are still answered. Thread-safe.
     void closeAfterReplies();
--- a/packages/http/src/async_server.cpp
+++ b/packages/http/src/async_server.cpp
@@ -6,6 +6,7 @@
 #include <optional>
 #include <set>
 
+#include <poll.h>
 #include <sys/socket.h>
 
 #include <boost/asio/ip/tcp.hpp>
@@ -43,6 +44,8 @@
     constexpr Milliseconds lingerTimeout { 1'000 };
     // Time for a new client's first request while the server is ending.
     constexpr Milliseconds endingIdleTimeout { 200 };
+    // Interval of the checks for a disconnection while the next request has arrived already.
+    constexpr Milliseconds disconnectCheckInterval { 50 };
     // Time for requests that are being received when the server stops.
     constexpr Milliseconds stopReceiveTimeout { 400 };
 
@@ -108,6 +111,8 @@
     void add(const std::shared_ptr<Connection>& connection);
     void remove(const std::shared_ptr<Connection>& connection);
     void closeIdleConnections();
+    /// Closes the connections of clients that have left while their request is being handled.
+    void closeAbandonedConnections();
     /// Closes the connections on which no request is being served.
     void closeUnlessServing();
 };
@@ -157,6 +162,13 @@
         sendError(errorReply(httpStatus::unavailable, "connection", "too many connections"));
     }
 
+    /// Closes the connection and reports the disconnection if the client has left while its request is being handled.
+    void closeIfAbandoned()
+    {
+        if (m_phase == Phase::Handling && isClosedByClient())
+            abandon();
+    }
+
     /// Whether the connection can be closed without an effect on a request.
     bool isIdle() { return m_phase == Phase::Idle && !hasInput(); }
 
@@ -227,7 +239,9 @@
     {
         if (m_phase == Phase::Reading)
             sendError(errorReply(httpStatus::requestTimeout, "header", "the complete request did not arrive in time"));
-        else if (m_phase != Phase::Handling)
+        else if (m_phase == Phase::Handling)
+            checkForDisconnect();
+        else
             close();
     }
 
@@ -284,23 +298,46 @@
 
     void watchForDisconnect()
     {
-        m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this(), request = m_requestNumber](const ErrorCode& error) {
-            if (self->m_phase != Phase::Handling || request != self->m_requestNumber || (!error && self->hasInput()))
-                return;
-            const std::function<void()> onDisconnect = std::move(self->m_onDisconnect);
-            self->close();
-            if (onDisconnect)
-                onDisconnect();
+        m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this(), request = m_requestNumber](const ErrorCode&) {
+            if (self->m_phase == Phase::Handling && request == self->m_requestNumber)
+                self->checkForDisconnect();
         });
     }
 
-    /// Whether there is input: the next request, before the reply to the present one. Otherwise the client has disconnected.
+    /// The next request makes the socket readable for good, so that only repeated checks show a disconnection.
+    void checkForDisconnect()
+    {
+        if (isClosedByClient())
+            abandon();
+        else
+            startTimer(disconnectCheckInterval);
+    }
+
+    void abandon()
+    {
+        const std::function<void()> onDisconnect = std::move(m_onDisconnect);
+        close();
+        if (onDisconnect)
+            onDisconnect();
+    }
+
+    /// Whether there is input: the next request, before the reply to the present one.
     bool hasInput()
     {
         char byte = 0;
         return ::recv(m_socket.native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) > 0;
     }
 
+    /// Whether the client has closed or reset the connection, also behind input that has not been read. A client that only
+    /// ends its own direction counts as having left.
+    bool isClosedByClient()
+    {
+        pollfd descriptor { m_socket.native_handle(), POLLIN | POLLRDHUP, 0 };
+        if (::poll(&descriptor, 1, 0) <= 0)
+            return false;
+        return (descriptor.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0 || !hasInput();
+    }
+
     void write(const HttpResponse& response, bool keepAlive)
     {
         m_phase = Phase::Writing;
@@ -420,6 +457,11 @@
 
 void AsyncHttpServer::Connection::handle()
 {
+    // The request may have waited for a long time if the process stood still.
+    if (isClosedByClient()) {
+        close();
+        return;
+    }
     m_phase = Phase::Handling;
     m_timer.cancel();
     ++m_requestNumber;
@@ -492,6 +534,13 @@
     }
 }
 
+void AsyncHttpServer::State::closeAbandonedConnections()
+{
+    const std::set<std::shared_ptr<Connection>> open = connections;
+    for (const std::shared_ptr<Connection>& connection : open)
+        connection->closeIfAbandoned();
+}
+
 void AsyncHttpServer::State::closeUnlessServing()
 {
     const std::set<std::shared_ptr<Connection>> open = connections;
@@ -532,6 +581,11 @@
     return absl::OkStatus();
 }
 
+void AsyncHttpServer::closeAbandonedConnections()
+{
+    m_state->closeAbandonedConnections();
+}
+
 void AsyncHttpServer::closeAfterReplies()
 {
     m_state->closing = true;
--- a/tests/unit/unit-async-http.cpp
+++ b/tests/unit/unit-async-http.cpp
@@ -300,6 +300,91 @@
     }
 }
 
+// Guards against serving requests that waited in the sockets while the process stood still, and whose clients have left.
+TEST_CASE("AsyncHttpServer notices clients that have left before and after their request is read")
+{
+    RunningLoop running;
+    std::atomic<int> handled { 0 };
+    std::atomic<int> disconnected { 0 };
+    std::vector<std::shared_ptr<HttpExchange>> exchanges;
+    AsyncHttpServer server(running.loop, "127.0.0.1:0", {}, [&](const std::shared_ptr<HttpExchange>& exchange) {
+        exchange->onDisconnect([&disconnected] { ++disconnected; });
+        exchanges.push_back(exchange);
+        ++handled;
+    });
+    REQUIRE(server.start().ok());
+    const std::string request = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
+    const auto stall = [&running](Milliseconds time) {
+        std::promise<void> stalled;
+        running.loop.post([&stalled, time] {
+            stalled.set_value();
+            std::this_thread::sleep_for(time);
+        });
+        stalled.get_future().wait();
+    };
+    const auto waitFor = [](const std::function<bool()>& condition) {
+        const TimePoint end = SteadyClock::now() + Seconds { 5 };
+        while (!condition() && SteadyClock::now() < end)
+            std::this_thread::sleep_for(Milliseconds { 5 });
+        return condition();
+    };
+
+    SECTION("a request whose client has left before it is read is not handled")
+    {
+        stall(Milliseconds { 200 });
+        for (int number = 0; number < 20; ++number) {
+            RawConnection connection(server.port());
+            connection.send(request);
+            if (number % 2 == 0)
+                connection.reset();
+        }
+        RawConnection patient(server.port());
+        patient.send(request);
+        REQUIRE(waitFor([&handled] { return handled > 0; }));
+        std::this_thread::sleep_for(Milliseconds { 50 });
+        CHECK(handled == 1);
+    }
+
+    SECTION("pipelined requests whose client has left are not handled")
+    {
+        stall(Milliseconds { 200 });
+        {
+            RawConnection connection(server.port());
+            connection.send(request + request + request);
+        }
+        std::this_thread::sleep_for(Milliseconds { 300 });
+        CHECK(handled == 0);
+    }
+
+    SECTION("a client that leaves after it has sent its next request")
+    {
+        auto connection = std::make_unique<RawConnection>(server.port());
+        connection->send(request);
+        REQUIRE(waitFor([&handled] { return handled == 1; }));
+        connection->send(request);
+        std::this_thread::sleep_for(Milliseconds { 20 });
+        CHECK(disconnected == 0);
+        connection.reset();
+        CHECK(waitFor([&disconnected] { return disconnected == 1; }));
+        CHECK(handled == 1);
+    }
+
+    SECTION("closeAbandonedConnections() reports a disconnection before it returns")
+    {
+        auto connection = std::make_unique<RawConnection>(server.port());
+        connection->send(request);
+        REQUIRE(waitFor([&handled] { return handled == 1; }));
+        std::promise<int> reported;
+        running.loop.post([&] {
+            connection.reset();
+            std::this_thread::sleep_for(Milliseconds { 20 });
+            server.closeAbandonedConnections();
+            reported.set_value(disconnected);
+        });
+        CHECK(reported.get_future().get() == 1);
+    }
+}
+
 TEST_CASE("AsyncHttpServer limits its connections")
 {
     RunningLoop running;
@@ -359,6 +444,10 @@
         RawConnection connection(server.port());
         connection.send("GET /first HTTP/1.1\r\nHost: a\r\n\r\n");
         connection.receive("/first");
+        // The server learns that the first reply has been sent after the client has received it.
+        std::promise<void> idle;
+        running.loop.post([&idle] { idle.set_value(); });
+        idle.get_future().wait();
         running.loop.post([] { std::this_thread::sleep_for(Milliseconds { 100 }); });
         // The request arrives while the loop is busy, and the server is told to end before the loop sees the request.
         server.closeAfterReplies();
--- a/tests/unit/unit-dispatcher.cpp
+++ b/tests/unit/unit-dispatcher.cpp
@@ -304,3 +304,146 @@
         CHECK(fixture.port.replies[0].reply.outcome == JobOutcome::Failed);
     }
 }
+
+// Guards against a VM that wakes from a suspension and starts tasks of callers that have left in the meantime: their jobs may
+// be running at the VM to which they were submitted again.
+TEST_CASE("dispatcher starts nothing for its callers after a pause until it knows which of them have left")
+{
+    DispatcherFixture fixture;
+    fixture.setUp();
+    fixture.dispatcher.onActivity(fixture.now);
+    fixture.poll();
+
+    SECTION("neither a task that was queued before the pause")
+    {
+        fixture.dispatcher.submit(1, jobOf("running", 2), routeNamed("proof"), fixture.now);
+        fixture.dispatcher.submit(2, jobOf("queued", 1), routeNamed("proof"), fixture.now);
+        REQUIRE(fixture.port.starts.size() == 2);
+        for (const StartOrder& order : std::vector<StartOrder>(fixture.port.starts))
+            fixture.dispatcher.onStartReply(order, { OrderOutcome::Accepted, std::nullopt }, fixture.now);
+        fixture.now += Milliseconds { 400 };
+        CHECK(fixture.dispatcher.onActivity(fixture.now));
+        fixture.poll({}, { { 1, fixture.port.starts[0].run, RunOutcome::Done }, { 2, fixture.port.starts[1].run, RunOutcome::Done } });
+        fixture.dispatcher.tick(fixture.now);
+        CHECK(fixture.port.starts.size() == 2);
+
+        SECTION("and not at all if its caller has left")
+        {
+            fixture.dispatcher.onCallerDisconnected(2, fixture.now);
+            fixture.dispatcher.onCallersChecked(fixture.now);
+            CHECK(fixture.port.starts.size() == 2);
+            CHECK(fixture.dispatcher.jobs() == 0);
+        }
+
+        SECTION("and then at once if its caller is still there")
+        {
+            fixture.dispatcher.onCallersChecked(fixture.now);
+            CHECK(fixture.port.starts.size() == 3);
+        }
+    }
+
+    SECTION("nor a task of a job that is submitted before the callers have been checked")
+    {
+        fixture.now += Milliseconds { 400 };
+        fixture.dispatcher.onActivity(fixture.now);
+        fixture.dispatcher.submit(1, jobOf("j", 1), routeNamed("proof"), fixture.now);
+        fixture.dispatcher.tick(fixture.now);
+        CHECK(fixture.port.starts.empty());
+        fixture.dispatcher.onCallersChecked(fixture.now);
+        CHECK(fixture.port.starts.size() == 1);
+    }
+}
+
+TEST_CASE("dispatcher starts runs of other VMs after a pause, since these have been in contact")
+{
+    DispatcherFixture fixture;
+    fixture.setUp({ "x", "y" });
+    fixture.dispatcher.onActivity(fixture.now);
+    fixture.poll();
+    fixture.now += Milliseconds { 400 };
+    fixture.dispatcher.onActivity(fixture.now);
+    const RunRequest request = requestFor("other", 0, fixture.now + Seconds { 1 });
+    fixture.dispatcher.onPeerMessages("y", { { request, {}, {}, {}, {}, {} } }, capacityFor(0, 0), fixture.now);
+    CHECK(fixture.port.starts.size() == 1);
+}
+
+TEST_CASE("dispatcher counts the time for which a request may have waited during a pause")
+{
+    DispatcherFixture fixture;
+    fixture.setUp();
+    fixture.dispatcher.onActivity(fixture.now);
+    fixture.poll();
+
+    SECTION("a job whose caller may have left by now is refused at once")
+    {
+        fixture.now += Milliseconds { 1'500 };
+        fixture.dispatcher.onActivity(fixture.now);
+        fixture.dispatcher.submit(1, jobOf("j", 1), routeNamed("proof"), fixture.now);
+        REQUIRE(fixture.port.replies.size() == 1);
+        CHECK(fixture.port.replies[0].reply.outcome == JobOutcome::Refused);
+        CHECK(fixture.port.replies[0].reply.reason == "read-late");
+        fixture.dispatcher.onCallersChecked(fixture.now);
+        CHECK(fixture.port.starts.empty());
+    }
+
+    SECTION("a job with time left ends by its caller's deadline")
+    {
+        fixture.now += Milliseconds { 1'000 };
+        fixture.dispatcher.onActivity(fixture.now);
+        fixture.poll();
+        fixture.dispatcher.submit(1, jobOf("j", 1), routeNamed("proof"), fixture.now);
+        fixture.dispatcher.onCallersChecked(fixture.now);
+        REQUIRE(fixture.port.starts.size() == 1);
+        fixture.dispatcher.onStartReply(fixture.port.starts[0], { OrderOutcome::Accepted, std::nullopt }, fixture.now);
+        fixture.now += Milliseconds { 500 };
+        fixture.dispatcher.tick(fixture.now);
+        REQUIRE(fixture.port.replies.size() == 1);
+        CHECK(fixture.port.replies[0].reply.outcome == JobOutcome::GaveUp);
+    }
+
+    SECTION("a caller that submits a job in progress again gets that job's outcome")
+    {
+        fixture.dispatcher.submit(1, jobOf("j", 1), routeNamed("proof"), fixture.now);
+        REQUIRE(fixture.port.starts.size() == 1);
+        fixture.now += Milliseconds { 1'400 };
+        fixture.dispatcher.onActivity(fixture.now);
+        fixture.dispatcher.submit(2, jobOf("j", 1), routeNamed("proof"), fixture.now);
+        CHECK(fixture.port.replies.empty());
+    }
+}
+
+// The runs of a caller that left during a pause must have ended by the time that counts from its disconnection, not from the
+// moment at which it was noticed.
+TEST_CASE("dispatcher lets the runs of a caller that left during a pause end in time")
+{
+    DispatcherFixture fixture;
+    fixture.setUp({ "x", "y" });
+    fixture.dispatcher.onActivity(fixture.now);
+    fixture.dispatcher.onPeerMessages("y", {}, capacityFor(8, 8), fixture.now);
+    fixture.dispatcher.submit(1, jobOf("j", 1), routeNamed("proof"), fixture.now);
+    REQUIRE(fixture.port.sent.back().vm == "y");
+    const TimePoint begin = fixture.now;
+    fixture.now += Milliseconds { 500 };
+    fixture.dispatcher.onActivity(fixture.now);
+    fixture.dispatcher.onCallerDisconnected(1, fixture.now);
+    REQUIRE(fixture.port.sent.back().message.withdrawal);
+    CHECK(fixture.port.sent.back().message.withdrawal->endBy == begin + ExecutorLimits {}.withdrawnRunLimit);
+}
+
+// After a pause a request from before it is sent in one batch with its withdrawal. Even a start that is stopped at once can run
+// beside a run of the same task at the VM that has the job now.
+TEST_CASE("dispatcher does not start a run that a later message of the same batch withdraws")
+{
+    DispatcherFixture fixture;
+    fixture.setUp({ "x", "y" });
+    fixture.poll();
+    const RunRequest request = requestFor("j", 0, fixture.now + Seconds { 1 });
+    const PeerMessage requested { request, {}, {}, {}, {}, {} };
+    const PeerMessage withdrawn { {}, {}, {}, {}, RunWithdrawal { request.run }, {} };
+    fixture.dispatcher.onPeerMessages("y", { requested, withdrawn }, capacityFor(0, 0), fixture.now);
+    CHECK(fixture.port.starts.empty());
+    REQUIRE(fixture.port.sent.size() == 1);
+    CHECK(fixture.port.sent[0].message.returned);
+    fixture.dispatcher.onPeerMessages("y", { requested }, capacityFor(0, 0), fixture.now);
+    CHECK(fixture.port.starts.size() == 1);
+}
