Let an odd entry in the store cost one entry

Report: other operators' VMs ended, or stopped following the list, because of one odd entry.

Here a VM could stop following: parseItems() refused a whole page for one item that can't be decoded, and the watch asked for the same page again, for ever. Test "watching a prefix", which failed before: none of the two good changes beside a bad one was reported. Numbers up to 2^64 - 1 were cast to signed ones, and any text was an address; "parsing an upstream's entry" failed before. The threads of the watches had no last catch.

Ends of processes could not be shown: the new fleet test (18 odd entries at the start, after a lost history, changing under load) passes on the readers as they were as well.

--- a/packages/fleet/include/egrettrestle/fleet/store_watcher.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/store_watcher.hpp
@@ -31,6 +31,8 @@
     struct Stream {
         std::string prefix;
         Milliseconds batchInterval { 0 };
+        /// Whether all entries have been read, so that only changes have to be watched.
+        bool complete = false;
         /// Revision up to which changes have been applied.
         std::uint64_t revision = 0;
         /// Keys of the upstreams that are listed.
@@ -41,6 +43,7 @@
     };
 
     void watchLoop(Stream& stream);
+    bool readAndWatch(Stream& stream);
     absl::Status readAll(Stream& stream);
     absl::Status watch(Stream& stream);
     void applyEntry(Stream& stream, const StoreEntry& entry);
--- a/packages/fleet/src/store_watcher.cpp
+++ b/packages/fleet/src/store_watcher.cpp
@@ -38,9 +38,9 @@
 absl::Status StoreWatcher::start()
 {
     const StoreFormats& formats = *m_context.platform.formats;
-    m_streams.push_back({ formats.configurationPrefix(), Milliseconds { 0 }, 0, {}, false, {}, {} });
-    m_streams.push_back({ storeKeys::prefix, Milliseconds { 0 }, 0, {}, false, {}, {} });
-    m_streams.push_back({ formats.upstreamPrefix(), heartbeatBatchInterval, 0, {}, false, {}, {} });
+    m_streams.push_back({ formats.configurationPrefix(), Milliseconds { 0 }, false, 0, {}, false, {}, {} });
+    m_streams.push_back({ storeKeys::prefix, Milliseconds { 0 }, false, 0, {}, false, {}, {} });
+    m_streams.push_back({ formats.upstreamPrefix(), heartbeatBatchInterval, false, 0, {}, false, {}, {} });
     for (Stream& stream : m_streams)
         stream.thread = std::thread([this, &stream] { watchLoop(stream); });
     return absl::OkStatus();
@@ -57,28 +57,41 @@
 
 void StoreWatcher::watchLoop(Stream& stream)
 {
-    bool complete = false;
     while (!m_stopping) {
-        absl::Status status = absl::OkStatus();
-        if (!complete)
-            status = readAll(stream);
-        if (status.ok()) {
-            complete = true;
-            status = watch(stream);
+        try {
+            if (!readAndWatch(stream) && !m_stopping)
+                std::this_thread::sleep_for(retryInterval);
+        } catch (const std::exception& error) {
+            // An entry that has an unforeseen effect must not end the process, nor hide the others.
+            m_context.log.write(events::unexpectedError, { { "cause", error.what() }, { "prefix", stream.prefix }, { "revision", static_cast<std::int64_t>(stream.revision) } });
+            stream.complete = false;
+            std::this_thread::sleep_for(retryInterval);
         }
-        if (status.ok())
-            onStoreReply(stream);
-        if (status.ok() || m_stopping)
-            continue;
-        // The changes since the last revision are no longer in the store's history: everything is read again.
-        if (errorCode(status) == platformErrors::storeHistoryCompacted)
-            complete = false;
-        else
-            onStoreUnavailable(stream, status);
-        std::this_thread::sleep_for(retryInterval);
     }
 }
 
+/// Reads everything if that is necessary, then watches for changes. Returns false after a failure of the store.
+bool StoreWatcher::readAndWatch(Stream& stream)
+{
+    absl::Status status = absl::OkStatus();
+    if (!stream.complete)
+        status = readAll(stream);
+    if (status.ok()) {
+        stream.complete = true;
+        status = watch(stream);
+    }
+    if (status.ok()) {
+        onStoreReply(stream);
+        return true;
+    }
+    // The changes since the last revision are no longer in the store's history: everything is read again.
+    if (errorCode(status) == platformErrors::storeHistoryCompacted)
+        stream.complete = false;
+    else
+        onStoreUnavailable(stream, status);
+    return false;
+}
+
 /// Applies changes until the store fails, this VM starts to drain or stops, or the duration of a probe watch is over.
 absl::Status StoreWatcher::watch(Stream& stream)
 {
@@ -117,6 +130,11 @@
 void StoreWatcher::applyEntry(Stream& stream, const StoreEntry& entry)
 {
     const StoreFormats& formats = *m_context.platform.formats;
+    if (!entry.fault.empty()) {
+        m_context.log.write(events::entryRejected, { { "key", entry.key }, { "revision", static_cast<std::int64_t>(entry.modRevision) }, { "fault", entry.fault } });
+        removeUpstream(stream, entry.key);
+        return;
+    }
     if (entry.key == formats.configurationKey()) {
         if (!entry.removed)
             applyConfiguration(entry.value, "store");
--- a/packages/store/include/egrettrestle/store/store.hpp
+++ b/packages/store/include/egrettrestle/store/store.hpp
@@ -20,6 +20,9 @@
     std::uint64_t modRevision = 0;
     /// Set by a watch for a key that has been deleted; its value is empty.
     bool removed = false;
+    /// Why the store's item could not be decoded; empty if it was. The value is then empty, and so is a key that could not be
+    /// read.
+    std::string fault = {};
 };
 
 /// All keys under a prefix at one revision of the store.
--- a/packages/wire/include/egrettrestle/wire/detail/input/object_reader.hpp
+++ b/packages/wire/include/egrettrestle/wire/detail/input/object_reader.hpp
@@ -25,6 +25,9 @@
     int outOfRange() const { return base + 5; }
 };
 
+/// The beginning of a text, for messages; a character of several bytes is not cut.
+std::string excerptOf(const std::string& text);
+
 /// Parses a text as JSON with at most 64 levels of nesting. On failure, adds an error, with the byte offset of a syntax
 /// error, and returns nothing.
 std::optional<nlohmann::json> parseJson(std::string_view text, ErrorCodeRange codes, std::vector<ValidationError>& errors);
@@ -45,6 +48,8 @@
     std::string textOr(const char* key, const std::string& defaultValue);
     std::uint64_t number(const char* key);
     std::uint64_t numberOr(const char* key, std::uint64_t defaultValue);
+    /// Adds an error for a number above `maximum`, which reads as 0.
+    std::uint64_t numberOr(const char* key, std::uint64_t defaultValue, std::uint64_t maximum);
     double real(const char* key);
     double realOr(const char* key, double defaultValue);
     bool boolean(const char* key);
--- a/packages/wire/src/object_reader.cpp
+++ b/packages/wire/src/object_reader.cpp
@@ -15,10 +15,7 @@
 
     std::string excerpt(const nlohmann::json& value)
     {
-        std::string text = value.is_structured() ? value.type_name() : value.dump();
-        if (text.size() > maxExcerptLength)
-            text = text.substr(0, maxExcerptLength) + "...";
-        return text;
+        return excerptOf(value.is_structured() ? value.type_name() : value.dump());
     }
 
     const nlohmann::json::array_t& emptyArray()
@@ -29,6 +26,16 @@
 
 }
 
+std::string excerptOf(const std::string& text)
+{
+    if (text.size() <= maxExcerptLength)
+        return text;
+    std::size_t length = maxExcerptLength;
+    while (length > 0 && (static_cast<unsigned char>(text[length]) & 0xc0) == 0x80)
+        --length;
+    return text.substr(0, length) + "...";
+}
+
 std::optional<nlohmann::json> parseJson(std::string_view text, ErrorCodeRange codes, std::vector<ValidationError>& errors)
 {
     const nlohmann::json::parser_callback_t limitDepth = [](int depth, nlohmann::json::parse_event_t, nlohmann::json&) {
@@ -108,6 +115,15 @@
     return has(key) ? number(key) : (find(key, false), defaultValue);
 }
 
+std::uint64_t ObjectReader::numberOr(const char* key, std::uint64_t defaultValue, std::uint64_t maximum)
+{
+    const std::uint64_t value = numberOr(key, defaultValue);
+    if (value <= maximum)
+        return value;
+    m_errors.push_back({ m_codes.outOfRange(), pointer(key), std::to_string(value), "at most " + std::to_string(maximum) });
+    return 0;
+}
+
 double ObjectReader::real(const char* key)
 {
     const nlohmann::json* found = find(key, true);
