Withdraw every run of a job that ends, also one that is being moved

Cause: end() withdrew tasks in the states Sent and Running. A task that was being asked back (onlyIfWaiting) had started meanwhile; the owner left it alone, and its executor, in contact, kept its lease alive.

Change: every outstanding task is withdrawn. As the owner may then answer twice, and the second answer must not be taken for one about a later submission with the same run number, an executor numbers the runs of a job after those of its earlier submission for 10 s.

--- a/packages/decision/include/egrettrestle/decision/job_executor.hpp
+++ b/packages/decision/include/egrettrestle/decision/job_executor.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <deque>
 #include <map>
 #include <set>
 #include <string>
@@ -71,6 +72,8 @@
     /// Added to a run number that the upstream has rejected as superseded, to get past any number that another executor
     /// of the same job can have reached.
     RunNumber runNumberStride = 16;
+    /// How long the highest run number of a job that has ended is remembered, for a later submission of the job.
+    Milliseconds runNumberRetention { 10'000 };
 };
 
 /// A decision about a job, reported for the log.
@@ -285,6 +288,11 @@
         std::vector<std::pair<CallerTicket, DispatchJob>> resubmissions;
     };
 
+    struct EndedJob {
+        RunNumber lastRun = 0;
+        TimePoint endedAt;
+    };
+
     /// Expected course of a job, given the present capacity and queues.
     struct Forecast {
         /// Run time of the longest chain of dependent steps.
@@ -312,6 +320,9 @@
     void reply(Job& job, const JobResult& reply, TimePoint now);
     /// Replies and removes a job that has ended and has no outstanding tasks; then executes its resubmissions.
     void finishIfComplete(const std::string& id, TimePoint now);
+    /// Keeps the highest run number of a job that has ended, so that a later submission does not reuse the numbers.
+    void rememberRunNumbers(const Job& job, TimePoint now);
+    void forgetRunNumbers(TimePoint now);
     /// The task and job of a run; null if the run is not the task's current one or is not at this owner.
     Task* findTask(const TaskRun& run, const VmId& owner, Job*& job);
     TaskRun runOf(const Job& job, const Task& task) const;
@@ -331,6 +342,9 @@
     RunTimeEstimator m_runTimeEstimator;
     std::map<std::string, Job> m_jobs;
     std::map<CallerTicket, std::string> m_jobByTicket;
+    std::map<std::string, EndedJob> m_endedJobs;
+    /// When jobs have ended, oldest first.
+    std::deque<std::pair<TimePoint, std::string>> m_endedJobTimes;
     std::map<UpstreamId, VmId> m_owners;
     FencingToken m_epoch;
     bool m_warmingUp = false;
--- a/packages/decision/src/job_executor.cpp
+++ b/packages/decision/src/job_executor.cpp
@@ -57,11 +57,15 @@
     job.deadline = now + request.callerTimeout - m_limits.replyMargin;
     job.callers.push_back(ticket);
     job.anyStarted = crashes.possible.total > 0;
+    // Messages about runs of an earlier submission may still arrive.
+    const auto earlier = m_endedJobs.find(request.id);
+    const RunNumber lastRun = earlier == m_endedJobs.end() ? 0 : earlier->second.lastRun;
     for (std::uint32_t step = 0; step < request.steps.size(); ++step) {
         for (std::uint32_t index = 0; index < request.steps[step].count; ++index) {
             Task task;
             task.step = step;
             task.index = index;
+            task.run = lastRun;
             job.tasks.push_back(std::move(task));
         }
     }
@@ -460,7 +464,8 @@
     job.runsEndBy = m_callersUncheckedSince.value_or(now) + m_limits.withdrawnRunLimit;
     job.finalReply = { outcome, outcome == JobOutcome::Refused ? m_limits.minRetryAfter : Milliseconds { 0 }, reason };
     for (Task& task : job.tasks) {
-        if (task.state == TaskState::Sent || task.state == TaskState::Running)
+        // An owner leaves a run alone that had started before it was to be moved.
+        if (isOutstanding(task))
             withdrawTask(job, task, false);
     }
     // A refusal promises that nothing has run, so it has to wait until every owner has confirmed that.
@@ -500,6 +505,7 @@
     reply(job, job.finalReply, now);
     const std::vector<std::pair<CallerTicket, DispatchJob>> resubmissions = std::move(job.resubmissions);
     const Route route = job.route;
+    rememberRunNumbers(job, now);
     m_jobs.erase(entry);
     for (const auto& resubmission : resubmissions) {
         m_jobByTicket.erase(resubmission.first);
@@ -507,6 +513,25 @@
     }
 }
 
+void JobExecutor::rememberRunNumbers(const Job& job, TimePoint now)
+{
+    EndedJob& ended = m_endedJobs[job.request.id];
+    ended.endedAt = now;
+    for (const Task& task : job.tasks)
+        ended.lastRun = std::max(ended.lastRun, task.run);
+    m_endedJobTimes.emplace_back(now, job.request.id);
+}
+
+void JobExecutor::forgetRunNumbers(TimePoint now)
+{
+    while (!m_endedJobTimes.empty() && now - m_endedJobTimes.front().first > m_limits.runNumberRetention) {
+        const auto ended = m_endedJobs.find(m_endedJobTimes.front().second);
+        if (ended != m_endedJobs.end() && now - ended->second.endedAt > m_limits.runNumberRetention)
+            m_endedJobs.erase(ended);
+        m_endedJobTimes.pop_front();
+    }
+}
+
 void JobExecutor::moveQueuedTasks(Job& job, TimePoint now)
 {
     for (Task& task : job.tasks) {
@@ -520,6 +545,7 @@
 
 void JobExecutor::tick(TimePoint now)
 {
+    forgetRunNumbers(now);
     std::vector<std::string> ids;
     ids.reserve(m_jobs.size());
     for (const auto& entry : m_jobs)
--- a/tests/unit/unit-job-executor.cpp
+++ b/tests/unit/unit-job-executor.cpp
@@ -625,3 +625,61 @@
         CHECK(fixture.port.sent.back().message.withdrawal->endBy == endBy);
     }
 }
+
+// Guards against a run that nobody stops: its task was being moved to another owner when its job ended, and had started there.
+TEST_CASE("executor withdraws every run of a job that ends, also one that is being moved")
+{
+    ExecutorFixture fixture;
+    fixture.submit(jobOf("j", 1));
+    const TaskRun run = fixture.request(0).run;
+    REQUIRE(fixture.port.sent[0].vm == "x");
+    fixture.capacities.update("x", capacityFor(0, 8, 4));
+    fixture.now += fixture.limits.moveAfter + Milliseconds { 1 };
+    fixture.executor.tick(fixture.now);
+    REQUIRE(fixture.port.sent.back().message.withdrawal);
+    REQUIRE(fixture.port.sent.back().message.withdrawal->onlyIfWaiting);
+    fixture.port.sent.clear();
+
+    SECTION("when the job ends before the owner has answered")
+    {
+        fixture.executor.onCallerDisconnected(1, fixture.now);
+        REQUIRE(fixture.port.sent.size() == 1);
+        REQUIRE(fixture.port.sent[0].message.withdrawal);
+        CHECK_FALSE(fixture.port.sent[0].message.withdrawal->onlyIfWaiting);
+        CHECK(fixture.port.sent[0].message.withdrawal->endBy);
+    }
+
+    SECTION("and takes the answer to the first withdrawal as little for one of a later submission as for the second's")
+    {
+        fixture.executor.onCallerDisconnected(1, fixture.now);
+        fixture.executor.onReturned("x", { run, ReturnReason::Withdrawn }, fixture.now);
+        CHECK(fixture.executor.jobs() == 0);
+        fixture.port.sent.clear();
+        fixture.capacities.update("x", capacityFor(8, 8));
+        fixture.submit(jobOf("j", 1), 2);
+        REQUIRE(fixture.port.sent.size() == 1);
+        CHECK(fixture.request(0).run.number > run.number);
+        fixture.executor.onReturned("x", { run, ReturnReason::Withdrawn }, fixture.now);
+        CHECK(fixture.port.sent.size() == 1);
+    }
+}
+
+TEST_CASE("executor numbers the runs of a job that is submitted again after those of its earlier submission, for a time")
+{
+    ExecutorFixture fixture;
+    fixture.submit(jobOf("j", 2));
+    const RunNumber first = fixture.request(0).run.number;
+    CHECK(first == 1);
+    fixture.endAll(RunOutcome::Done);
+    fixture.port.sent.clear();
+    fixture.submit(jobOf("j", 2));
+    REQUIRE(fixture.port.sent.size() == 2);
+    CHECK(fixture.request(0).run.number == first + 1);
+    CHECK(fixture.request(1).run.number == first + 1);
+    fixture.endAll(RunOutcome::Done);
+    fixture.port.sent.clear();
+    fixture.now += fixture.limits.runNumberRetention + Milliseconds { 1 };
+    fixture.executor.tick(fixture.now);
+    fixture.submit(jobOf("j", 2));
+    CHECK(fixture.request(0).run.number == 1);
+}
