Poll an upstream again after views in which another VM may have owned it

Cause: vm1 wakes and adopts view 5 without view 4, in which vm2 owned its upstream and started a run there. vm1 kept the knowledge of its polls under view 3 and answered vm2's claim "lost"; vm2 started the task again beside the run. Executors claim anew after skipped views, owners trusted what they knew.

Test: unit-upstream-owner "owner that has skipped views polls its upstreams before it decides what is running there"; three of its four sections failed before.

--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -250,6 +250,8 @@
     void expireQueuedRuns(TimePoint now);
     /// Includes a task's need in the moving average.
     void updateTypicalNeed(const Resources& need);
+    /// Has a poll show what is running at an upstream before anything is decided about it, as after its acquisition.
+    void requireSync(OwnedUpstream& upstream, TimePoint now);
     /// Processes the claims that arrived before this VM owned the upstream.
     void processEarlyClaims(const UpstreamId& upstream, TimePoint now);
     OwnedUpstream* findUpstream(const UpstreamId& upstream);
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -144,6 +144,9 @@
                 upstream.info = info;
             upstream.unlisted = false;
             if (token > upstream.token) {
+                // In a view that was skipped another VM may have owned the upstream.
+                if (token.value > upstream.token.value + 1)
+                    requireSync(upstream, now);
                 upstream.token = token;
                 upstream.fenced = false;
                 processEarlyClaims(info.id, now);
@@ -162,6 +165,14 @@
     processEarlyClaims(info.id, now);
 }
 
+void UpstreamOwner::requireSync(OwnedUpstream& upstream, TimePoint now)
+{
+    upstream.synced = false;
+    upstream.claimsResolved = false;
+    upstream.ownedSince = now;
+    m_port.pollNow(upstream.info.id);
+}
+
 void UpstreamOwner::processEarlyClaims(const UpstreamId& upstream, TimePoint now)
 {
     std::vector<EarlyClaim> claims;
--- a/tests/unit/unit-upstream-owner.cpp
+++ b/tests/unit/unit-upstream-owner.cpp
@@ -862,3 +862,56 @@
     fixture.owner.tick(fixture.now);
     CHECK(fixture.port.starts.size() == starts + 1);
 }
+
+// Guards against an owner that skipped a view in which another VM owned its upstream: it answered a claim for a run that the
+// other had started as lost, and the task was started again beside it.
+TEST_CASE("owner that has skipped views polls its upstreams before it decides what is running there")
+{
+    OwnerFixture fixture;
+    fixture.poll(fixture.reply());
+    const TaskRun own = fixture.startOne("own");
+    const TaskRun found { { "j", 0, 0 }, 1 };
+    const FencingToken next { token.value + 1 };
+    const FencingToken later { token.value + 2 };
+
+    SECTION("a run that was started meanwhile is not lost, and continues under its executor")
+    {
+        fixture.owner.acquire(upstreamNamed("u1"), later, fixture.now);
+        fixture.owner.claim("y", { found, "u1", later }, fixture.now);
+        CHECK_FALSE(fixture.lastMessage().returned);
+        fixture.poll(fixture.reply({ own, found }));
+        CHECK(fixture.port.stops.empty());
+        CHECK(fixture.owner.running() == 2);
+        CHECK(fixture.owner.nextPoll("u1", fixture.now)->leaseEnd);
+    }
+
+    SECTION("a run that nobody has claimed yet is kept for a while, under the lease that it has")
+    {
+        fixture.owner.acquire(upstreamNamed("u1"), later, fixture.now);
+        fixture.poll(fixture.reply({ own, found }));
+        CHECK(fixture.port.stops.empty());
+        CHECK_FALSE(fixture.owner.nextPoll("u1", fixture.now)->leaseEnd);
+        fixture.advance(fixture.limits.claimGracePeriod + Milliseconds { 1 });
+        fixture.owner.tick(fixture.now);
+        REQUIRE(fixture.port.stops.size() == 1);
+        CHECK(fixture.port.stops[0].run == found);
+    }
+
+    SECTION("nothing is started before the poll")
+    {
+        fixture.owner.acquire(upstreamNamed("u1"), later, fixture.now);
+        const std::size_t starts = fixture.port.starts.size();
+        fixture.owner.request("x", requestFor("next", 0, fixture.now + Seconds { 1 }), fixture.now);
+        CHECK(fixture.port.starts.size() == starts);
+        fixture.poll(fixture.reply({ own }));
+        CHECK(fixture.port.starts.size() == starts + 1);
+    }
+
+    SECTION("but not after the directly following view")
+    {
+        fixture.owner.acquire(upstreamNamed("u1"), next, fixture.now);
+        fixture.owner.claim("y", { found, "u1", next }, fixture.now);
+        REQUIRE(fixture.lastMessage().returned);
+        CHECK(fixture.owner.nextPoll("u1", fixture.now)->leaseEnd);
+    }
+}
