Exploration: VMs that stand still, late stops, callers that leave and submit again

Now a VM can stand still for up to 4 s and reads afterwards, in any order, what has arrived; an upstream can execute all stops of 3 s late; tasks can run for 2 to 5 s; callers leave after 1.5 s and submit their jobs to the next VM 1.3 s later. Existing schedules are unchanged: the new faults draw no random numbers unless they are asked for.

--- a/tests/model/dispatch_simulation.cpp
+++ b/tests/model/dispatch_simulation.cpp
@@ -24,9 +24,25 @@
     constexpr std::size_t slotsPerUpstream = 2;
     constexpr Milliseconds timeToCrash { 20 };
     constexpr Seconds callerTimeoutWithCrashes { 8 };
+    constexpr Milliseconds shortCallerTimeout { 1'500 };
+    constexpr Milliseconds lateStopPeriod { 3'000 };
+    // Time in which a VM that has stood still reads what has arrived.
+    constexpr int maxCatchUpTime = 10;
+    constexpr int maxSubmissionsOfJob = 3;
 
     VmId vmId(int number) { return "vm" + std::to_string(number); }
 
+    Route proofRoute()
+    {
+        Route route;
+        route.name = "proof";
+        route.service = "print";
+        route.maxAttempts = 3;
+        route.stretch = 6;
+        route.targetLatency = Milliseconds { 500 };
+        return route;
+    }
+
 }
 
 /// An upstream that executes orders by the platform's rules. While it is silent, it neither receives orders nor replies.
@@ -44,11 +60,24 @@
     std::map<TaskRef, RunNumber> highestEnded;
     std::uint64_t endedCount = 0;
     TimePoint silentUntil;
+    TimePoint lateStopsUntil;
     /// Set while the upstream is down after a crash: it rejects connections.
     bool down = false;
     std::vector<UpstreamId> formerIds;
 };
 
+/// One attempt of a caller to have a job executed.
+struct DispatchSimulation::Submission {
+    std::string job;
+    int vm;
+    bool answered = false;
+    /// The caller has closed its connection.
+    bool left = false;
+    /// The process and ticket that handle it; 0 before the VM has read it.
+    std::uint64_t processIncarnation = 0;
+    CallerTicket ticket = 0;
+};
+
 /// One process of a VM: its dispatcher, and its channels to the other VMs.
 struct DispatchSimulation::Vm : DispatcherPort {
     Vm(DispatchSimulation& owner, int vmNumber, std::uint64_t ownIncarnation)
@@ -73,6 +102,15 @@
 
     void stop(const StopOrder& order) override
     {
+        if (simulation.upstream(order.upstream).lateStopsUntil > simulation.m_now) {
+            simulation.after(simulation.randomDuration(2'000, 6'000), [this, order] { simulation.executeStop(simulation.upstream(order.upstream), order); });
+            const std::uint64_t ownIncarnation = processIncarnation;
+            simulation.afterOn(number, orderTimeout, [this, ownIncarnation, order] {
+                if (simulation.aliveProcess(number, ownIncarnation))
+                    dispatcher.onStopReply(order, {}, simulation.m_now);
+            });
+            return;
+        }
         simulation.sendOrder(
             number, order.upstream, [this, order](Upstream& upstream) { return simulation.executeStop(upstream, order); },
             [this, order](const OrderReply& reply) { dispatcher.onStopReply(order, reply, simulation.m_now); });
@@ -81,7 +119,7 @@
     void pollNow(const UpstreamId& upstream) override
     {
         const std::uint64_t ownIncarnation = processIncarnation;
-        simulation.after(Milliseconds { 0 }, [this, ownIncarnation, upstream] {
+        simulation.afterOn(number, Milliseconds { 0 }, [this, ownIncarnation, upstream] {
             if (Vm* vm = simulation.aliveProcess(number, ownIncarnation)) {
                 if (std::optional<PollOrder> order = vm->dispatcher.nextPoll(upstream, simulation.m_now)) {
                     order->wait = Milliseconds { 0 };
@@ -95,7 +133,7 @@
     {
         channel(vm).send(std::move(message));
         const std::uint64_t ownIncarnation = processIncarnation;
-        simulation.after(Milliseconds { 0 }, [this, ownIncarnation, vm] {
+        simulation.afterOn(number, Milliseconds { 0 }, [this, ownIncarnation, vm] {
             if (Vm* sender = simulation.aliveProcess(number, ownIncarnation))
                 simulation.flush(*sender, vm);
         });
@@ -159,6 +197,10 @@
         limits.owner.leaseExpiryMargin = -limits.owner.leaseDuration;
     if (!m_rules.orphanedRunWait)
         limits.executor.orphanedRunTimeout = Milliseconds { 0 };
+    if (!m_rules.withdrawnRunLimit) {
+        limits.executor.withdrawnRunLimit = Seconds { 100 };
+        limits.owner.orphanedRunLimit = Seconds { 100 };
+    }
     return limits;
 }
 
@@ -166,7 +208,44 @@
 
 void DispatchSimulation::after(Milliseconds delay, Action action)
 {
-    m_scheduled.push({ m_now + delay, ++m_lastEventNumber, std::move(action) });
+    m_scheduled.push({ m_now + delay, ++m_lastEventNumber, std::move(action), std::nullopt });
+}
+
+void DispatchSimulation::afterOn(int vm, Milliseconds delay, Action action)
+{
+    m_scheduled.push({ m_now + delay, ++m_lastEventNumber, std::move(action), vm });
+}
+
+/// Executes an action, or delays it until its VM no longer stands still.
+void DispatchSimulation::execute(Scheduled next)
+{
+    m_now = next.at;
+    if (!next.vm || m_frozenUntil.empty()) {
+        next.action();
+        return;
+    }
+    const TimePoint frozenUntil = m_frozenUntil[*next.vm];
+    if (frozenUntil > m_now) {
+        next.at = frozenUntil + randomDuration(0, maxCatchUpTime);
+        m_scheduled.push(std::move(next));
+        return;
+    }
+    Vm& vm = *m_vms[static_cast<std::size_t>(*next.vm)];
+    if (vm.up && m_rules.pauseCheck && vm.dispatcher.onActivity(m_now))
+        after(Milliseconds { 0 }, [this, number = *next.vm, processIncarnation = vm.processIncarnation] { checkCallers(number, processIncarnation); });
+    next.action();
+}
+
+void DispatchSimulation::checkCallers(int number, std::uint64_t processIncarnation)
+{
+    Vm* vm = aliveProcess(number, processIncarnation);
+    if (!vm)
+        return;
+    for (const std::shared_ptr<Submission>& submission : m_submissionsInProgress) {
+        if (submission->left && submission->vm == number && submission->processIncarnation == processIncarnation)
+            vm->dispatcher.onCallerDisconnected(submission->ticket, m_now);
+    }
+    vm->dispatcher.onCallersChecked(m_now);
 }
 
 Milliseconds DispatchSimulation::randomDuration(int least, int most)
@@ -218,9 +297,9 @@
             if (other != number && due)
                 flush(*process, otherVm);
         }
-        after(tickInterval, *tick);
+        afterOn(number, tickInterval, *tick);
     };
-    after(randomDuration(0, 20), *tick);
+    afterOn(number, randomDuration(0, 20), *tick);
 }
 
 void DispatchSimulation::crashVm(int number)
@@ -229,6 +308,14 @@
     if (!vm.up)
         return;
     vm.up = false;
+    for (const std::shared_ptr<Submission>& submission : m_submissionsInProgress) {
+        if (submission->vm != number || submission->answered || submission->left)
+            continue;
+        submission->answered = true;
+        vm.tickets.erase(submission->ticket);
+        if (m_submissions[submission->job] < maxSubmissionsOfJob)
+            after(resubmissionDelay, [this, submission] { submitJob(std::stoi(submission->job), (submission->vm + 1) % vmCount); });
+    }
     for (const auto& ticket : vm.tickets)
         after(resubmissionDelay, [this, job = ticket.second, number] { submitJob(std::stoi(job), (number + 1) % vmCount); });
     vm.tickets.clear();
@@ -296,6 +383,33 @@
         vm.starvedUntil = m_now + randomDuration(1'000, 4'000);
 }
 
+void DispatchSimulation::freezeVm(int number)
+{
+    Vm& vm = *m_vms[static_cast<std::size_t>(number)];
+    if (!vm.up)
+        return;
+    m_frozenUntil[number] = m_now + randomDuration(300, 4'000);
+    // Other VMs remove it if it stands still for long enough.
+    const std::uint64_t processIncarnation = vm.processIncarnation;
+    after(randomDuration(700, 1'500), [this, number, processIncarnation] {
+        const Member* member = findMember(m_view, vmId(number));
+        if (!aliveProcess(number, processIncarnation) || m_frozenUntil[number] <= m_now || !member)
+            return;
+        View next = withRemoved(m_view, member->incarnation);
+        next.past.clear();
+        publishView(next);
+        afterOn(number, maxViewDelay, [this, number, processIncarnation] {
+            if (!aliveProcess(number, processIncarnation) || findMember(m_view, vmId(number)))
+                return;
+            View joined = withJoined(m_view, vmId(number), "p", "c");
+            joined.past.clear();
+            for (Member& other : joined.members)
+                other.dataCentre = "dc1";
+            publishView(joined);
+        });
+    });
+}
+
 void DispatchSimulation::publishView(const View& view)
 {
     m_view = view;
@@ -303,7 +417,7 @@
         if (!m_vms[static_cast<std::size_t>(number)])
             continue;
         const std::uint64_t processIncarnation = m_vms[static_cast<std::size_t>(number)]->processIncarnation;
-        after(randomDuration(1, static_cast<int>(maxViewDelay.count())), [this, number, processIncarnation, view] {
+        afterOn(number, randomDuration(1, static_cast<int>(maxViewDelay.count())), [this, number, processIncarnation, view] {
             Vm* vm = aliveProcess(number, processIncarnation);
             if (!vm || vm->partitioned || view.epoch <= vm->epoch)
                 return;
@@ -327,15 +441,16 @@
     CapacityReport capacity = from.dispatcher.capacityReport(m_now);
     capacity.requestsReceived = from.dispatcher.requestsReceived(to);
     const PeerChannel& channel = from.channel(to);
-    const Batch batch { from.number, from.processIncarnation, number, channel.batchHeader(), channel.pendingMessages(), capacity };
-    after(peerTimeout, [this, batch] {
+    const bool held = from.dispatcher.hasUncheckedCallers();
+    const Batch batch { from.number, from.processIncarnation, number, channel.batchHeader(), held ? std::vector<PeerMessage> {} : channel.pendingMessages(), capacity };
+    afterOn(from.number, peerTimeout, [this, batch] {
         Vm* sender = aliveProcess(batch.from, batch.senderIncarnation);
         if (!sender || *batch.completed)
             return;
         *batch.completed = true;
         sender->batchesInFlight.erase(vmId(batch.to));
     });
-    after(messageDelay(), [this, batch] { deliver(batch); });
+    afterOn(number, messageDelay(), [this, batch] { deliver(batch); });
 }
 
 void DispatchSimulation::deliver(const Batch& batch)
@@ -352,7 +467,7 @@
     if (receiver.starvedUntil > m_now)
         return;
     const BatchReply reply { receiver.processIncarnation, PeerChannel::timestampAt(m_now), batchResult.accepted };
-    after(messageDelay(), [this, batch, reply] { deliverReply(batch, reply); });
+    afterOn(batch.from, messageDelay(), [this, batch, reply] { deliverReply(batch, reply); });
 }
 
 void DispatchSimulation::deliverReply(const Batch& batch, const BatchReply& reply)
@@ -396,7 +511,7 @@
     const bool waits = order->wait.count() > 0;
     sendPoll(number, *order, [this, number, processIncarnation, id, waits](bool answered) {
         const Milliseconds pause { answered && waits ? 0 : 35 };
-        after(pause, [this, number, processIncarnation, id] { pollLoop(number, processIncarnation, id); });
+        afterOn(number, pause, [this, number, processIncarnation, id] { pollLoop(number, processIncarnation, id); });
     });
 }
 
@@ -415,17 +530,17 @@
                 if (!connectionFailure(id))
                     execute(upstream(id));
             });
-        after(orderTimeout, [respond] { respond({}); });
+        afterOn(number, orderTimeout, [respond] { respond({}); });
         return;
     }
     const bool lost = chance(m_faults.lostReplyProbability);
-    after(randomDuration(1, 5), [this, id, execute, respond, lost] {
+    after(randomDuration(1, 5), [this, number, id, execute, respond, lost] {
         if (const std::optional<OrderReply> failure = connectionFailure(id)) {
             respond(*failure);
             return;
         }
         const OrderReply reply = execute(upstream(id));
-        after(lost ? orderTimeout : randomDuration(1, 5), [respond, reply, lost] { respond(lost ? OrderReply {} : reply); });
+        afterOn(number, lost ? orderTimeout : randomDuration(1, 5), [respond, reply, lost] { respond(lost ? OrderReply {} : reply); });
     });
 }
 
@@ -440,7 +555,7 @@
     };
     const bool silent = upstream(order.upstream).silentUntil > m_now;
     if (silent || chance(m_faults.lostOrderProbability)) {
-        after(order.wait + pollReplyTimeout, [respond] { respond(PollReply {}); });
+        afterOn(number, order.wait + pollReplyTimeout, [respond] { respond(PollReply {}); });
         return;
     }
     const bool lost = chance(m_faults.lostReplyProbability);
@@ -454,23 +569,23 @@
         respond(reply);
         return true;
     };
-    after(randomDuration(1, 5), [this, order, respond, respondIfDown, lost] {
+    after(randomDuration(1, 5), [this, number, order, respond, respondIfDown, lost] {
         if (respondIfDown())
             return;
         const PollReply firstReply = executePoll(upstream(order.upstream), order);
         const bool waits = order.wait.count() > 0 && firstReply.outcome == OrderOutcome::Accepted && firstReply.ended.empty();
         if (lost) {
-            after(order.wait + pollReplyTimeout, [respond] { respond(PollReply {}); });
+            afterOn(number, order.wait + pollReplyTimeout, [respond] { respond(PollReply {}); });
             return;
         }
         if (!waits) {
-            after(randomDuration(1, 5), [respond, firstReply] { respond(firstReply); });
+            afterOn(number, randomDuration(1, 5), [respond, firstReply] { respond(firstReply); });
             return;
         }
         // The upstream replies when a run ends, or after the requested wait.
         const TimePoint end = m_now + order.wait;
         const std::shared_ptr<std::function<void()>> repeat = std::make_shared<std::function<void()>>();
-        *repeat = [this, order, respond, respondIfDown, end, repeat] {
+        *repeat = [this, number, order, respond, respondIfDown, end, repeat] {
             if (respondIfDown())
                 return;
             PollOrder again = order;
@@ -480,7 +595,7 @@
                 after(Milliseconds { 5 }, *repeat);
                 return;
             }
-            after(randomDuration(1, 5), [respond, reply] { respond(reply); });
+            afterOn(number, randomDuration(1, 5), [respond, reply] { respond(reply); });
         };
         after(Milliseconds { 5 }, *repeat);
     });
@@ -598,7 +713,8 @@
     }
     ++m_result.started;
     m_startedJobs.insert(order.run.task.job);
-    target.running.push_back({ order.run, m_now + randomDuration(30, 400) });
+    const bool isLong = m_faults.longTaskProbability > 0 && chance(m_faults.longTaskProbability);
+    target.running.push_back({ order.run, m_now + (isLong ? randomDuration(2'000, 5'000) : randomDuration(30, 400)) });
     if (isCrashing(order.run.task)) {
         countStartOfCrashingTask(order.run.task);
         after(timeToCrash, [this, &target, run = order.run] {
@@ -659,28 +775,67 @@
         after(randomDuration(50, 200), [this, number, vm] { submitJob(number, (vm + 1) % vmCount); });
         return;
     }
+    if (m_faults.callersLeave()) {
+        const std::shared_ptr<Submission> submission = std::make_shared<Submission>(Submission { id, vm });
+        m_submissionsInProgress.push_back(submission);
+        ++m_submissions[id];
+        afterOn(vm, randomDuration(0, 2), [this, submission] { receiveSubmission(submission); });
+        after(shortCallerTimeout, [this, submission] { onCallerDeadline(submission); });
+        return;
+    }
+    const CallerTicket ticket = ++target.lastTicket;
+    target.tickets[ticket] = id;
+    ++m_submissions[id];
+    target.dispatcher.submit(ticket, jobFor(id), proofRoute(), m_now);
+}
+
+DispatchJob DispatchSimulation::jobFor(const std::string& id)
+{
     DispatchJob job;
     job.id = id;
-    job.callerTimeout = Milliseconds { 3'000 };
+    job.callerTimeout = m_faults.callersLeave() ? shortCallerTimeout : Milliseconds { 3'000 };
     if (m_faults.crashingJobs > 0) {
         const TimePoint deadline = m_callerDeadlines.emplace(id, m_now + callerTimeoutWithCrashes).first->second;
         job.callerTimeout = toMilliseconds(deadline - m_now);
     }
     JobStep step;
-    step.count = static_cast<std::uint32_t>(1 + number % 4);
+    step.count = static_cast<std::uint32_t>(1 + std::stoi(id) % 4);
     step.need = { 27'000, 64, 0 };
     step.estimate = Milliseconds { 200 };
     job.steps.push_back(step);
-    Route route;
-    route.name = "proof";
-    route.service = "print";
-    route.maxAttempts = 3;
-    route.stretch = 6;
-    route.targetLatency = Milliseconds { 500 };
-    const CallerTicket ticket = ++target.lastTicket;
-    target.tickets[ticket] = id;
-    ++m_submissions[id];
-    target.dispatcher.submit(ticket, job, route, m_now);
+    return job;
+}
+
+/// The VM reads a request.
+void DispatchSimulation::receiveSubmission(const std::shared_ptr<Submission>& submission)
+{
+    Vm& vm = *m_vms[static_cast<std::size_t>(submission->vm)];
+    if (!vm.up || (submission->left && m_rules.pauseCheck))
+        return;
+    submission->processIncarnation = vm.processIncarnation;
+    submission->ticket = ++vm.lastTicket;
+    vm.tickets[submission->ticket] = submission->job;
+    vm.dispatcher.submit(submission->ticket, jobFor(submission->job), proofRoute(), m_now);
+    // Without the check the disconnection is noticed after the request has been handled.
+    if (submission->left)
+        vm.dispatcher.onCallerDisconnected(submission->ticket, m_now);
+}
+
+/// A caller without a reply closes its connection, and submits its job to another VM.
+void DispatchSimulation::onCallerDeadline(const std::shared_ptr<Submission>& submission)
+{
+    m_submissionsInProgress.erase(std::find(m_submissionsInProgress.begin(), m_submissionsInProgress.end(), submission));
+    if (submission->answered)
+        return;
+    submission->left = true;
+    m_submissionsInProgress.push_back(submission);
+    afterOn(submission->vm, Milliseconds { 1 }, [this, submission] {
+        Vm& vm = *m_vms[static_cast<std::size_t>(submission->vm)];
+        if (vm.up && vm.processIncarnation == submission->processIncarnation)
+            vm.dispatcher.onCallerDisconnected(submission->ticket, m_now);
+    });
+    if (m_submissions[submission->job] < maxSubmissionsOfJob)
+        after(resubmissionDelay, [this, submission] { submitJob(std::stoi(submission->job), (submission->vm + 1) % vmCount); });
 }
 
 void DispatchSimulation::onReply(int number, CallerTicket ticket, const JobResult& result)
@@ -688,6 +843,17 @@
     Vm& vm = *m_vms[static_cast<std::size_t>(number)];
     const std::string job = vm.tickets[ticket];
     vm.tickets.erase(ticket);
+    for (const std::shared_ptr<Submission>& submission : m_submissionsInProgress) {
+        if (submission->vm != number || submission->processIncarnation != vm.processIncarnation || submission->ticket != ticket)
+            continue;
+        if (submission->left)
+            return;
+        submission->answered = true;
+        if (result.outcome == JobOutcome::GaveUp && m_submissions[job] < maxSubmissionsOfJob) {
+            after(resubmissionDelay, [this, job, number] { submitJob(std::stoi(job), (number + 1) % vmCount); });
+            return;
+        }
+    }
     const auto callerDeadline = m_callerDeadlines.find(job);
     const bool submitsAgain = result.outcome == JobOutcome::GaveUp && callerDeadline != m_callerDeadlines.end() && m_now + resubmissionDelay < callerDeadline->second;
     if (submitsAgain) {
@@ -740,6 +906,14 @@
         after(randomDuration(1'500, 9'000), [this] { partitionVm(static_cast<int>(randomDuration(0, vmCount - 1).count())); });
     for (int starvation = 0; starvation < m_faults.cpuStarvations; ++starvation)
         after(randomDuration(1'500, 9'000), [this] { starveVm(static_cast<int>(randomDuration(0, vmCount - 1).count())); });
+    for (int freeze = 0; freeze < m_faults.freezes; ++freeze)
+        after(randomDuration(1'500, 9'000), [this] { freezeVm(static_cast<int>(randomDuration(0, vmCount - 1).count())); });
+    for (int period = 0; period < m_faults.lateStopPeriods; ++period) {
+        after(randomDuration(1'500, 10'000), [this] {
+            Upstream& late = *m_upstreams[static_cast<std::size_t>(randomDuration(0, upstreamCount - 1).count())];
+            late.lateStopsUntil = m_now + lateStopPeriod;
+        });
+    }
     for (int outage = 0; outage < m_faults.fullOutages; ++outage) {
         after(randomDuration(2'000, 9'000), [this] {
             for (int number = 0; number < vmCount; ++number)
@@ -756,10 +930,9 @@
     }
     const TimePoint end = m_now + simulatedTime;
     while (!m_scheduled.empty() && m_scheduled.top().at < end) {
-        const Scheduled next = m_scheduled.top();
+        Scheduled next = m_scheduled.top();
         m_scheduled.pop();
-        m_now = next.at;
-        next.action();
+        execute(std::move(next));
     }
     return m_result;
 }
--- a/tests/model/dispatch_simulation.hpp
+++ b/tests/model/dispatch_simulation.hpp
@@ -3,6 +3,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <queue>
 #include <random>
 #include <set>
@@ -40,6 +41,16 @@
     int crashingJobs = 0;
     /// Number of times that an upstream crashes by itself.
     int upstreamCrashes = 0;
+    /// Number of times that a VM's process stands still for up to 4 s. What reaches it meanwhile is read afterwards, in any
+    /// order.
+    int freezes = 0;
+    /// Number of times that an upstream answers no order to stop a run for 3 s, and executes it 2 to 6 s late.
+    int lateStopPeriods = 0;
+    /// Probability that a task runs for 2 to 5 s. If there are freezes, periods of late stops or long tasks, callers wait for
+    /// 1.5 s, and submit a job that was given up or not answered again, to another VM.
+    double longTaskProbability = 0;
+
+    bool callersLeave() const { return freezes > 0 || lateStopPeriods > 0 || longTaskProbability > 0; }
 };
 
 /// Safety rules that can be disabled, to show that the simulation then finds a bad schedule.
@@ -52,6 +63,11 @@
     bool leaseExpiryWait = true;
     /// After a restart of an owner, the runs that its earlier process may have started are waited for.
     bool orphanedRunWait = true;
+    /// Leases are not extended beyond the time by which a withdrawn run must have ended.
+    bool withdrawnRunLimit = true;
+    /// After a pause, callers' connections are checked before anything is started, and requests of callers that have left are
+    /// not handled.
+    bool pauseCheck = true;
 };
 
 /// Result of one schedule.
@@ -97,10 +113,14 @@
         TimePoint at;
         std::uint64_t eventNumber;
         Action action;
+        /// The VM that executes the action; it is delayed while that VM stands still. Empty for actions outside VMs.
+        std::optional<int> vm;
         bool operator<(const Scheduled& other) const { return at != other.at ? at > other.at : eventNumber > other.eventNumber; }
     };
 
     void after(Milliseconds delay, Action action);
+    void afterOn(int vm, Milliseconds delay, Action action);
+    void execute(Scheduled next);
     Milliseconds randomDuration(int least, int most);
     bool chance(double probability);
 
@@ -108,6 +128,7 @@
     void crashVm(int number);
     void partitionVm(int number);
     void starveVm(int number);
+    void freezeVm(int number);
     void publishView(const View& view);
     struct Batch;
     DispatcherLimits limits() const;
@@ -131,6 +152,11 @@
     /// The outcome of an order to an upstream that is down or has been replaced by a new incarnation.
     std::optional<OrderReply> connectionFailure(const UpstreamId& id);
     void submitJob(int number, int vm);
+    struct Submission;
+    void receiveSubmission(const std::shared_ptr<Submission>& submission);
+    void onCallerDeadline(const std::shared_ptr<Submission>& submission);
+    void checkCallers(int vm, std::uint64_t processIncarnation);
+    DispatchJob jobFor(const std::string& id);
     void onReply(int vm, CallerTicket ticket, const JobResult& result);
     Upstream& upstream(const UpstreamId& id);
     Vm* aliveProcess(int number, std::uint64_t processIncarnation);
@@ -160,6 +186,8 @@
     std::map<TaskRef, CrashingTask> m_crashingTasks;
     /// How many upstreams have crashed by themselves under each task, and the jobs with two such crashes under one task.
     std::map<TaskRef, int> m_accidents;
+    std::map<int, TimePoint> m_frozenUntil;
+    std::vector<std::shared_ptr<Submission>> m_submissionsInProgress;
     std::set<std::string> m_unluckyJobs;
 };
 
--- a/tests/model/unit-dispatch-rules.cpp
+++ b/tests/model/unit-dispatch-rules.cpp
@@ -64,6 +64,66 @@
 
 namespace {
 
+DispatchFaults withLeavingCallers(int freezes, int lateStopPeriods, double longTaskProbability, int crashes = 0)
+{
+    DispatchFaults faults;
+    faults.freezes = freezes;
+    faults.lateStopPeriods = lateStopPeriods;
+    faults.longTaskProbability = longTaskProbability;
+    faults.crashes = crashes;
+    return faults;
+}
+
+}
+
+// Guards against runs that outlast their job: callers that got no answer, or were told that their job was given up, submit it
+// to another VM 1.3 s later, and no run of the first submission may work or start by then.
+TEST_CASE("a job that its caller submits again to another VM never runs twice at the same time")
+{
+    const FaultCase cases[] = {
+        { "VMs stand still and read late what has arrived", withLeavingCallers(4, 0, 0), 610'000 },
+        { "upstreams execute stops late", withLeavingCallers(0, 6, 0.2), 600'000 },
+        { "VMs stand still, upstreams execute stops late", withLeavingCallers(4, 4, 0.1), 630'260 },
+        { "VMs crash, upstreams execute stops late", withLeavingCallers(0, 4, 0.1, 2), 660'000 },
+    };
+    for (const FaultCase& example : cases) {
+        for (std::uint64_t seed = example.firstSeed; seed < example.firstSeed + schedulesPerCase; ++seed) {
+            const DispatchResult result = DispatchSimulation(seed, example.faults).run();
+            CAPTURE(example.name, seed, result.concurrentRuns);
+            CHECK(result.started > 0);
+            CHECK(result.succeeded > 0);
+            CHECK(result.concurrentRuns.empty());
+        }
+    }
+}
+
+// Each part of the mend has to be found if it is taken out.
+TEST_CASE("disabling a rule on callers that submit their jobs again produces a schedule in which a task runs twice at the same time")
+{
+    struct RuleCase {
+        const char* name;
+        bool DispatchRules::*rule;
+        DispatchFaults faults;
+        std::uint64_t firstSeed;
+    };
+    constexpr std::uint64_t maxSchedules = 400;
+    const RuleCase cases[] = {
+        { "withdrawn run limit", &DispatchRules::withdrawnRunLimit, withLeavingCallers(0, 6, 0.2), 600'000 },
+        { "pause check", &DispatchRules::pauseCheck, withLeavingCallers(4, 0, 0), 610'200 },
+    };
+    for (const RuleCase& example : cases) {
+        DispatchRules rules;
+        rules.*example.rule = false;
+        bool found = false;
+        for (std::uint64_t seed = example.firstSeed; !found && seed < example.firstSeed + maxSchedules; ++seed)
+            found = !DispatchSimulation(seed, example.faults, rules).run().concurrentRuns.empty();
+        CAPTURE(example.name);
+        CHECK(found);
+    }
+}
+
+namespace {
+
 struct CrashCase {
     const char* name;
     DispatchFaults faults;
