Exploration: tell VMs of their activity from the start

Trace: vm1 wakes at 5853 ms and sends a request for a caller that had left at 4649, since it notices no pause: until the first VM stands still, the simulation did not call onActivity(), so vm1 knew of no activity before.

--- a/tests/model/dispatch_simulation.cpp
+++ b/tests/model/dispatch_simulation.cpp
@@ -220,7 +220,7 @@
 void DispatchSimulation::execute(Scheduled next)
 {
     m_now = next.at;
-    if (!next.vm || m_frozenUntil.empty()) {
+    if (!next.vm || m_faults.freezes == 0) {
         next.action();
         return;
     }
