Count capacity in the need of tasks that can run

After some 15 jobs that ask for an accelerator where no upstream has one, every job was refused, no-upstream, for good: 0 of about 1,400.

Cause: the typical need, in which a VM counts its capacity, included tasks that fit nowhere; an average of 0 took the first accelerator whole, and rounding kept it. Capacity 0 refuses every job before a task is requested, so nothing corrected the average; a VM that started took it over from the others' reports.

Change: accelerators are not part of the typical need; a task that fits on no owned upstream does not count; a typical need that fits none counts as unknown, is replaced by the next ordinary task and not reported.

--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -248,8 +248,10 @@
     /// Stops runs that are still unclaimed at the end of the claim grace period.
     void resolveUnclaimedRuns(OwnedUpstream& upstream, TimePoint now);
     void expireQueuedRuns(TimePoint now);
-    /// Includes a task's need in the moving average.
+    /// Includes a task's need in the moving average, unless the task can run on no owned upstream.
     void updateTypicalNeed(const Resources& need);
+    /// Whether a need fits into the total capacity of any owned upstream.
+    bool couldRunAnywhere(const Resources& need) const;
     /// Has a poll show what is running at an upstream before anything is decided about it, as after its acquisition.
     void requireSync(OwnedUpstream& upstream, TimePoint now);
     /// Processes the claims that arrived before this VM owned the upstream.
@@ -273,7 +275,7 @@
     std::vector<EarlyClaim> m_earlyClaims;
     VmId m_self;
     std::map<VmId, TimePoint> m_lastContact;
-    /// Moving average of the needs of requested tasks; all zero until one has been seen.
+    /// Moving average of the needs of requested tasks, without accelerators; all zero until one has been seen.
     Resources m_typicalNeed;
     bool m_startsEnabled = true;
     bool m_ownStartsEnabled = true;
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -88,6 +88,9 @@
             run.endBy = std::min(run.endBy.value_or(*endBy), *endBy);
     }
 
+    /// The need that capacity is counted in. Tasks with accelerators are few, and most upstreams have none.
+    Resources withoutAccelerators(const Resources& need) { return { need.milliCores, need.memoryMb, 0 }; }
+
     bool hasLabel(const UpstreamInfo& info, const std::string& label)
     {
         return label.empty() || std::find(info.labels.begin(), info.labels.end(), label) != info.labels.end();
@@ -867,22 +870,35 @@
 void UpstreamOwner::seedTypicalNeed(const Resources& need)
 {
     if (m_typicalNeed == Resources {})
-        m_typicalNeed = need;
+        m_typicalNeed = withoutAccelerators(need);
 }
 
 void UpstreamOwner::updateTypicalNeed(const Resources& need)
 {
+    const Resources counted = withoutAccelerators(need);
+    if (!couldRunAnywhere(counted))
+        return;
+    // A need that was taken over from another VM may fit none of this VM's upstreams.
+    if (m_typicalNeed == Resources {} || !couldRunAnywhere(m_typicalNeed)) {
+        m_typicalNeed = counted;
+        return;
+    }
     const auto updateMean = [](std::int64_t& mean, std::int64_t value) {
-        mean = mean == 0 ? value : mean + static_cast<std::int64_t>(static_cast<double>(value - mean) * typicalNeedWeight);
+        mean += static_cast<std::int64_t>(static_cast<double>(value - mean) * typicalNeedWeight);
     };
-    updateMean(m_typicalNeed.milliCores, need.milliCores);
-    updateMean(m_typicalNeed.memoryMb, need.memoryMb);
-    updateMean(m_typicalNeed.accelerators, need.accelerators);
+    updateMean(m_typicalNeed.milliCores, counted.milliCores);
+    updateMean(m_typicalNeed.memoryMb, counted.memoryMb);
+}
+
+bool UpstreamOwner::couldRunAnywhere(const Resources& need) const
+{
+    return std::any_of(m_upstreams.begin(), m_upstreams.end(), [&need](const auto& entry) { return fits(need, entry.second.info.capacity); });
 }
 
 CapacityReport UpstreamOwner::capacityReport(TimePoint now) const
 {
     std::map<std::pair<std::string, std::string>, KindCapacity> kinds;
+    const bool needUnknown = m_typicalNeed == Resources {} || !couldRunAnywhere(m_typicalNeed);
     for (const auto& entry : m_upstreams) {
         const OwnedUpstream& upstream = entry.second;
         KindCapacity& kind = kinds[{ upstream.info.service, upstream.info.kind }];
@@ -892,12 +908,11 @@
         if (!m_startsEnabled || !acceptsRuns(upstream, m_limits, now) || isKeptForOneTask(upstream))
             continue;
         // While the typical need is unknown, each upstream counts as capacity for one task.
-        const bool needUnknown = m_typicalNeed == Resources {};
         kind.freeTasks += needUnknown ? 1 : tasksThatFit(upstream.available(), m_typicalNeed);
         kind.totalTasks += needUnknown ? 1 : tasksThatFit(upstream.info.capacity, m_typicalNeed);
     }
     CapacityReport report;
-    report.typicalNeed = m_typicalNeed;
+    report.typicalNeed = needUnknown ? Resources {} : m_typicalNeed;
     for (auto& kind : kinds)
         report.kinds.push_back(kind.second);
     std::map<std::pair<std::string, int>, QueueBacklog> queues;
--- a/tests/unit/unit-upstream-owner.cpp
+++ b/tests/unit/unit-upstream-owner.cpp
@@ -915,3 +915,67 @@
         CHECK(fixture.owner.nextPoll("u1", fixture.now)->leaseEnd);
     }
 }
+
+// Guards against tasks that can run nowhere: one that needs an accelerator made every VM report no capacity, so that all jobs
+// were refused from then on.
+TEST_CASE("owner reports its capacity whatever tasks that it cannot run need")
+{
+    OwnerFixture fixture;
+    fixture.poll(fixture.reply());
+    const auto totalTasks = [&fixture] { return fixture.owner.capacityReport(fixture.now).kinds.at(0).totalTasks; };
+    RunRequest accelerated = requestFor("accelerated", 0, fixture.now + Seconds { 1 });
+    accelerated.need.accelerators = 1;
+    const RunRequest huge = requestFor("huge", 0, fixture.now + Seconds { 1 }, 27'000'000);
+
+    SECTION("requested before the first ordinary one")
+    {
+        for (const RunRequest& request : { accelerated, huge }) {
+            fixture.owner.request("x", request, fixture.now);
+            CHECK(totalTasks() > 0);
+        }
+        fixture.owner.request("x", requestFor("j", 0, fixture.now + Seconds { 1 }), fixture.now);
+        CHECK(totalTasks() == 2);
+    }
+
+    SECTION("requested after ordinary ones")
+    {
+        fixture.owner.request("x", requestFor("j", 0, fixture.now + Seconds { 1 }), fixture.now);
+        for (int number = 0; number < 100; ++number) {
+            fixture.owner.request("x", accelerated, fixture.now);
+            fixture.owner.request("x", huge, fixture.now);
+        }
+        CHECK(totalTasks() == 2);
+    }
+
+    SECTION("taken over from another VM's report")
+    {
+        fixture.owner.seedTypicalNeed(huge.need);
+        CHECK(totalTasks() > 0);
+        CHECK(fixture.owner.capacityReport(fixture.now).typicalNeed == Resources {});
+        fixture.owner.request("x", requestFor("j", 0, fixture.now + Seconds { 1 }), fixture.now);
+        CHECK(totalTasks() == 2);
+    }
+
+    SECTION("taken over from another VM's report, with accelerators")
+    {
+        fixture.owner.seedTypicalNeed(accelerated.need);
+        CHECK(totalTasks() == 2);
+    }
+}
+
+TEST_CASE("owner with accelerators on some upstreams reports the capacity of the others as well")
+{
+    OwnerFixture fixture;
+    UpstreamInfo accelerated = upstreamNamed("u2");
+    accelerated.capacity.accelerators = 4;
+    accelerated.kind = "b";
+    fixture.owner.acquire(accelerated, token, fixture.now);
+    fixture.poll(fixture.reply());
+    RunRequest request = requestFor("accelerated", 0, fixture.now + Seconds { 1 });
+    request.need.accelerators = 1;
+    fixture.owner.request("x", request, fixture.now);
+    const CapacityReport report = fixture.owner.capacityReport(fixture.now);
+    REQUIRE(report.kinds.size() == 2);
+    CHECK(report.kinds[0].kind == "a");
+    CHECK(report.kinds[0].totalTasks == 2);
+}
