Restore starts after a batch that fails; name the end of orphaned runs once

Reading the change: starts are disabled while a batch is handled, and an exception within it would have left them disabled for good. They are now restored in any case. The bound for runs of a lost or restarted executor stood twice.

--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -256,6 +256,8 @@
     void requireSync(OwnedUpstream& upstream, TimePoint now);
     /// Processes the claims that arrived before this VM owned the upstream.
     void processEarlyClaims(const UpstreamId& upstream, TimePoint now);
+    /// When the runs of an executor that was lost or has restarted must have ended.
+    TimePoint orphanedRunsEndBy(const VmId& executor, TimePoint now) const;
     OwnedUpstream* findUpstream(const UpstreamId& upstream);
     void enqueue(QueuedRun queuedRun);
     /// Removes all queued runs of an executor and returns them.
--- a/packages/decision/src/dispatcher.cpp
+++ b/packages/decision/src/dispatcher.cpp
@@ -13,6 +13,22 @@
         return executor;
     }
 
+    /// Disables the starts of an owner as long as it exists.
+    class StartsDisabled {
+    public:
+        explicit StartsDisabled(UpstreamOwner& owner)
+            : m_owner(owner)
+        {
+            m_owner.setStartsEnabled(false);
+        }
+        ~StartsDisabled() { m_owner.setStartsEnabled(true); }
+        StartsDisabled(const StartsDisabled&) = delete;
+        StartsDisabled& operator=(const StartsDisabled&) = delete;
+
+    private:
+        UpstreamOwner& m_owner;
+    };
+
     /// VMs that are members of both views with the same incarnation; none if views were skipped in between.
     std::set<VmId> stableMembers(const View& earlier, const View& later)
     {
@@ -193,14 +209,15 @@
     const bool maySendTasks = std::any_of(messages.begin(), messages.end(), [](const PeerMessage& message) { return message.ended || message.returned; });
     if (maySendTasks)
         updateOwnCapacity(now);
-    // A run that a later message of the batch withdraws must not be started: its job may be running elsewhere by now.
-    m_owner.setStartsEnabled(false);
-    for (const PeerMessage& message : messages) {
-        if (message.request)
-            ++peer.requestsReceived;
-        handle(vm, message, now);
+    {
+        // A run that a later message of the batch withdraws must not be started: its job may be running elsewhere by now.
+        const StartsDisabled startsDisabled(m_owner);
+        for (const PeerMessage& message : messages) {
+            if (message.request)
+                ++peer.requestsReceived;
+            handle(vm, message, now);
+        }
     }
-    m_owner.setStartsEnabled(true);
     m_owner.startQueuedRuns(now);
     deliverLocalMessages(now);
 }
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -308,13 +308,18 @@
     m_port.notify(executor, { {}, RunStarted { claim.run, claim.upstream, upstream->token }, {}, {}, {}, {} });
 }
 
+TimePoint UpstreamOwner::orphanedRunsEndBy(const VmId& executor, TimePoint now) const
+{
+    const auto lastContact = m_lastContact.find(executor);
+    return (lastContact == m_lastContact.end() ? now : lastContact->second) + m_limits.orphanedRunLimit;
+}
+
 void UpstreamOwner::onExecutorLost(const VmId& executor, TimePoint now)
 {
     // An executor that is still alive thereby learns the fate of each of its tasks.
     for (const TaskRun& run : dequeueRunsOf(executor))
         returnRun(executor, run, ReturnReason::Withdrawn);
-    const auto lastContact = m_lastContact.find(executor);
-    const TimePoint endBy = (lastContact == m_lastContact.end() ? now : lastContact->second) + m_limits.orphanedRunLimit;
+    const TimePoint endBy = orphanedRunsEndBy(executor, now);
     for (auto& entry : m_upstreams) {
         for (auto& run : entry.second.runs) {
             if (run.second.executor != executor)
@@ -328,8 +333,7 @@
 void UpstreamOwner::onExecutorRestarted(const VmId& executor, TimePoint now)
 {
     dequeueRunsOf(executor);
-    const auto lastContact = m_lastContact.find(executor);
-    const TimePoint endBy = (lastContact == m_lastContact.end() ? now : lastContact->second) + m_limits.orphanedRunLimit;
+    const TimePoint endBy = orphanedRunsEndBy(executor, now);
     for (auto& entry : m_upstreams) {
         for (auto& run : entry.second.runs) {
             if (run.second.executor != executor)
