--- a/tests/unit/unit-async-http.cpp
+++ b/tests/unit/unit-async-http.cpp
@@ -1,5 +1,6 @@
 #include <atomic>
 #include <future>
+#include <memory>
 #include <thread>
 
 #include <catch2/catch.hpp>
@@ -358,7 +359,7 @@
 
     SECTION("a client that leaves after it has sent its next request")
     {
-        auto connection = std::make_unique<RawConnection>(server.port());
+        std::unique_ptr<RawConnection> connection = std::make_unique<RawConnection>(server.port());
         connection->send(request);
         REQUIRE(waitFor([&handled] { return handled == 1; }));
         connection->send(request);
@@ -371,7 +372,7 @@
 
     SECTION("closeAbandonedConnections() reports a disconnection before it returns")
     {
-        auto connection = std::make_unique<RawConnection>(server.port());
+        std::unique_ptr<RawConnection> connection = std::make_unique<RawConnection>(server.port());
         connection->send(request);
         REQUIRE(waitFor([&handled] { return handled == 1; }));
         std::promise<int> reported;
