Bind every address before a VM tells others of itself; exit at once if the start fails

What operators saw: with the address for callers, probes or metrics taken by another process, a daemon joined the view, owned upstreams, was silent to its peers and still there after 8 s, with no line in its log.

Cause: services bound their addresses when they were started, those for callers after the VM had joined. The failed start was reported only after all services had been stopped; the watches of the store were not told to end, and a server that was bound already would have waited for an event loop that had ended. Ruled out: the store's reads alone; they end after 2 s and began anew.

Change: services prepare before any is started, the error is logged first (event 1009), the kernel stops whatever it has prepared, and a watchdog exits the process after 0.8 s. The daemon of docs/CALLER.md binds its addresses first as well.

--- a/packages/base/include/egrettrestle/base/event.hpp
+++ b/packages/base/include/egrettrestle/base/event.hpp
@@ -33,6 +33,7 @@
     inline constexpr Event unexpectedError { 1006, Severity::Error, "unexpected-error", "Handling one network event or timer failed with an unexpected error; the daemon goes on." };
     inline constexpr Event connectionsRejected { 1007, Severity::Warning, "connections-rejected", "Connections were turned away because the limit of open connections was reached." };
     inline constexpr Event processResumed { 1008, Severity::Warning, "process-resumed", "The process stood still for longer than it should; starts wait until it is known which callers have left meanwhile." };
+    inline constexpr Event startFailed { 1009, Severity::Error, "start-failed", "The process cannot start, for the cause named, and exits." };
     inline constexpr Event badRequest { 2001, Severity::Info, "bad-request", "A request is malformed; the reply names the invalid field." };
     inline constexpr Event unknownKind { 2002, Severity::Info, "unknown-kind", "A job names a service or kind that the manifest does not define." };
     inline constexpr Event jobTooLarge { 2003, Severity::Info, "job-too-large", "A job has too many tasks, or a task exceeds the size limit of its kind." };
--- a/packages/base/src/event.cpp
+++ b/packages/base/src/event.cpp
@@ -32,6 +32,7 @@
         events::unexpectedError,
         events::connectionsRejected,
         events::processResumed,
+        events::startFailed,
         events::badRequest,
         events::unknownKind,
         events::jobTooLarge,
--- a/packages/fleet/include/egrettrestle/fleet/caller_server.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/caller_server.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <vector>
 
 #include <egrettrestle/fleet/fleet_context.hpp>
 #include <egrettrestle/http/async_server.hpp>
@@ -14,7 +15,8 @@
     ~CallerServer() override;
 
     std::string name() const override { return fleetServices::callerServer; }
-    /// Starts all servers. Unavailable if one of their addresses cannot be bound.
+    /// Binds the addresses of all servers. Unavailable if one of them cannot be bound.
+    absl::Status prepare() override;
     absl::Status start() override;
     void prepareStop() override;
     void stop() override;
@@ -28,6 +30,8 @@
     void handleRequest(const std::shared_ptr<HttpExchange>& exchange);
     /// Submits a job; its outcome is the reply, unless the caller disconnects before.
     void handleSubmission(const std::shared_ptr<HttpExchange>& exchange, const CallerRequest& call);
+    /// The servers that are in use.
+    std::vector<AsyncHttpServer*> servers() const;
     HttpResponse handleReadinessProbe(const HttpRequest& request) const;
     bool isReady() const;
     void reportRejectedConnections();
--- a/packages/fleet/include/egrettrestle/fleet/fleet_daemon.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/fleet_daemon.hpp
@@ -14,8 +14,9 @@
 /// Creates the adapters to the platform, which use the event loop.
 using PlatformAdapterFactory = std::function<PlatformAdapters(const FleetSettings&, EventLoop&)>;
 
-/// Runs one VM of a fleet until `stop` is set, then finishes its jobs and stops. An error if a service cannot start. If the
-/// services do not stop within the grace period, the process exits from here with EXIT_SUCCESS.
+/// Runs one VM of a fleet until `stop` is set, then finishes its jobs and stops. An error if a service cannot start;
+/// then the VM has left the view, and if the services do not stop within 0.8 s, the process exits from here with
+/// EXIT_FAILURE. If they do not stop within the grace period after `stop` is set, it exits with EXIT_SUCCESS.
 absl::Status runFleetDaemon(const FleetSettings& settings, const PlatformAdapterFactory& makeAdapters, const std::atomic<bool>& stop);
 
 } // namespace egrettrestle
--- a/packages/fleet/include/egrettrestle/fleet/peer_links.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/peer_links.hpp
@@ -35,6 +35,7 @@
 
     std::string name() const override { return fleetServices::peerLinks; }
     /// Starts to listen for batches. Unavailable if the peer address cannot be bound.
+    absl::Status prepare() override;
     absl::Status start() override;
     void prepareStop() override;
     void stop() override;
--- a/packages/fleet/src/caller_server.cpp
+++ b/packages/fleet/src/caller_server.cpp
@@ -30,7 +30,7 @@
     stop();
 }
 
-absl::Status CallerServer::start()
+absl::Status CallerServer::prepare()
 {
     AsyncHttpServerLimits limits;
     limits.maxBodyBytes = maxRequestBodyBytes;
@@ -39,40 +39,55 @@
     // Jobs taken while draining end by the reply deadline; the daemon limits the whole time of stopping.
     limits.stopTimeout = m_context.settings.gracePeriod;
     m_callerServer = std::make_unique<AsyncHttpServer>(m_context.loop, m_context.settings.callerAddress, limits, [this](const std::shared_ptr<HttpExchange>& exchange) { handleRequest(exchange); });
-    absl::Status status = m_callerServer->start();
-    if (!status.ok())
-        return status;
-    m_context.loop.runEvery(rejectionReportInterval, [this] { reportRejectedConnections(); });
     limits.maxConnections = maxProbeConnections;
     m_readinessServer = std::make_unique<AsyncHttpServer>(m_context.loop, m_context.settings.readinessAddress, limits, [this](const std::shared_ptr<HttpExchange>& exchange) { exchange->reply(handleReadinessProbe(exchange->request())); });
-    status = m_readinessServer->start();
-    if (!status.ok() || m_context.settings.metricsAddress.empty())
-        return status;
-    m_metricsServer = std::make_unique<AsyncHttpServer>(m_context.loop, m_context.settings.metricsAddress, limits, [this](const std::shared_ptr<HttpExchange>& exchange) {
-        HttpResponse response;
-        response.contentType = "text/plain";
-        response.body = m_context.metrics.render();
-        exchange->reply(std::move(response));
-    });
-    return m_metricsServer->start();
+    if (!m_context.settings.metricsAddress.empty()) {
+        m_metricsServer = std::make_unique<AsyncHttpServer>(m_context.loop, m_context.settings.metricsAddress, limits, [this](const std::shared_ptr<HttpExchange>& exchange) {
+            HttpResponse response;
+            response.contentType = "text/plain";
+            response.body = m_context.metrics.render();
+            exchange->reply(std::move(response));
+        });
+    }
+    for (AsyncHttpServer* server : servers()) {
+        absl::Status status = server->bind();
+        if (!status.ok())
+            return status;
+    }
+    return absl::OkStatus();
 }
 
-void CallerServer::prepareStop()
+absl::Status CallerServer::start()
 {
+    for (AsyncHttpServer* server : servers()) {
+        absl::Status status = server->start();
+        if (!status.ok())
+            return status;
+    }
+    m_context.loop.runEvery(rejectionReportInterval, [this] { reportRejectedConnections(); });
+    return absl::OkStatus();
+}
+
+std::vector<AsyncHttpServer*> CallerServer::servers() const
+{
+    std::vector<AsyncHttpServer*> servers;
     for (AsyncHttpServer* server : { m_callerServer.get(), m_readinessServer.get(), m_metricsServer.get() }) {
         if (server)
-            server->prepareStop();
+            servers.push_back(server);
     }
+    return servers;
+}
+
+void CallerServer::prepareStop()
+{
+    for (AsyncHttpServer* server : servers())
+        server->prepareStop();
 }
 
 void CallerServer::stop()
 {
-    if (m_callerServer)
-        m_callerServer->stop();
-    if (m_readinessServer)
-        m_readinessServer->stop();
-    if (m_metricsServer)
-        m_metricsServer->stop();
+    for (AsyncHttpServer* server : servers())
+        server->stop();
 }
 
 void CallerServer::closeAbandonedConnections()
--- a/packages/fleet/src/fleet_daemon.cpp
+++ b/packages/fleet/src/fleet_daemon.cpp
@@ -28,6 +28,8 @@
     constexpr Milliseconds exitMargin { 250 };
     // Time for the log's writer to write the last line.
     constexpr Milliseconds logFlushTime { 50 };
+    // A process that cannot start exits by then, even if a service waits for the store.
+    constexpr Milliseconds failedStartTimeout { 800 };
 
     std::uint64_t newProcessIncarnation()
     {
@@ -45,12 +47,12 @@
             context.background.runFor(stopPollInterval);
     }
 
-    /// Watchdog for the shutdown: exits the process at `end` and logs the service that has not stopped, unless it is
-    /// destroyed before.
+    /// Watchdog for the shutdown: exits the process at `end` with `exitCode` and logs the service that has not stopped,
+    /// unless it is destroyed before.
     class ExitWatchdog {
     public:
-        ExitWatchdog(TimePoint end, const Kernel& kernel, EventLog& log)
-            : m_thread([this, end, &kernel, &log] { wait(end, kernel, log); })
+        ExitWatchdog(TimePoint end, int exitCode, const Kernel& kernel, EventLog& log)
+            : m_thread([this, end, exitCode, &kernel, &log] { wait(end, exitCode, kernel, log); })
         {
         }
 
@@ -65,14 +67,14 @@
         }
 
     private:
-        void wait(TimePoint end, const Kernel& kernel, EventLog& log)
+        void wait(TimePoint end, int exitCode, const Kernel& kernel, EventLog& log)
         {
             std::unique_lock<std::mutex> lock(m_mutex);
             if (m_wake.wait_for(lock, end - logFlushTime - bootTimeNow(), [this] { return m_stopped; }))
                 return;
             log.write(events::stopCutShort, { { "service", kernel.stoppingService() } });
             std::this_thread::sleep_for(logFlushTime);
-            std::_Exit(EXIT_SUCCESS);
+            std::_Exit(exitCode);
         }
 
         std::mutex m_mutex;
@@ -135,12 +137,19 @@
     // Functions that the loop has not run yet refer to the services: it ends before they are destroyed.
     const LoopStopper loopStopper(loop);
     const absl::Status started = kernel.start();
-    if (!started.ok())
+    if (!started.ok()) {
+        log.write(events::startFailed, { { "cause", std::string(started.message()) } });
+        const ExitWatchdog exitWatchdog(bootTimeNow() + failedStartTimeout, EXIT_FAILURE, kernel, log);
+        // Ends the watches of the store.
+        context.draining = true;
+        kernel.find<FleetMembership>(fleetServices::membership).leave();
+        kernel.stop();
         return started;
+    }
     log.write(events::started, { { "dataCentre", settings.dataCentre }, { "caller", settings.callerAddress }, { "peer", settings.peerAddress }, { "life", static_cast<std::int64_t>(context.processIncarnation) } });
     while (!stop)
         background.runFor(stopPollInterval);
-    const ExitWatchdog exitWatchdog(bootTimeNow() + settings.gracePeriod - exitMargin, kernel, log);
+    const ExitWatchdog exitWatchdog(bootTimeNow() + settings.gracePeriod - exitMargin, EXIT_SUCCESS, kernel, log);
     drainJobs(context);
     kernel.stop();
     log.write(events::stopped, {});
--- a/packages/fleet/src/peer_links.cpp
+++ b/packages/fleet/src/peer_links.cpp
@@ -74,6 +74,11 @@
 
 PeerLinks::~PeerLinks() = default;
 
+absl::Status PeerLinks::prepare()
+{
+    return m_server->bind();
+}
+
 absl::Status PeerLinks::start()
 {
     return m_server->start();
--- a/packages/http/include/egrettrestle/http/async_server.hpp
+++ b/packages/http/include/egrettrestle/http/async_server.hpp
@@ -53,7 +53,10 @@
     AsyncHttpServer(EventLoop& loop, std::string address, AsyncHttpServerLimits limits, Handler handler);
     ~AsyncHttpServer();
 
-    /// Binds the address and accepts connections. Returns Unavailable if the address cannot be bound.
+    /// Listens on the address without accepting connections yet. Returns Unavailable if the address cannot be bound.
+    absl::Status bind();
+
+    /// Accepts connections. Binds the address if bind() has not; returns Unavailable if that fails.
     absl::Status start();
 
     /// Checks at once which clients have left while their request is being handled, and reports their disconnection. To be
--- a/packages/http/include/egrettrestle/http/server.hpp
+++ b/packages/http/include/egrettrestle/http/server.hpp
@@ -45,7 +45,10 @@
     HttpServer(std::string address, HttpServerLimits limits, HttpHandler handler, HttpErrorHandler errorHandler = {});
     ~HttpServer();
 
-    /// Binds the address and accepts connections. Returns Unavailable if the address cannot be bound.
+    /// Listens on the address without accepting connections yet. Returns Unavailable if the address cannot be bound.
+    absl::Status bind();
+
+    /// Accepts connections. Binds the address if bind() has not; returns Unavailable if that fails.
     absl::Status start();
 
     /// Ends keep-alive: from now on idle connections are closed and each reply ends its connection, so that clients
--- a/packages/http/src/async_server.cpp
+++ b/packages/http/src/async_server.cpp
@@ -561,7 +561,7 @@
     stop();
 }
 
-absl::Status AsyncHttpServer::start()
+absl::Status AsyncHttpServer::bind()
 {
     const std::optional<tcp::endpoint> endpoint = detail::parseEndpoint(m_state->address);
     if (!endpoint)
@@ -577,6 +577,16 @@
     if (error)
         return makeStatus(absl::StatusCode::kUnavailable, { cannotListen, m_state->address, error.message(), "an address that can be bound" });
     m_state->boundPort = m_state->acceptor.local_endpoint().port();
+    return absl::OkStatus();
+}
+
+absl::Status AsyncHttpServer::start()
+{
+    if (m_state->boundPort == 0) {
+        const absl::Status status = bind();
+        if (!status.ok())
+            return status;
+    }
     m_state->loop.post([state = m_state] { state->accept(state); });
     return absl::OkStatus();
 }
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -24,6 +24,11 @@
     constexpr int listenBacklog = 512;
     constexpr int cannotListen = 901;
 
+    absl::Status cannotListenStatus(const std::string& address, const Poco::Exception& error)
+    {
+        return makeStatus(absl::StatusCode::kUnavailable, { cannotListen, address, error.displayText(), "an address that can be bound" });
+    }
+
     Poco::Timespan timespan(Duration duration)
     {
         return Poco::Timespan(std::chrono::duration_cast<std::chrono::microseconds>(duration).count());
@@ -236,14 +241,29 @@
     stop();
 }
 
-absl::Status HttpServer::start()
+absl::Status HttpServer::bind()
 {
-    const int connections = m_state->shared->limits.maxConnections;
     try {
         m_state->socket = std::make_unique<Poco::Net::ServerSocket>();
         // Without SO_REUSEPORT, which POCO sets by default: only one process may listen on a port.
         m_state->socket->bind(Poco::Net::SocketAddress(m_state->address), true, false);
         m_state->socket->listen(listenBacklog);
+    } catch (const Poco::Exception& error) {
+        m_state->socket.reset();
+        return cannotListenStatus(m_state->address, error);
+    }
+    return absl::OkStatus();
+}
+
+absl::Status HttpServer::start()
+{
+    if (!m_state->socket) {
+        absl::Status status = bind();
+        if (!status.ok())
+            return status;
+    }
+    const int connections = m_state->shared->limits.maxConnections;
+    try {
         constexpr int minThreads = 2;
         m_state->threads = std::make_unique<Poco::ThreadPool>(minThreads, connections + minThreads);
         Poco::Net::TCPServerParams::Ptr params = new Poco::Net::TCPServerParams;
@@ -252,7 +272,7 @@
         m_state->server = std::make_unique<Poco::Net::TCPServer>(new ConnectionFactory(m_state->shared), *m_state->threads, *m_state->socket, params);
         m_state->server->start();
     } catch (const Poco::Exception& error) {
-        return makeStatus(absl::StatusCode::kUnavailable, { cannotListen, m_state->address, error.displayText(), "an address that can be bound" });
+        return cannotListenStatus(m_state->address, error);
     }
     return absl::OkStatus();
 }
--- a/packages/kernel/include/egrettrestle/kernel/kernel.hpp
+++ b/packages/kernel/include/egrettrestle/kernel/kernel.hpp
@@ -19,7 +19,12 @@
     /// The name, unique within a kernel.
     virtual std::string name() const = 0;
 
-    /// Starts the service. All services added earlier have been started. An error aborts the start of the daemon.
+    /// Acquires what the start depends on and may be missing, such as addresses to listen on, without an effect on other
+    /// processes. Called for all services before any is started. An error aborts the start of the daemon.
+    virtual absl::Status prepare() { return absl::OkStatus(); }
+
+    /// Starts the service. All services have been prepared, and those added earlier have been started. An error aborts the
+    /// start of the daemon.
     virtual absl::Status start() = 0;
 
     /// Notifies the service that it will be stopped, so that it ends blocking waits early. Called for all services
@@ -27,7 +32,7 @@
     virtual void prepareStop() { }
 
     /// Stops the service: accepts no new requests and completes those in flight. All services added later have been
-    /// stopped.
+    /// stopped. Also called if prepare() or start() failed or start() was not called.
     virtual void stop() = 0;
 };
 
@@ -38,9 +43,9 @@
     /// @{
     /// Adds a service. A name that is already taken is a programming error: it terminates the process with a message.
     void add(std::unique_ptr<KernelService> service);
-    /// Starts all services. If one fails, stops those already started and returns its error.
+    /// Prepares all services, then starts them. If one fails, returns its error; stop() then stops the others.
     absl::Status start();
-    /// Calls prepareStop() on all started services, then stop() on each.
+    /// Calls prepareStop() on all services that have been prepared or started, then stop() on each.
     void stop();
     /// @}
     /// @name lookup
@@ -69,8 +74,8 @@
 
     std::vector<std::unique_ptr<KernelService>> m_services;
     std::map<std::string, KernelService*> m_servicesByName;
-    /// Number of started services. Atomic, as stoppingService() may read it from another thread.
-    std::atomic<std::size_t> m_startedCount { 0 };
+    /// Number of services to stop: the first ones. Atomic, as stoppingService() may read it from another thread.
+    std::atomic<std::size_t> m_activeCount { 0 };
 };
 
 } // namespace egrettrestle
--- a/packages/services/include/egrettrestle/services/ports.hpp
+++ b/packages/services/include/egrettrestle/services/ports.hpp
@@ -15,6 +15,7 @@
 public:
     PortService(ServiceContext& context, const std::string& address, HttpServerLimits limits);
 
+    absl::Status prepare() override { return m_server.bind(); }
     absl::Status start() override { return m_server.start(); }
     void stop() override { m_server.stop(); }
 
--- a/packages/services/src/daemon.cpp
+++ b/packages/services/src/daemon.cpp
@@ -71,8 +71,10 @@
     addServices(context);
     connectListeners(kernel);
     const absl::Status started = kernel.start();
-    if (!started.ok())
+    if (!started.ok()) {
+        kernel.stop();
         return started;
+    }
     logEvent(events::started, "id=" + settings.id + " data_centre=" + settings.dataCentre + " caller=" + settings.callerAddress + " peer=" + settings.peerAddress + " admin=" + settings.adminAddress);
     while (!stop)
         std::this_thread::sleep_for(stopPollInterval);
