Start no task for a caller whose time is over, and count that time from its request

A caller keeps its connection until it submits its job again; a VM that stood still over the caller's deadline handles what arrived meanwhile before its timers, so a task that came back then was started anew for nobody. A job that waited for the stops of its earlier submission got its whole time from the end of that wait.

Cause: only tick() looked at the deadline, a resubmission kept no time, and end() counted from the moment of noticing.

Change: nothing is sent after the deadline; a resubmission's wait is taken off; runs end by a time that counts from the caller's deadline if that has passed.

--- a/packages/decision/include/egrettrestle/decision/job_executor.hpp
+++ b/packages/decision/include/egrettrestle/decision/job_executor.hpp
@@ -267,6 +267,13 @@
     /// Whether the task has been sent to an owner that has not reported its end.
     static bool isOutstanding(const Task& task) { return task.state == TaskState::Sent || task.state == TaskState::Running || task.state == TaskState::Withdrawn; }
 
+    /// A job that a caller submitted while its earlier submission was being stopped.
+    struct Resubmission {
+        CallerTicket ticket = 0;
+        DispatchJob request;
+        TimePoint receivedAt;
+    };
+
     struct Job {
         DispatchJob request;
         Route route;
@@ -284,8 +291,8 @@
         std::size_t resent = 0;
         JobResult finalReply;
         bool replied = false;
-        /// Callers that submitted the job again while it was being stopped.
-        std::vector<std::pair<CallerTicket, DispatchJob>> resubmissions;
+        /// They are executed once the job has been stopped.
+        std::vector<Resubmission> resubmissions;
     };
 
     struct EndedJob {
--- a/packages/decision/src/job_executor.cpp
+++ b/packages/decision/src/job_executor.cpp
@@ -39,11 +39,15 @@
     if (existing != m_jobs.end()) {
         m_jobByTicket[ticket] = request.id;
         if (existing->second.ending)
-            existing->second.resubmissions.emplace_back(ticket, request);
+            existing->second.resubmissions.push_back({ ticket, request, now });
         else
             existing->second.callers.push_back(ticket);
         return;
     }
+    if (request.callerTimeout <= m_limits.replyMargin) {
+        refuse(ticket, request, route, "deadline");
+        return;
+    }
     const TaskCrashes crashes = m_crashes.mostCrashesOf(request.id);
     const Forecast expected = forecast(request, route);
     if (!isConclusive(crashes.confirmed) && !m_warmingUp && !meetsObjective(expected, request, route)) {
@@ -160,7 +164,8 @@
 
 void JobExecutor::sendUnsent(Job& job, TimePoint now)
 {
-    if (m_callersUncheckedSince)
+    // After the deadline tick() ends the job; it may come late.
+    if (m_callersUncheckedSince || now >= job.deadline)
         return;
     // Fills one owner before picking the next, since the tasks sent to one owner share messages.
     std::optional<VmId> owner;
@@ -230,7 +235,7 @@
         return;
     Job& job = entry->second;
     job.callers.erase(std::remove(job.callers.begin(), job.callers.end(), ticket), job.callers.end());
-    job.resubmissions.erase(std::remove_if(job.resubmissions.begin(), job.resubmissions.end(), [ticket](const auto& resubmission) { return resubmission.first == ticket; }), job.resubmissions.end());
+    job.resubmissions.erase(std::remove_if(job.resubmissions.begin(), job.resubmissions.end(), [ticket](const Resubmission& resubmission) { return resubmission.ticket == ticket; }), job.resubmissions.end());
     if (!job.callers.empty() || job.ending)
         return;
     recordJobEvent(JobEvent::Kind::CallerDisconnected, job, "connection-closed", now);
@@ -254,9 +259,9 @@
     for (auto& entry : m_jobs) {
         Job& job = entry.second;
         ids.push_back(entry.first);
-        for (const auto& resubmission : job.resubmissions) {
-            m_jobByTicket.erase(resubmission.first);
-            m_port.reply(resubmission.first, { JobOutcome::GaveUp, Milliseconds { 0 }, "vm-ending" });
+        for (const Resubmission& resubmission : job.resubmissions) {
+            m_jobByTicket.erase(resubmission.ticket);
+            m_port.reply(resubmission.ticket, { JobOutcome::GaveUp, Milliseconds { 0 }, "vm-ending" });
         }
         job.resubmissions.clear();
         if (!job.ending)
@@ -461,7 +466,9 @@
 void JobExecutor::end(Job& job, JobOutcome outcome, const std::string& reason, TimePoint now)
 {
     job.ending = true;
-    job.runsEndBy = m_callersUncheckedSince.value_or(now) + m_limits.withdrawnRunLimit;
+    // A caller without an answer leaves when its time is over, whenever that is noticed here.
+    const TimePoint callersLeftBy = job.deadline + m_limits.replyMargin;
+    job.runsEndBy = std::min(m_callersUncheckedSince.value_or(now), callersLeftBy) + m_limits.withdrawnRunLimit;
     job.finalReply = { outcome, outcome == JobOutcome::Refused ? m_limits.minRetryAfter : Milliseconds { 0 }, reason };
     for (Task& task : job.tasks) {
         // An owner leaves a run alone that had started before it was to be moved.
@@ -503,13 +510,15 @@
     if (job.finalReply.outcome == JobOutcome::Refused && job.anyStarted)
         job.finalReply = { JobOutcome::GaveUp, Milliseconds { 0 }, job.finalReply.reason };
     reply(job, job.finalReply, now);
-    const std::vector<std::pair<CallerTicket, DispatchJob>> resubmissions = std::move(job.resubmissions);
+    std::vector<Resubmission> resubmissions = std::move(job.resubmissions);
     const Route route = job.route;
     rememberRunNumbers(job, now);
     m_jobs.erase(entry);
-    for (const auto& resubmission : resubmissions) {
-        m_jobByTicket.erase(resubmission.first);
-        submit(resubmission.first, resubmission.second, route, now);
+    for (Resubmission& resubmission : resubmissions) {
+        m_jobByTicket.erase(resubmission.ticket);
+        // Its caller has been waiting since then.
+        resubmission.request.callerTimeout -= toMilliseconds(now - resubmission.receivedAt);
+        submit(resubmission.ticket, resubmission.request, route, now);
     }
 }
 
--- a/tests/unit/unit-job-executor.cpp
+++ b/tests/unit/unit-job-executor.cpp
@@ -683,3 +683,89 @@
     fixture.submit(jobOf("j", 2));
     CHECK(fixture.request(0).run.number == 1);
 }
+
+// A VM that stood still handles what arrived meanwhile before its timers: a task that comes back then was started anew for a
+// caller whose time was over, beside the same task at the VM that has the job by now.
+TEST_CASE("executor starts no task for a caller whose time for an answer is over")
+{
+    ExecutorFixture fixture;
+    DispatchJob job = jobOf("j", 2);
+    job.callerTimeout = Milliseconds { 1'500 };
+
+    SECTION("neither one that an owner returns")
+    {
+        fixture.submit(job);
+        REQUIRE(fixture.port.sent.size() == 2);
+        fixture.now += job.callerTimeout;
+        fixture.executor.onReturned(fixture.port.sent[0].vm, { fixture.request(0).run, ReturnReason::Lost }, fixture.now);
+        CHECK(fixture.port.sent.size() == 2);
+    }
+
+    SECTION("nor one that has failed")
+    {
+        fixture.submit(job);
+        fixture.now += job.callerTimeout;
+        fixture.executor.onEnded(fixture.port.sent[0].vm, { fixture.request(0).run, "u", RunOutcome::Failed, {}, "a" }, fixture.now);
+        CHECK(fixture.port.sent.size() == 2);
+    }
+
+    SECTION("nor one of a job that is submitted too late")
+    {
+        job.callerTimeout = Milliseconds { 0 };
+        fixture.submit(job);
+        CHECK(fixture.port.sent.empty());
+        REQUIRE(fixture.port.replies.size() == 1);
+        CHECK(fixture.port.replies[0].reply.outcome == JobOutcome::Refused);
+    }
+}
+
+// The time of a caller that submits a job which is being stopped begins with its request, not with the end of the stops.
+TEST_CASE("executor counts the time for which a job that is submitted again waits for its earlier runs")
+{
+    ExecutorFixture fixture;
+    DispatchJob job = jobOf("j", 1);
+    job.callerTimeout = Milliseconds { 1'500 };
+    fixture.submit(job, 1);
+    REQUIRE(fixture.port.sent.size() == 1);
+    const TaskRun first = fixture.request(0).run;
+    const VmId owner = fixture.port.sent[0].vm;
+    fixture.executor.onCallerDisconnected(1, fixture.now);
+    fixture.submit(job, 2);
+    const TimePoint callersTimeEnds = fixture.now + job.callerTimeout;
+
+    SECTION("a job with time left ends by its caller's deadline")
+    {
+        fixture.now += Milliseconds { 1'000 };
+        fixture.executor.onReturned(owner, { first, ReturnReason::Withdrawn }, fixture.now);
+        REQUIRE(fixture.port.sent.size() == 3);
+        CHECK(fixture.request(2).latestStart <= callersTimeEnds);
+        fixture.now = callersTimeEnds;
+        fixture.executor.tick(fixture.now);
+        REQUIRE(fixture.port.sent.size() == 4);
+        CHECK(fixture.port.sent[3].message.withdrawal);
+    }
+
+    SECTION("a job whose caller's time is over is refused")
+    {
+        fixture.now = callersTimeEnds;
+        fixture.executor.onReturned(owner, { first, ReturnReason::Withdrawn }, fixture.now);
+        CHECK(fixture.port.sent.size() == 2);
+        REQUIRE(fixture.port.replies.size() == 1);
+        CHECK(fixture.port.replies[0].reply.outcome == JobOutcome::Refused);
+    }
+}
+
+// A deadline that passes while the VM stands still is noticed late; its caller may have kept its connection until then.
+TEST_CASE("executor counts the end of a job's runs from its caller's deadline, however late that is noticed")
+{
+    ExecutorFixture fixture;
+    DispatchJob job = jobOf("j", 1);
+    job.callerTimeout = Milliseconds { 1'500 };
+    fixture.submit(job);
+    const TimePoint callersTimeEnds = fixture.now + job.callerTimeout;
+    fixture.now = callersTimeEnds + Seconds { 2 };
+    fixture.executor.tick(fixture.now);
+    REQUIRE(fixture.port.sent.size() == 2);
+    REQUIRE(fixture.port.sent[1].message.withdrawal);
+    CHECK(fixture.port.sent[1].message.withdrawal->endBy == callersTimeEnds + fixture.limits.withdrawnRunLimit);
+}
