Count a request from its arrival, whatever stalls kept it from being read

Cause: PauseGuard took the time between two activities of the process for all that can keep a request waiting. After a stall of 225 ms, too short for a pause, a request that had waited for 2.4 s counted as new. Activity of any thread counted, also while the event loop had not got to its input. Ruled out: the deadline itself, which was kept from the wrong moment.

Change: markers go through the event loop every 20 ms; once one is through, all input that had arrived when it was sent has been passed on, so a request that is read now arrived later. Each request carries that time. All waiting connections are accepted at once, as the marker needs.

--- a/packages/decision/include/egrettrestle/decision/dispatcher.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatcher.hpp
@@ -31,6 +31,8 @@
     Milliseconds maxWarmUp { 1'500 };
     /// A VM without contact or without accepting messages for this long gets no new tasks.
     Milliseconds peerTimeout { 350 };
+    /// A request that may have waited for longer was read late. Less is usual on a VM with little processor time.
+    Milliseconds usualInputDelay { 100 };
     ContactLimits contacts;
     PauseLimits pause;
 };
@@ -90,9 +92,10 @@
     /// See PauseGuard.
     /// @{
 
-    /// Records that the process is running; to be called before any other function, with the same time. Returns true if it has
-    /// just resumed after a pause. Then no run of a caller of this VM is started until onCallersChecked() is called.
-    bool onActivity(TimePoint now);
+    /// Records that the process is running; to be called before any other function, with the same time. All input that had
+    /// arrived by `inputHandledUntil` has been handled. Returns true if there was a pause. Then no run of a caller of this VM
+    /// is started until onCallersChecked() is called.
+    bool onActivity(TimePoint now, TimePoint inputHandledUntil);
 
     /// Records that onCallerDisconnected() was called for all callers that left during a pause.
     void onCallersChecked(TimePoint now);
@@ -104,9 +107,9 @@
     /// @name callers
     /// @{
 
-    /// Submits a job; see JobExecutor::submit(). If the request may have arrived during a pause, that much less time is left
-    /// for it, and it is refused if its caller may have left.
-    void submit(CallerTicket ticket, const DispatchJob& submitted, const Route& route, TimePoint now);
+    /// Submits a job; see JobExecutor::submit(). The request had not arrived by `arrivedAfter`; it may have been waiting since
+    /// then, so that much less time is left for it. It is refused if it was read late and cannot be done in the time left.
+    void submit(CallerTicket ticket, const DispatchJob& submitted, const Route& route, TimePoint arrivedAfter, TimePoint now);
 
     /// Handles the disconnection of a caller. A job without any waiting caller is stopped.
     void onCallerDisconnected(CallerTicket ticket, TimePoint now);
--- a/packages/decision/src/dispatcher.cpp
+++ b/packages/decision/src/dispatcher.cpp
@@ -144,9 +144,9 @@
         m_port.onOwnedUpstreamsChanged();
 }
 
-bool Dispatcher::onActivity(TimePoint now)
+bool Dispatcher::onActivity(TimePoint now, TimePoint inputHandledUntil)
 {
-    const bool resumed = m_pauseGuard.onActivity(now);
+    const bool resumed = m_pauseGuard.onActivity(now, inputHandledUntil);
     if (resumed) {
         m_executor.setCallersUncheckedSince(m_pauseGuard.uncheckedSince());
         m_owner.setOwnStartsEnabled(false);
@@ -156,18 +156,18 @@
 
 void Dispatcher::onCallersChecked(TimePoint now)
 {
-    m_pauseGuard.onCallersChecked();
+    m_pauseGuard.onCallersChecked(now);
     m_executor.setCallersUncheckedSince({});
     m_owner.setOwnStartsEnabled(true);
     tick(now);
 }
 
-void Dispatcher::submit(CallerTicket ticket, const DispatchJob& submitted, const Route& route, TimePoint now)
+void Dispatcher::submit(CallerTicket ticket, const DispatchJob& submitted, const Route& route, TimePoint arrivedAfter, TimePoint now)
 {
     DispatchJob request = submitted;
-    const Milliseconds age = m_pauseGuard.onInput(now);
+    const Milliseconds age = m_pauseGuard.onInput(now, arrivedAfter);
     request.callerTimeout -= age;
-    if (age.count() > 0 && !m_executor.contains(request.id) && request.callerTimeout < m_executor.expectedRunTime(request, route)) {
+    if (age > m_limits.usualInputDelay && !m_executor.contains(request.id) && request.callerTimeout < m_executor.expectedRunTime(request, route)) {
         m_executor.refuse(ticket, request, route, "read-late");
         return;
     }
--- a/packages/fleet/include/egrettrestle/fleet/dispatch_service.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/dispatch_service.hpp
@@ -31,9 +31,9 @@
 
     /// Receives the reply to a caller's job. Called with the dispatcher's lock held, so it must not use this object.
     using ReplyCallback = std::function<void(const JobResult&)>;
-    /// Submits a caller's job. `onReply` is called once, perhaps within this call. Returns the number for
-    /// onCallerDisconnected().
-    CallerTicket submit(const DispatchJob& request, const Route& route, ReplyCallback onReply);
+    /// Submits a caller's job, whose request had not arrived by `arrivedAfter`. `onReply` is called once, perhaps within this
+    /// call. Returns the number for onCallerDisconnected().
+    CallerTicket submit(const DispatchJob& request, const Route& route, TimePoint arrivedAfter, ReplyCallback onReply);
     /// A caller has disconnected: its callback is no longer called, and its job is given up if no other caller waits for it.
     void onCallerDisconnected(CallerTicket ticket);
 
--- a/packages/fleet/src/caller_server.cpp
+++ b/packages/fleet/src/caller_server.cpp
@@ -167,7 +167,7 @@
         }
         job.callerTimeout = std::min(job.callerTimeout, left);
     }
-    const CallerTicket ticket = dispatch.submit(job, call.route, [this, exchange](const JobResult& result) { exchange->reply(m_context.platform.callers->write(result)); });
+    const CallerTicket ticket = dispatch.submit(job, call.route, exchange->arrivedAfter(), [this, exchange](const JobResult& result) { exchange->reply(m_context.platform.callers->write(result)); });
     exchange->onDisconnect([&dispatch, ticket] { dispatch.onCallerDisconnected(ticket); });
 }
 
--- a/packages/fleet/src/dispatch_service.cpp
+++ b/packages/fleet/src/dispatch_service.cpp
@@ -114,8 +114,9 @@
 TimePoint DispatchService::beginActivity()
 {
     const TimePoint now = bootTimeNow();
-    if (m_dispatcher.onActivity(now)) {
-        m_context.log.write(events::processResumed, { { "pausedMs", toMilliseconds(now - m_lastActivity).count() }, { "jobs", static_cast<std::int64_t>(m_dispatcher.jobs()) } });
+    const TimePoint inputHandledUntil = m_context.loop.inputHandledUntil();
+    if (m_dispatcher.onActivity(now, inputHandledUntil)) {
+        m_context.log.write(events::processResumed, { { "pausedMs", toMilliseconds(now - m_lastActivity).count() }, { "inputAgeMs", toMilliseconds(now - inputHandledUntil).count() }, { "jobs", static_cast<std::int64_t>(m_dispatcher.jobs()) } });
         m_context.loop.post([this] { checkCallers(); });
     }
     m_lastActivity = now;
@@ -129,12 +130,12 @@
     withDispatcher([](Dispatcher& dispatcher, TimePoint now) { dispatcher.onCallersChecked(now); });
 }
 
-CallerTicket DispatchService::submit(const DispatchJob& request, const Route& route, ReplyCallback onReply)
+CallerTicket DispatchService::submit(const DispatchJob& request, const Route& route, TimePoint arrivedAfter, ReplyCallback onReply)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
     const CallerTicket ticket = ++m_lastTicket;
     m_pending[ticket] = std::move(onReply);
-    m_dispatcher.submit(ticket, request, route, beginActivity());
+    m_dispatcher.submit(ticket, request, route, arrivedAfter, beginActivity());
     return ticket;
 }
 
--- a/packages/http/include/egrettrestle/http/async_server.hpp
+++ b/packages/http/include/egrettrestle/http/async_server.hpp
@@ -19,6 +19,8 @@
     virtual ~HttpExchange() = default;
 
     virtual const HttpRequest& request() const = 0;
+    /// A time, by the boot clock, at which the request had not arrived yet. It may have been waiting since then.
+    virtual TimePoint arrivedAfter() const = 0;
     /// Sends the reply; only the first call has an effect, and none after the client has disconnected. Thread-safe.
     virtual void reply(HttpResponse response) = 0;
     /// Sets a function that is called on the loop's thread if the client disconnects before the reply. To be called within
--- a/packages/http/include/egrettrestle/http/event_loop.hpp
+++ b/packages/http/include/egrettrestle/http/event_loop.hpp
@@ -33,12 +33,18 @@
     void runEvery(Milliseconds interval, std::function<void()> function);
     /// Whether the calling thread is the loop's.
     bool isLoopThread() const;
+    /// A time, by the boot clock, such that all connections and data that had arrived by then have been passed to those who
+    /// wait for them. What is read now has arrived later. It is at most some tens of milliseconds ago, unless the process
+    /// stood still or the loop has more to do than it can. Thread-safe.
+    TimePoint inputHandledUntil() const;
 
     struct State;
     /// For the client and the server of this package.
     State& state() { return *m_state; }
 
 private:
+    void measureInput();
+
     std::unique_ptr<State> m_state;
 };
 
--- a/packages/http/src/async_server.cpp
+++ b/packages/http/src/async_server.cpp
@@ -107,6 +107,8 @@
     std::size_t openConnections = 0;
 
     void accept(const std::shared_ptr<State>& self);
+    /// Accepts all connections that are waiting. False if that fails, for want of descriptors.
+    bool acceptPending(const std::shared_ptr<State>& self);
     void onAccepted(const std::shared_ptr<State>& self, tcp::socket socket);
     void add(const std::shared_ptr<Connection>& connection);
     void remove(const std::shared_ptr<Connection>& connection);
@@ -141,6 +143,7 @@
         m_parser->header_limit(maxHeaderBytes);
         m_buffer.reserve(detail::readBufferBytes);
         if (m_buffer.size() > 0) {
+            // It came with the previous request.
             readRequest();
             return;
         }
@@ -148,10 +151,13 @@
         m_socket.async_wait(tcp::socket::wait_read, [self = shared_from_this()](const ErrorCode& error) {
             if (self->m_phase != Phase::Idle)
                 return;
-            if (error)
+            if (error) {
                 self->close();
-            else
-                self->readRequest();
+                return;
+            }
+            self->m_arrivedAfter = self->m_nextArrivedAfter.value_or(self->m_server->loop.inputHandledUntil());
+            self->m_nextArrivedAfter.reset();
+            self->readRequest();
         });
     }
 
@@ -307,10 +313,13 @@
     /// The next request makes the socket readable for good, so that only repeated checks show a disconnection.
     void checkForDisconnect()
     {
-        if (isClosedByClient())
+        if (isClosedByClient()) {
             abandon();
-        else
-            startTimer(disconnectCheckInterval);
+            return;
+        }
+        if (!m_nextArrivedAfter)
+            m_nextArrivedAfter = m_server->loop.inputHandledUntil();
+        startTimer(disconnectCheckInterval);
     }
 
     void abandon()
@@ -403,6 +412,10 @@
     std::function<void()> m_onDisconnect;
     Phase m_phase = Phase::Idle;
     std::uint64_t m_requestNumber = 0;
+    /// Lower bound of the arrival of the present request.
+    TimePoint m_arrivedAfter;
+    /// The same for the next one, if it arrived before the reply to the present one was sent.
+    std::optional<TimePoint> m_nextArrivedAfter;
     bool m_keepAlive = true;
 };
 
@@ -411,6 +424,7 @@
     Exchange(std::shared_ptr<Connection> connection, HttpRequest request, std::uint64_t number)
         : m_connection(std::move(connection))
         , m_request(std::move(request))
+        , m_arrivedAfter(m_connection->m_arrivedAfter)
         , m_number(number)
     {
     }
@@ -422,6 +436,7 @@
     }
 
     const HttpRequest& request() const override { return m_request; }
+    TimePoint arrivedAfter() const override { return m_arrivedAfter; }
 
     void reply(HttpResponse response) override
     {
@@ -451,6 +466,7 @@
 
     std::shared_ptr<Connection> m_connection;
     HttpRequest m_request;
+    TimePoint m_arrivedAfter;
     std::uint64_t m_number;
     std::atomic<bool> m_replied { false };
 };
@@ -476,16 +492,13 @@
 
 void AsyncHttpServer::State::accept(const std::shared_ptr<State>& self)
 {
-    acceptor.async_accept([self](const ErrorCode& error, tcp::socket socket) {
-        if (self->stopping)
+    acceptor.async_wait(tcp::acceptor::wait_read, [self](const ErrorCode& error) {
+        if (self->stopping || error == boost::asio::error::operation_aborted)
             return;
-        if (!error) {
-            self->onAccepted(self, std::move(socket));
+        if (!error && self->acceptPending(self)) {
             self->accept(self);
             return;
         }
-        if (error == boost::asio::error::operation_aborted)
-            return;
         self->acceptTimer.expires_after(acceptRetryDelay);
         self->acceptTimer.async_wait([self](const ErrorCode& timerError) {
             if (!timerError && !self->stopping)
@@ -494,6 +507,24 @@
     });
 }
 
+bool AsyncHttpServer::State::acceptPending(const std::shared_ptr<State>& self)
+{
+    // One connection a turn would leave the others waiting, for an unknown time while there is much to do.
+    for (int count = 0; count < listenBacklog; ++count) {
+        tcp::socket socket(context);
+        ErrorCode error;
+        acceptor.accept(socket, error);
+        if (error == boost::asio::error::would_block || error == boost::asio::error::try_again)
+            return true;
+        if (error == boost::asio::error::connection_aborted)
+            continue;
+        if (error)
+            return false;
+        onAccepted(self, std::move(socket));
+    }
+    return true;
+}
+
 void AsyncHttpServer::State::onAccepted(const std::shared_ptr<State>& self, tcp::socket socket)
 {
     detail::setSocketOptions(socket);
@@ -574,6 +605,8 @@
         m_state->acceptor.bind(*endpoint, error);
     if (!error)
         m_state->acceptor.listen(listenBacklog, error);
+    if (!error)
+        m_state->acceptor.non_blocking(true, error);
     if (error)
         return makeStatus(absl::StatusCode::kUnavailable, { cannotListen, m_state->address, error.message(), "an address that can be bound" });
     m_state->boundPort = m_state->acceptor.local_endpoint().port();
--- a/packages/http/src/detail/event_loop_state.hpp
+++ b/packages/http/src/detail/event_loop_state.hpp
@@ -18,6 +18,8 @@
     ErrorHandler onError;
     std::thread thread;
     std::atomic<std::thread::id> threadId {};
+    std::atomic<TimePoint> inputHandledUntil { bootTimeNow() };
+    bool measuringInput = false;
 
     void run();
 };
--- a/packages/http/src/event_loop.cpp
+++ b/packages/http/src/event_loop.cpp
@@ -9,6 +9,13 @@
 
 namespace {
 
+    constexpr Milliseconds inputMeasurementInterval { 20 };
+    // A turn of the loop handles at most 128 events. Four turns are two for new connections and two for their data; after a
+    // time in which events can have piled up, there may be as many as the connections of a VM.
+    constexpr int usualTurns = 4;
+    constexpr int turnsAfterDelay = 16;
+    constexpr Milliseconds delayedMeasurement { 100 };
+
     /// Repeats a function until the loop stops.
     class Repeater : public std::enable_shared_from_this<Repeater> {
     public:
@@ -64,6 +71,7 @@
 
 void EventLoop::start()
 {
+    runEvery(inputMeasurementInterval, [this] { measureInput(); });
     m_state->thread = std::thread([this] { m_state->run(); });
 }
 
@@ -94,6 +102,39 @@
     std::make_shared<Repeater>(m_state->context, interval, std::move(function))->schedule();
 }
 
+namespace {
+
+    /// Calls a function after a number of turns of a context, in each of which all that is ready is handled.
+    void afterTurns(boost::asio::io_context& context, int turns, std::function<void()> function)
+    {
+        boost::asio::post(context, [&context, turns, function = std::move(function)]() mutable {
+            if (turns > 1)
+                afterTurns(context, turns - 1, std::move(function));
+            else
+                function();
+        });
+    }
+
+}
+
+void EventLoop::measureInput()
+{
+    if (m_state->measuringInput)
+        return;
+    m_state->measuringInput = true;
+    const TimePoint begin = bootTimeNow();
+    const bool delayed = begin - m_state->inputHandledUntil.load() > delayedMeasurement;
+    afterTurns(m_state->context, delayed ? turnsAfterDelay : usualTurns, [this, begin] {
+        m_state->inputHandledUntil = begin;
+        m_state->measuringInput = false;
+    });
+}
+
+TimePoint EventLoop::inputHandledUntil() const
+{
+    return m_state->inputHandledUntil;
+}
+
 bool EventLoop::isLoopThread() const
 {
     return m_state->threadId.load() == std::this_thread::get_id();
--- a/tests/model/dispatch_simulation.cpp
+++ b/tests/model/dispatch_simulation.cpp
@@ -28,6 +28,11 @@
     constexpr Milliseconds lateStopPeriod { 3'000 };
     // Time in which a VM that has stood still reads what has arrived.
     constexpr int maxCatchUpTime = 10;
+    constexpr int maxStallsOfSeries = 12;
+    // Share of the stalls, and of the gaps between them, that are short.
+    constexpr double shortStallShare = 0.7;
+    // Share of the callers without a reply that keep their connection until they submit their job again.
+    constexpr double lingeringCallerShare = 0.5;
     constexpr int maxSubmissionsOfJob = 3;
 
     VmId vmId(int number) { return "vm" + std::to_string(number); }
@@ -71,8 +76,10 @@
     std::string job;
     int vm;
     bool answered = false;
-    /// The caller has closed its connection.
+    /// The caller no longer waits.
     bool left = false;
+    /// The caller has closed its connection.
+    bool disconnected = false;
     /// The process and ticket that handle it; 0 before the VM has read it.
     std::uint64_t processIncarnation = 0;
     CallerTicket ticket = 0;
@@ -220,7 +227,7 @@
 void DispatchSimulation::execute(Scheduled next)
 {
     m_now = next.at;
-    if (!next.vm || m_faults.freezes == 0) {
+    if (!next.vm || !m_faults.vmsStandStill()) {
         next.action();
         return;
     }
@@ -231,7 +238,7 @@
         return;
     }
     Vm& vm = *m_vms[static_cast<std::size_t>(*next.vm)];
-    if (vm.up && m_rules.pauseCheck && vm.dispatcher.onActivity(m_now))
+    if (vm.up && m_rules.pauseCheck && vm.dispatcher.onActivity(m_now, inputHandledUntil(*next.vm)))
         after(Milliseconds { 0 }, [this, number = *next.vm, processIncarnation = vm.processIncarnation] { checkCallers(number, processIncarnation); });
     next.action();
 }
@@ -242,7 +249,7 @@
     if (!vm)
         return;
     for (const std::shared_ptr<Submission>& submission : m_submissionsInProgress) {
-        if (submission->left && submission->vm == number && submission->processIncarnation == processIncarnation)
+        if (submission->disconnected && submission->vm == number && submission->processIncarnation == processIncarnation)
             vm->dispatcher.onCallerDisconnected(submission->ticket, m_now);
     }
     vm->dispatcher.onCallersChecked(m_now);
@@ -388,7 +395,7 @@
     Vm& vm = *m_vms[static_cast<std::size_t>(number)];
     if (!vm.up)
         return;
-    m_frozenUntil[number] = m_now + randomDuration(300, 4'000);
+    standStill(number, randomDuration(300, 4'000));
     // Other VMs remove it if it stands still for long enough.
     const std::uint64_t processIncarnation = vm.processIncarnation;
     after(randomDuration(700, 1'500), [this, number, processIncarnation] {
@@ -410,6 +417,29 @@
     });
 }
 
+void DispatchSimulation::standStill(int number, Milliseconds duration)
+{
+    if (inputHandledUntil(number) == m_now)
+        m_behindSince[number] = m_now;
+    m_frozenUntil[number] = std::max(m_frozenUntil[number], m_now + duration);
+}
+
+void DispatchSimulation::stallInSeries(int number, int stalls)
+{
+    if (stalls == 0)
+        return;
+    const Milliseconds stall = randomDuration(20, chance(shortStallShare) ? 240 : 900);
+    standStill(number, stall);
+    after(stall + randomDuration(1, chance(shortStallShare) ? 15 : 300), [this, number, stalls] { stallInSeries(number, stalls - 1); });
+}
+
+/// All input of a VM that had arrived by then has been handled.
+TimePoint DispatchSimulation::inputHandledUntil(int number)
+{
+    const bool behind = m_now <= m_frozenUntil[number] + Milliseconds { maxCatchUpTime };
+    return behind ? m_behindSince[number] : m_now;
+}
+
 void DispatchSimulation::publishView(const View& view)
 {
     m_view = view;
@@ -786,7 +816,7 @@
     const CallerTicket ticket = ++target.lastTicket;
     target.tickets[ticket] = id;
     ++m_submissions[id];
-    target.dispatcher.submit(ticket, jobFor(id), proofRoute(), m_now);
+    target.dispatcher.submit(ticket, jobFor(id), proofRoute(), m_now, m_now);
 }
 
 DispatchJob DispatchSimulation::jobFor(const std::string& id)
@@ -810,18 +840,29 @@
 void DispatchSimulation::receiveSubmission(const std::shared_ptr<Submission>& submission)
 {
     Vm& vm = *m_vms[static_cast<std::size_t>(submission->vm)];
-    if (!vm.up || (submission->left && m_rules.pauseCheck))
+    if (!vm.up || (submission->disconnected && m_rules.pauseCheck))
         return;
     submission->processIncarnation = vm.processIncarnation;
     submission->ticket = ++vm.lastTicket;
     vm.tickets[submission->ticket] = submission->job;
-    vm.dispatcher.submit(submission->ticket, jobFor(submission->job), proofRoute(), m_now);
+    const TimePoint arrivedAfter = m_rules.requestAge ? inputHandledUntil(submission->vm) : m_now;
+    vm.dispatcher.submit(submission->ticket, jobFor(submission->job), proofRoute(), arrivedAfter, m_now);
     // Without the check the disconnection is noticed after the request has been handled.
-    if (submission->left)
+    if (submission->disconnected)
         vm.dispatcher.onCallerDisconnected(submission->ticket, m_now);
 }
 
-/// A caller without a reply closes its connection, and submits its job to another VM.
+void DispatchSimulation::disconnect(const std::shared_ptr<Submission>& submission)
+{
+    submission->disconnected = true;
+    afterOn(submission->vm, Milliseconds { 1 }, [this, submission] {
+        Vm& vm = *m_vms[static_cast<std::size_t>(submission->vm)];
+        if (vm.up && vm.processIncarnation == submission->processIncarnation)
+            vm.dispatcher.onCallerDisconnected(submission->ticket, m_now);
+    });
+}
+
+/// A caller without a reply submits its job to another VM. It closes its connection at once, or only then.
 void DispatchSimulation::onCallerDeadline(const std::shared_ptr<Submission>& submission)
 {
     m_submissionsInProgress.erase(std::find(m_submissionsInProgress.begin(), m_submissionsInProgress.end(), submission));
@@ -829,11 +870,10 @@
         return;
     submission->left = true;
     m_submissionsInProgress.push_back(submission);
-    afterOn(submission->vm, Milliseconds { 1 }, [this, submission] {
-        Vm& vm = *m_vms[static_cast<std::size_t>(submission->vm)];
-        if (vm.up && vm.processIncarnation == submission->processIncarnation)
-            vm.dispatcher.onCallerDisconnected(submission->ticket, m_now);
-    });
+    if (m_faults.stallSeries > 0 && chance(lingeringCallerShare))
+        after(resubmissionDelay, [this, submission] { disconnect(submission); });
+    else
+        disconnect(submission);
     if (m_submissions[submission->job] < maxSubmissionsOfJob)
         after(resubmissionDelay, [this, submission] { submitJob(std::stoi(submission->job), (submission->vm + 1) % vmCount); });
 }
@@ -908,6 +948,12 @@
         after(randomDuration(1'500, 9'000), [this] { starveVm(static_cast<int>(randomDuration(0, vmCount - 1).count())); });
     for (int freeze = 0; freeze < m_faults.freezes; ++freeze)
         after(randomDuration(1'500, 9'000), [this] { freezeVm(static_cast<int>(randomDuration(0, vmCount - 1).count())); });
+    for (int series = 0; series < m_faults.stallSeries; ++series) {
+        after(randomDuration(1'500, 9'000), [this] {
+            const int number = static_cast<int>(randomDuration(0, vmCount - 1).count());
+            stallInSeries(number, static_cast<int>(randomDuration(2, maxStallsOfSeries).count()));
+        });
+    }
     for (int period = 0; period < m_faults.lateStopPeriods; ++period) {
         after(randomDuration(1'500, 10'000), [this] {
             Upstream& late = *m_upstreams[static_cast<std::size_t>(randomDuration(0, upstreamCount - 1).count())];
--- a/tests/model/dispatch_simulation.hpp
+++ b/tests/model/dispatch_simulation.hpp
@@ -50,7 +50,12 @@
     /// 1.5 s, and submit a job that was given up or not answered again, to another VM.
     double longTaskProbability = 0;
 
-    bool callersLeave() const { return freezes > 0 || lateStopPeriods > 0 || longTaskProbability > 0; }
+    /// Number of series of short stalls of a VM's process, as with too little processor time. What reaches it meanwhile is
+    /// read late as well. Some callers keep their connection until they submit their job again.
+    int stallSeries = 0;
+
+    bool vmsStandStill() const { return freezes > 0 || stallSeries > 0; }
+    bool callersLeave() const { return vmsStandStill() || lateStopPeriods > 0 || longTaskProbability > 0; }
 };
 
 /// Safety rules that can be disabled, to show that the simulation then finds a bad schedule.
@@ -65,6 +70,8 @@
     bool orphanedRunWait = true;
     /// Leases are not extended beyond the time by which a withdrawn run must have ended.
     bool withdrawnRunLimit = true;
+    /// A request counts from the time since which it may have been waiting to be read.
+    bool requestAge = true;
     /// After a pause, callers' connections are checked before anything is started, and requests of callers that have left are
     /// not handled.
     bool pauseCheck = true;
@@ -106,6 +113,7 @@
 private:
     struct Vm;
     struct Upstream;
+    struct Submission;
     using Action = std::function<void()>;
 
     /// An action at a point of simulated time. Actions at the same time run in the order in which they were scheduled.
@@ -129,6 +137,10 @@
     void partitionVm(int number);
     void starveVm(int number);
     void freezeVm(int number);
+    void standStill(int number, Milliseconds duration);
+    void stallInSeries(int number, int stalls);
+    TimePoint inputHandledUntil(int number);
+    void disconnect(const std::shared_ptr<Submission>& submission);
     void publishView(const View& view);
     struct Batch;
     DispatcherLimits limits() const;
@@ -152,7 +164,6 @@
     /// The outcome of an order to an upstream that is down or has been replaced by a new incarnation.
     std::optional<OrderReply> connectionFailure(const UpstreamId& id);
     void submitJob(int number, int vm);
-    struct Submission;
     void receiveSubmission(const std::shared_ptr<Submission>& submission);
     void onCallerDeadline(const std::shared_ptr<Submission>& submission);
     void checkCallers(int vm, std::uint64_t processIncarnation);
@@ -187,6 +198,8 @@
     /// How many upstreams have crashed by themselves under each task, and the jobs with two such crashes under one task.
     std::map<TaskRef, int> m_accidents;
     std::map<int, TimePoint> m_frozenUntil;
+    /// Since when input of a VM may have been waiting, as long as it has not caught up.
+    std::map<int, TimePoint> m_behindSince;
     std::vector<std::shared_ptr<Submission>> m_submissionsInProgress;
     std::set<std::string> m_unluckyJobs;
 };
--- a/tests/model/explore_dispatch.cpp
+++ b/tests/model/explore_dispatch.cpp
@@ -23,6 +23,7 @@
     { "orphan-wait", &DispatchRules::orphanedRunWait },
     { "withdrawn-limit", &DispatchRules::withdrawnRunLimit },
     { "pause-check", &DispatchRules::pauseCheck },
+    { "request-age", &DispatchRules::requestAge },
 };
 
 DispatchRules rulesWithout(const std::string& name)
@@ -30,7 +31,7 @@
     DispatchRules rules;
     const auto found = ruleNames.find(name);
     if (found == ruleNames.end() && !name.empty())
-        throw cxxopts::exceptions::exception("unknown rule " + name + "; expected fencing, message-age, lease-wait, orphan-wait, withdrawn-limit or pause-check");
+        throw cxxopts::exceptions::exception("unknown rule " + name + "; expected fencing, message-age, lease-wait, orphan-wait, withdrawn-limit, pause-check or request-age");
     if (found != ruleNames.end())
         rules.*found->second = false;
     return rules;
@@ -43,7 +44,7 @@
         "orders", "probability that an order is lost, that its reply is lost, and that it is late", cxxopts::value<double>()->default_value("0.03"))("slow", "probability that a message is slow", cxxopts::value<double>()->default_value("0.05"))(
         "kills", "number of VM crashes", cxxopts::value<int>()->default_value("3"))("power-offs", "number of times that all VMs crash", cxxopts::value<int>()->default_value("1"))(
         "cuts", "number of network partitions of a VM", cxxopts::value<int>()->default_value("2"))("strains", "number of times that a VM is starved of CPU", cxxopts::value<int>()->default_value("2"))(
-        "silences", "number of times that an upstream does not reply", cxxopts::value<int>()->default_value("3"))("crashing-jobs", "number of jobs whose first task crashes its upstream", cxxopts::value<int>()->default_value("0"))("upstream-crashes", "number of times that an upstream crashes by itself", cxxopts::value<int>()->default_value("0"))("freezes", "number of times that a VM stands still", cxxopts::value<int>()->default_value("0"))("late-stops", "number of times that an upstream executes stops late", cxxopts::value<int>()->default_value("0"))("long-tasks", "probability that a task runs for 2 to 5 s", cxxopts::value<double>()->default_value("0"))("neighbours", "regular contacts of a VM on each side; all other VMs if not given", cxxopts::value<std::size_t>())("without", "name of the rule to disable", cxxopts::value<std::string>()->default_value(""));
+        "silences", "number of times that an upstream does not reply", cxxopts::value<int>()->default_value("3"))("crashing-jobs", "number of jobs whose first task crashes its upstream", cxxopts::value<int>()->default_value("0"))("upstream-crashes", "number of times that an upstream crashes by itself", cxxopts::value<int>()->default_value("0"))("freezes", "number of times that a VM stands still", cxxopts::value<int>()->default_value("0"))("stalls", "number of series of short stalls of a VM", cxxopts::value<int>()->default_value("0"))("late-stops", "number of times that an upstream executes stops late", cxxopts::value<int>()->default_value("0"))("long-tasks", "probability that a task runs for 2 to 5 s", cxxopts::value<double>()->default_value("0"))("neighbours", "regular contacts of a VM on each side; all other VMs if not given", cxxopts::value<std::size_t>())("without", "name of the rule to disable", cxxopts::value<std::string>()->default_value(""));
     const cxxopts::ParseResult arguments = options.parse(argc, argv);
     const double orders = arguments["orders"].as<double>();
     DispatchFaults faults { orders, orders, orders, arguments["kills"].as<int>(), arguments["cuts"].as<int>(), arguments["silences"].as<int>(), arguments["strains"].as<int>(),
@@ -51,6 +52,7 @@
     faults.crashingJobs = arguments["crashing-jobs"].as<int>();
     faults.upstreamCrashes = arguments["upstream-crashes"].as<int>();
     faults.freezes = arguments["freezes"].as<int>();
+    faults.stallSeries = arguments["stalls"].as<int>();
     faults.lateStopPeriods = arguments["late-stops"].as<int>();
     faults.longTaskProbability = arguments["long-tasks"].as<double>();
     const DispatchRules rules = rulesWithout(arguments["without"].as<std::string>());
--- a/tests/model/unit-dispatch-rules.cpp
+++ b/tests/model/unit-dispatch-rules.cpp
@@ -64,6 +64,15 @@
 
 namespace {
 
+DispatchFaults withStalls(int series, int freezes, double longTaskProbability)
+{
+    DispatchFaults faults;
+    faults.stallSeries = series;
+    faults.freezes = freezes;
+    faults.longTaskProbability = longTaskProbability;
+    return faults;
+}
+
 DispatchFaults withLeavingCallers(int freezes, int lateStopPeriods, double longTaskProbability, int crashes = 0)
 {
     DispatchFaults faults;
@@ -85,6 +94,8 @@
         { "upstreams execute stops late", withLeavingCallers(0, 6, 0.2), 600'000 },
         { "VMs stand still, upstreams execute stops late", withLeavingCallers(4, 4, 0.1), 630'260 },
         { "VMs crash, upstreams execute stops late", withLeavingCallers(0, 4, 0.1, 2), 660'000 },
+        { "VMs stall again and again", withStalls(20, 0, 0.5), 700'000 },
+        { "VMs stall and stand still", withStalls(20, 4, 0.5), 710'000 },
     };
     for (const FaultCase& example : cases) {
         for (std::uint64_t seed = example.firstSeed; seed < example.firstSeed + schedulesPerCase; ++seed) {
@@ -110,6 +121,7 @@
     const RuleCase cases[] = {
         { "withdrawn run limit", &DispatchRules::withdrawnRunLimit, withLeavingCallers(0, 6, 0.2), 600'000 },
         { "pause check", &DispatchRules::pauseCheck, withLeavingCallers(4, 0, 0), 610'200 },
+        { "request age", &DispatchRules::requestAge, withStalls(20, 0, 0.5), 740'300 },
     };
     for (const RuleCase& example : cases) {
         DispatchRules rules;
--- a/tests/unit/unit-async-http.cpp
+++ b/tests/unit/unit-async-http.cpp
@@ -1,6 +1,8 @@
 #include <atomic>
+#include <condition_variable>
 #include <future>
 #include <memory>
+#include <mutex>
 #include <thread>
 
 #include <catch2/catch.hpp>
@@ -386,6 +388,107 @@
     }
 }
 
+// A request counts from its arrival, whatever kept the loop from reading it: a caller whose time is over may have submitted its
+// job to another VM.
+TEST_CASE("AsyncHttpServer tells by when a request had not arrived yet")
+{
+    RunningLoop running;
+    std::mutex mutex;
+    std::condition_variable handled;
+    std::vector<std::pair<std::string, TimePoint>> arrivals;
+    AsyncHttpServer server(running.loop, "127.0.0.1:0", {}, [&](const std::shared_ptr<HttpExchange>& exchange) {
+        const std::lock_guard<std::mutex> lock(mutex);
+        arrivals.emplace_back(exchange->request().path, exchange->arrivedAfter());
+        handled.notify_all();
+        exchange->reply({});
+    });
+    REQUIRE(server.start().ok());
+    const auto waitForRequests = [&](std::size_t count) {
+        std::unique_lock<std::mutex> lock(mutex);
+        return handled.wait_for(lock, Seconds { 5 }, [&] { return arrivals.size() >= count; });
+    };
+    const std::string request = "GET /a HTTP/1.1\r\nHost: a\r\n\r\n";
+    std::this_thread::sleep_for(Milliseconds { 200 });
+
+    SECTION("shortly before it is handled, if the loop has time")
+    {
+        RawConnection connection(server.port());
+        connection.send(request);
+        REQUIRE(waitForRequests(1));
+        CHECK(bootTimeNow() - arrivals[0].second < Milliseconds { 150 });
+        connection.receive("\r\n\r\n");
+        std::this_thread::sleep_for(Milliseconds { 300 });
+        connection.send(request);
+        REQUIRE(waitForRequests(2));
+        CHECK(bootTimeNow() - arrivals[1].second < Milliseconds { 150 });
+    }
+
+    SECTION("before the loop was held up, on a connection that is open or new")
+    {
+        const Milliseconds stall = GENERATE(Milliseconds { 20 }, Milliseconds { 225 }, Milliseconds { 600 });
+        const Milliseconds gap = GENERATE(Milliseconds { 0 }, Milliseconds { 1 });
+        constexpr int stalls = 4;
+        CAPTURE(stall.count(), gap.count());
+        std::vector<std::unique_ptr<RawConnection>> connections;
+        for (int count = 0; count < 40; ++count)
+            connections.push_back(std::make_unique<RawConnection>(server.port()));
+        std::this_thread::sleep_for(Milliseconds { 100 });
+        const std::function<void(int)> holdUp = [&](int left) {
+            std::this_thread::sleep_for(stall);
+            if (left > 1)
+                running.loop.runAfter(gap, [&holdUp, left] { holdUp(left - 1); });
+        };
+        running.loop.post([&holdUp] { holdUp(stalls); });
+        std::this_thread::sleep_for(Milliseconds { 5 });
+        for (int count = 0; count < 40; ++count)
+            connections.push_back(std::make_unique<RawConnection>(server.port()));
+        for (const std::unique_ptr<RawConnection>& connection : connections)
+            connection->send(request);
+        const TimePoint sentBy = bootTimeNow();
+        REQUIRE(waitForRequests(connections.size()));
+        for (const auto& arrival : arrivals)
+            CHECK(arrival.second <= sentBy);
+        std::this_thread::sleep_for(stall * stalls + Milliseconds { 50 });
+    }
+
+    SECTION("since the request before it, if it came with that")
+    {
+        RawConnection connection(server.port());
+        connection.send("GET /a HTTP/1.1\r\nHost: a\r\n\r\nGET /b HTTP/1.1\r\nHost: a\r\n\r\n");
+        const TimePoint sentAt = bootTimeNow();
+        REQUIRE(waitForRequests(2));
+        CHECK(arrivals[1].second <= sentAt);
+    }
+}
+
+TEST_CASE("AsyncHttpServer notes the arrival of a request while the one before it is handled")
+{
+    RunningLoop running;
+    std::mutex mutex;
+    std::condition_variable handled;
+    std::vector<std::shared_ptr<HttpExchange>> exchanges;
+    AsyncHttpServer server(running.loop, "127.0.0.1:0", {}, [&](const std::shared_ptr<HttpExchange>& exchange) {
+        const std::lock_guard<std::mutex> lock(mutex);
+        exchanges.push_back(exchange);
+        handled.notify_all();
+    });
+    REQUIRE(server.start().ok());
+    const auto waitForRequests = [&](std::size_t count) {
+        std::unique_lock<std::mutex> lock(mutex);
+        return handled.wait_for(lock, Seconds { 5 }, [&] { return exchanges.size() >= count; });
+    };
+    RawConnection connection(server.port());
+    connection.send("GET /a HTTP/1.1\r\nHost: a\r\n\r\n");
+    REQUIRE(waitForRequests(1));
+    connection.send("GET /b HTTP/1.1\r\nHost: a\r\n\r\n");
+    const TimePoint sentAt = bootTimeNow();
+    std::this_thread::sleep_for(Milliseconds { 500 });
+    exchanges[0]->reply({});
+    REQUIRE(waitForRequests(2));
+    CHECK(exchanges[1]->arrivedAfter() <= sentAt + Milliseconds { 20 });
+    exchanges[1]->reply({});
+}
+
 TEST_CASE("AsyncHttpServer limits its connections")
 {
     RunningLoop running;
--- a/tests/unit/unit-dispatcher.cpp
+++ b/tests/unit/unit-dispatcher.cpp
@@ -43,8 +43,17 @@
     RecordingDispatcherPort port;
     Dispatcher dispatcher { port, "x", {} };
     TimePoint now { std::chrono::hours { 1 } };
+    std::optional<TimePoint> lastActivity;
     UpstreamId upstream;
 
+    /// Reports activity. All input that had arrived by the activity before has been handled.
+    bool onActivity()
+    {
+        const TimePoint inputHandledUntil = lastActivity.value_or(now);
+        lastActivity = now;
+        return dispatcher.onActivity(now, inputHandledUntil);
+    }
+
     void poll(std::vector<TaskRun> running = {}, std::vector<RunEndRecord> ended = {})
     {
         PollReply reply;
@@ -75,7 +84,7 @@
     DispatcherFixture fixture;
     fixture.setUp();
     fixture.poll();
-    fixture.dispatcher.submit(1, jobOf("j", 2), routeNamed("proof"), fixture.now);
+    fixture.dispatcher.submit(1, jobOf("j", 2), routeNamed("proof"), fixture.now, fixture.now);
     REQUIRE(fixture.port.starts.size() == 2);
     std::vector<RunEndRecord> ended;
     for (const StartOrder& order : fixture.port.starts) {
@@ -126,7 +135,7 @@
 
     SECTION("before every member has polled all its upstreams under the view")
     {
-        fixture.dispatcher.submit(1, job, routeNamed("proof"), fixture.now);
+        fixture.dispatcher.submit(1, job, routeNamed("proof"), fixture.now, fixture.now);
         CHECK(fixture.port.replies.empty());
     }
 
@@ -134,7 +143,7 @@
     {
         report.completeAtEpoch = { 1 };
         fixture.dispatcher.onPeerMessages("y", {}, report, fixture.now);
-        fixture.dispatcher.submit(1, job, routeNamed("proof"), fixture.now);
+        fixture.dispatcher.submit(1, job, routeNamed("proof"), fixture.now, fixture.now);
         REQUIRE(fixture.port.replies.size() == 1);
         CHECK(fixture.port.replies[0].reply.outcome == JobOutcome::Refused);
     }
@@ -143,7 +152,7 @@
     {
         fixture.now += Milliseconds { 1'600 };
         fixture.dispatcher.onPeerMessages("y", {}, report, fixture.now);
-        fixture.dispatcher.submit(1, job, routeNamed("proof"), fixture.now);
+        fixture.dispatcher.submit(1, job, routeNamed("proof"), fixture.now, fixture.now);
         CHECK(fixture.port.replies.size() == 1);
     }
 }
@@ -216,7 +225,7 @@
     CHECK(port.lostPeers.empty());
     dispatcher.onPeerMessages("y", {}, capacityFor(1, 2), now);
     dispatcher.onPeerReply("y", false, now - Seconds { 60 });
-    dispatcher.submit(1, jobOf("j", 1), routeNamed("proof"), now);
+    dispatcher.submit(1, jobOf("j", 1), routeNamed("proof"), now, now);
     REQUIRE(port.sent.size() == 1);
     dispatcher.tick(now);
     CHECK(port.lostPeers.empty());
@@ -246,7 +255,7 @@
     fixture.poll();
     fixture.dispatcher.onUpstreamUnlisted("u1", fixture.now);
     fixture.dispatcher.tick(fixture.now);
-    fixture.dispatcher.submit(1, jobOf("j", 1), routeNamed("proof"), fixture.now);
+    fixture.dispatcher.submit(1, jobOf("j", 1), routeNamed("proof"), fixture.now, fixture.now);
     CHECK(fixture.port.starts.size() == 1);
     fixture.now += Seconds { 3 };
     fixture.dispatcher.tick(fixture.now);
@@ -299,7 +308,7 @@
         CHECK(reportsTo("z").empty());
         fixture.dispatcher.onPeerRestarted("z", fixture.now);
         CHECK(reportsTo("z").size() == 2);
-        fixture.dispatcher.submit(1, jobOf("j", 1), routeNamed("proof"), fixture.now);
+        fixture.dispatcher.submit(1, jobOf("j", 1), routeNamed("proof"), fixture.now, fixture.now);
         REQUIRE(fixture.port.replies.size() == 1);
         CHECK(fixture.port.replies[0].reply.outcome == JobOutcome::Failed);
     }
@@ -311,18 +320,18 @@
 {
     DispatcherFixture fixture;
     fixture.setUp();
-    fixture.dispatcher.onActivity(fixture.now);
+    fixture.onActivity();
     fixture.poll();
 
     SECTION("neither a task that was queued before the pause")
     {
-        fixture.dispatcher.submit(1, jobOf("running", 2), routeNamed("proof"), fixture.now);
-        fixture.dispatcher.submit(2, jobOf("queued", 1), routeNamed("proof"), fixture.now);
+        fixture.dispatcher.submit(1, jobOf("running", 2), routeNamed("proof"), fixture.now, fixture.now);
+        fixture.dispatcher.submit(2, jobOf("queued", 1), routeNamed("proof"), fixture.now, fixture.now);
         REQUIRE(fixture.port.starts.size() == 2);
         for (const StartOrder& order : std::vector<StartOrder>(fixture.port.starts))
             fixture.dispatcher.onStartReply(order, { OrderOutcome::Accepted, std::nullopt }, fixture.now);
         fixture.now += Milliseconds { 400 };
-        CHECK(fixture.dispatcher.onActivity(fixture.now));
+        CHECK(fixture.onActivity());
         fixture.poll({}, { { 1, fixture.port.starts[0].run, RunOutcome::Done }, { 2, fixture.port.starts[1].run, RunOutcome::Done } });
         fixture.dispatcher.tick(fixture.now);
         CHECK(fixture.port.starts.size() == 2);
@@ -345,8 +354,8 @@
     SECTION("nor a task of a job that is submitted before the callers have been checked")
     {
         fixture.now += Milliseconds { 400 };
-        fixture.dispatcher.onActivity(fixture.now);
-        fixture.dispatcher.submit(1, jobOf("j", 1), routeNamed("proof"), fixture.now);
+        fixture.onActivity();
+        fixture.dispatcher.submit(1, jobOf("j", 1), routeNamed("proof"), fixture.now, fixture.now);
         fixture.dispatcher.tick(fixture.now);
         CHECK(fixture.port.starts.empty());
         fixture.dispatcher.onCallersChecked(fixture.now);
@@ -358,10 +367,10 @@
 {
     DispatcherFixture fixture;
     fixture.setUp({ "x", "y" });
-    fixture.dispatcher.onActivity(fixture.now);
+    fixture.onActivity();
     fixture.poll();
     fixture.now += Milliseconds { 400 };
-    fixture.dispatcher.onActivity(fixture.now);
+    fixture.onActivity();
     const RunRequest request = requestFor("other", 0, fixture.now + Seconds { 1 });
     fixture.dispatcher.onPeerMessages("y", { { request, {}, {}, {}, {}, {} } }, capacityFor(0, 0), fixture.now);
     CHECK(fixture.port.starts.size() == 1);
@@ -371,14 +380,14 @@
 {
     DispatcherFixture fixture;
     fixture.setUp();
-    fixture.dispatcher.onActivity(fixture.now);
+    fixture.onActivity();
     fixture.poll();
 
     SECTION("a job whose caller may have left by now is refused at once")
     {
         fixture.now += Milliseconds { 1'500 };
-        fixture.dispatcher.onActivity(fixture.now);
-        fixture.dispatcher.submit(1, jobOf("j", 1), routeNamed("proof"), fixture.now);
+        fixture.onActivity();
+        fixture.dispatcher.submit(1, jobOf("j", 1), routeNamed("proof"), fixture.now, fixture.now);
         REQUIRE(fixture.port.replies.size() == 1);
         CHECK(fixture.port.replies[0].reply.outcome == JobOutcome::Refused);
         CHECK(fixture.port.replies[0].reply.reason == "read-late");
@@ -389,9 +398,9 @@
     SECTION("a job with time left ends by its caller's deadline")
     {
         fixture.now += Milliseconds { 1'000 };
-        fixture.dispatcher.onActivity(fixture.now);
+        fixture.onActivity();
         fixture.poll();
-        fixture.dispatcher.submit(1, jobOf("j", 1), routeNamed("proof"), fixture.now);
+        fixture.dispatcher.submit(1, jobOf("j", 1), routeNamed("proof"), fixture.now, fixture.now);
         fixture.dispatcher.onCallersChecked(fixture.now);
         REQUIRE(fixture.port.starts.size() == 1);
         fixture.dispatcher.onStartReply(fixture.port.starts[0], { OrderOutcome::Accepted, std::nullopt }, fixture.now);
@@ -403,11 +412,11 @@
 
     SECTION("a caller that submits a job in progress again gets that job's outcome")
     {
-        fixture.dispatcher.submit(1, jobOf("j", 1), routeNamed("proof"), fixture.now);
+        fixture.dispatcher.submit(1, jobOf("j", 1), routeNamed("proof"), fixture.now, fixture.now);
         REQUIRE(fixture.port.starts.size() == 1);
         fixture.now += Milliseconds { 1'400 };
-        fixture.dispatcher.onActivity(fixture.now);
-        fixture.dispatcher.submit(2, jobOf("j", 1), routeNamed("proof"), fixture.now);
+        fixture.onActivity();
+        fixture.dispatcher.submit(2, jobOf("j", 1), routeNamed("proof"), fixture.now, fixture.now);
         CHECK(fixture.port.replies.empty());
     }
 }
@@ -418,13 +427,13 @@
 {
     DispatcherFixture fixture;
     fixture.setUp({ "x", "y" });
-    fixture.dispatcher.onActivity(fixture.now);
+    fixture.onActivity();
     fixture.dispatcher.onPeerMessages("y", {}, capacityFor(8, 8), fixture.now);
-    fixture.dispatcher.submit(1, jobOf("j", 1), routeNamed("proof"), fixture.now);
+    fixture.dispatcher.submit(1, jobOf("j", 1), routeNamed("proof"), fixture.now, fixture.now);
     REQUIRE(fixture.port.sent.back().vm == "y");
     const TimePoint begin = fixture.now;
     fixture.now += Milliseconds { 500 };
-    fixture.dispatcher.onActivity(fixture.now);
+    fixture.onActivity();
     fixture.dispatcher.onCallerDisconnected(1, fixture.now);
     REQUIRE(fixture.port.sent.back().message.withdrawal);
     CHECK(fixture.port.sent.back().message.withdrawal->endBy == begin + ExecutorLimits {}.withdrawnRunLimit);
