Count the age of a withdrawal against the time for which its runs may go on

Cause: the time that is left for a withdrawn run is sent in milliseconds and counted from the moment of reading. A batch may be 600 ms old when it is acted on.

Change: the batch is younger than the reply whose time-stamp it echoes, by the receiver's own clock; that age is taken off.

Evidence: unit-dispatcher "dispatcher counts the age of a withdrawal against the time for which its run may go on" (failed with the age taken out), unit-peer-channel "a batch is at most as old as the reply whose time-stamp it echoes".

--- a/packages/decision/include/egrettrestle/decision/dispatcher.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatcher.hpp
@@ -127,8 +127,9 @@
     /// @name peers
     /// @{
 
-    /// Processes a batch of messages from a VM, and its capacity report.
-    void onPeerMessages(const VmId& vm, const std::vector<PeerMessage>& messages, const CapacityReport& capacity, TimePoint now);
+    /// Processes a batch of messages from a VM, and its capacity report. The batch was made at most `maxAge` ago; by as much
+    /// earlier, the runs that it withdraws must have ended.
+    void onPeerMessages(const VmId& vm, const std::vector<PeerMessage>& messages, const CapacityReport& capacity, TimePoint now, Milliseconds maxAge = Milliseconds { 0 });
 
     /// Handles the reply to a batch of messages; `accepted` is whether the VM accepted them. A reply also postpones the
     /// time at which the VM is considered lost if the messages arrived too late to be accepted, because it enables the
@@ -224,7 +225,7 @@
     /// Determines the owner of an upstream, and acquires or releases the upstream accordingly.
     std::optional<VmId> assignOwner(const UpstreamInfo& upstream, TimePoint now);
     void assignOwners(const std::set<VmId>& stableOwners, TimePoint now);
-    void handle(const VmId& from, const PeerMessage& message, TimePoint now);
+    void handle(const VmId& from, const PeerMessage& message, TimePoint now, Milliseconds maxAge = Milliseconds { 0 });
     /// Delivers the messages that the owner and the executor on this VM have sent to each other.
     void deliverLocalMessages(TimePoint now);
     /// Updates this VM's own entry in the capacity table.
--- a/packages/decision/include/egrettrestle/decision/peer_channel.hpp
+++ b/packages/decision/include/egrettrestle/decision/peer_channel.hpp
@@ -81,6 +81,8 @@
         bool peerRestarted = false;
         /// The number of messages at the start of the batch that were already processed and must be skipped.
         std::size_t duplicates = 0;
+        /// The batch was made at most this long ago: after the reply whose time-stamp it echoes.
+        Milliseconds maxAge { 0 };
     };
     /// Checks a batch of `count` messages and records its messages as processed. The caller must process them before anything
     /// else that concerns the other VM.
--- a/packages/decision/src/dispatcher.cpp
+++ b/packages/decision/src/dispatcher.cpp
@@ -197,7 +197,7 @@
     deliverLocalMessages(now);
 }
 
-void Dispatcher::onPeerMessages(const VmId& vm, const std::vector<PeerMessage>& messages, const CapacityReport& capacity, TimePoint now)
+void Dispatcher::onPeerMessages(const VmId& vm, const std::vector<PeerMessage>& messages, const CapacityReport& capacity, TimePoint now, Milliseconds maxAge)
 {
     PeerState& peer = m_peers.emplace(vm, PeerState { now, now, now }).first->second;
     peer.lastMessageAt = now;
@@ -215,7 +215,7 @@
         for (const PeerMessage& message : messages) {
             if (message.request)
                 ++peer.requestsReceived;
-            handle(vm, message, now);
+            handle(vm, message, now, maxAge);
         }
     }
     m_owner.startQueuedRuns(now);
@@ -378,12 +378,17 @@
         send(vm, { {}, {}, {}, {}, {}, {}, true, crash });
 }
 
-void Dispatcher::handle(const VmId& from, const PeerMessage& message, TimePoint now)
+void Dispatcher::handle(const VmId& from, const PeerMessage& message, TimePoint now, Milliseconds maxAge)
 {
     if (message.request)
         m_owner.request(from, *message.request, now);
-    if (message.withdrawal)
-        m_owner.withdraw(from, *message.withdrawal, now);
+    if (message.withdrawal) {
+        RunWithdrawal withdrawal = *message.withdrawal;
+        // The time that is left was counted when the message was sent.
+        if (withdrawal.endBy)
+            *withdrawal.endBy -= maxAge;
+        m_owner.withdraw(from, withdrawal, now);
+    }
     if (message.claim)
         m_owner.claim(from, *message.claim, now);
     if (message.started)
--- a/packages/decision/src/peer_channel.cpp
+++ b/packages/decision/src/peer_channel.cpp
@@ -62,6 +62,7 @@
         return {};
     BatchResult batchResult;
     batchResult.accepted = true;
+    batchResult.maxAge = Milliseconds { static_cast<std::int64_t>(timestampAt(now) - stamp.echoedTimestamp) };
     batchResult.peerRestarted = updatePeerProcess(stamp.processIncarnation);
     m_lastBatchAt = now;
     if (m_lastProcessed >= stamp.firstMessage)
--- a/packages/fleet/src/peer_links.cpp
+++ b/packages/fleet/src/peer_links.cpp
@@ -398,7 +398,7 @@
         if (!batchResult.accepted)
             return;
         batch.messages.erase(batch.messages.begin(), batch.messages.begin() + static_cast<std::ptrdiff_t>(batchResult.duplicates));
-        dispatcher.onPeerMessages(batch.sender, batch.messages, batch.capacity, now);
+        dispatcher.onPeerMessages(batch.sender, batch.messages, batch.capacity, now, batchResult.maxAge);
     });
     reply.channel.accepted = batchResult.accepted;
     if (batchResult.peerRestarted)
--- a/tests/unit/unit-dispatcher.cpp
+++ b/tests/unit/unit-dispatcher.cpp
@@ -456,3 +456,33 @@
     fixture.dispatcher.onPeerMessages("y", { requested }, capacityFor(0, 0), fixture.now);
     CHECK(fixture.port.starts.size() == 1);
 }
+
+// A withdrawal that was long on its way let the lease of a run that could not be stopped go on for as long beyond the time at
+// which the job's caller submits it again.
+TEST_CASE("dispatcher counts the age of a withdrawal against the time for which its run may go on")
+{
+    DispatcherFixture fixture;
+    fixture.setUp({ "x", "y" });
+    fixture.poll();
+    const RunRequest request = requestFor("j", 0, fixture.now + Seconds { 1 });
+    fixture.dispatcher.onPeerMessages("y", { { request, {}, {}, {}, {}, {} } }, capacityFor(0, 0), fixture.now);
+    REQUIRE(fixture.port.starts.size() == 1);
+    fixture.dispatcher.onStartReply(fixture.port.starts[0], { OrderOutcome::Accepted, std::nullopt }, fixture.now);
+    const auto extendsLease = [&fixture] { return fixture.dispatcher.nextPoll(fixture.upstream, fixture.now)->leaseEnd.has_value(); };
+    REQUIRE(extendsLease());
+    // Just enough for one lease more if the message took no time.
+    const Milliseconds left = Milliseconds { 700 };
+    const PeerMessage withdrawn { {}, {}, {}, {}, RunWithdrawal { request.run, false, {}, fixture.now + left }, {} };
+
+    SECTION("a lease that ends in time is granted until the stop is accepted")
+    {
+        fixture.dispatcher.onPeerMessages("y", { withdrawn }, capacityFor(0, 0), fixture.now, Milliseconds { 0 });
+        CHECK(extendsLease());
+    }
+
+    SECTION("none is granted if the message may have been made long ago")
+    {
+        fixture.dispatcher.onPeerMessages("y", { withdrawn }, capacityFor(0, 0), fixture.now, Milliseconds { 400 });
+        CHECK_FALSE(extendsLease());
+    }
+}
--- a/tests/unit/unit-peer-channel.cpp
+++ b/tests/unit/unit-peer-channel.cpp
@@ -191,3 +191,18 @@
         CHECK_FALSE(pair.receiver.onBatch(stamp, 0, pair.now).accepted);
     }
 }
+
+// The times in a message are relative to the moment at which it was made, which only the sender knows.
+TEST_CASE("a batch is at most as old as the reply whose time-stamp it echoes")
+{
+    ChannelPair channel;
+    channel.exchange();
+    channel.exchange();
+    const Milliseconds sinceReply = GENERATE(Milliseconds { 0 }, Milliseconds { 40 }, Milliseconds { 600 });
+    channel.sender.send(numberedMessage(1));
+    const Batch sent = channel.batch();
+    channel.now += sinceReply;
+    const PeerChannel::BatchResult result = channel.receiver.onBatch(sent.stamp, sent.messages.size(), channel.now);
+    CHECK(result.accepted);
+    CHECK(result.maxAge == sinceReply);
+}
