--- a/tests/integration/process.cpp
+++ b/tests/integration/process.cpp
@@ -44,6 +44,8 @@
     const int log = open(logFile.c_str(), O_WRONLY | O_CREAT | O_APPEND | O_CLOEXEC, 0644);
     dup2(log, STDOUT_FILENO);
     dup2(log, STDERR_FILENO);
+    // A connection that the child has inherited would stay open when the parent closes it.
+    close_range(STDERR_FILENO + 1, ~0U, 0);
     execv(program.c_str(), argumentPointers.data());
     _exit(127);
 }
