--- a/packages/decision/include/egrettrestle/decision/job_executor.hpp
+++ b/packages/decision/include/egrettrestle/decision/job_executor.hpp
@@ -131,8 +131,8 @@
     /// @{
 
     /// Submits a job. Its outcome is passed to ExecutorPort::reply(), at once if the job is refused because no upstream
-    /// is available or it would finish too late, or if one of its tasks has crashed too many upstreams in an earlier
-    /// submission. A caller that submits the id of a job in progress receives that job's
+    /// is available, it would finish too late or its caller's time is over, or if one of its tasks has crashed too many
+    /// upstreams in an earlier submission. A caller that submits the id of a job in progress receives that job's
     /// outcome; a job that is being stopped is executed again afterwards.
     void submit(CallerTicket ticket, const DispatchJob& request, const Route& route, TimePoint now);
 
