Exploration: connections that break long before their caller's time is over

The check still is what stops the jobs of callers whose connection broke earlier, which the exploration did not have.

The schedules of the other cases are as before.

--- a/tests/model/dispatch_simulation.cpp
+++ b/tests/model/dispatch_simulation.cpp
@@ -25,6 +25,8 @@
     constexpr Milliseconds timeToCrash { 20 };
     constexpr Seconds callerTimeoutWithCrashes { 8 };
     constexpr Milliseconds shortCallerTimeout { 1'500 };
+    // With connections that break, so that callers may submit their jobs again long before their time is over.
+    constexpr Milliseconds longCallerTimeout { 4'500 };
     constexpr Milliseconds lateStopPeriod { 3'000 };
     // Time in which a VM that has stood still reads what has arrived.
     constexpr int maxCatchUpTime = 10;
@@ -810,7 +812,9 @@
         m_submissionsInProgress.push_back(submission);
         ++m_submissions[id];
         afterOn(vm, randomDuration(0, 2), [this, submission] { receiveSubmission(submission); });
-        after(shortCallerTimeout, [this, submission] { onCallerDeadline(submission); });
+        after(callerTimeout(), [this, submission] { leave(submission, false); });
+        if (m_faults.brokenConnectionProbability > 0 && chance(m_faults.brokenConnectionProbability))
+            after(randomDuration(1, static_cast<int>(callerTimeout().count()) - 1), [this, submission] { leave(submission, true); });
         return;
     }
     const CallerTicket ticket = ++target.lastTicket;
@@ -819,11 +823,18 @@
     target.dispatcher.submit(ticket, jobFor(id), proofRoute(), m_now, m_now);
 }
 
+Milliseconds DispatchSimulation::callerTimeout() const
+{
+    if (m_faults.brokenConnectionProbability > 0)
+        return longCallerTimeout;
+    return m_faults.callersLeave() ? shortCallerTimeout : Milliseconds { 3'000 };
+}
+
 DispatchJob DispatchSimulation::jobFor(const std::string& id)
 {
     DispatchJob job;
     job.id = id;
-    job.callerTimeout = m_faults.callersLeave() ? shortCallerTimeout : Milliseconds { 3'000 };
+    job.callerTimeout = callerTimeout();
     if (m_faults.crashingJobs > 0) {
         const TimePoint deadline = m_callerDeadlines.emplace(id, m_now + callerTimeoutWithCrashes).first->second;
         job.callerTimeout = toMilliseconds(deadline - m_now);
@@ -862,15 +873,19 @@
     });
 }
 
-/// A caller without a reply submits its job to another VM. It closes its connection at once, or only then.
-void DispatchSimulation::onCallerDeadline(const std::shared_ptr<Submission>& submission)
+/// A caller without a reply whose time is over, or whose connection has broken, submits its job to another VM. It closes its
+/// connection at once, or only then.
+void DispatchSimulation::leave(const std::shared_ptr<Submission>& submission, bool connectionBroken)
 {
-    m_submissionsInProgress.erase(std::find(m_submissionsInProgress.begin(), m_submissionsInProgress.end(), submission));
+    const auto found = std::find(m_submissionsInProgress.begin(), m_submissionsInProgress.end(), submission);
+    if (submission->left || found == m_submissionsInProgress.end())
+        return;
+    m_submissionsInProgress.erase(found);
     if (submission->answered)
         return;
     submission->left = true;
     m_submissionsInProgress.push_back(submission);
-    if (m_faults.stallSeries > 0 && chance(lingeringCallerShare))
+    if (m_faults.stallSeries > 0 && !connectionBroken && chance(lingeringCallerShare))
         after(resubmissionDelay, [this, submission] { disconnect(submission); });
     else
         disconnect(submission);
--- a/tests/model/dispatch_simulation.hpp
+++ b/tests/model/dispatch_simulation.hpp
@@ -53,6 +53,8 @@
     /// Number of series of short stalls of a VM's process, as with too little processor time. What reaches it meanwhile is
     /// read late as well. Some callers keep their connection until they submit their job again.
     int stallSeries = 0;
+    /// Probability that the connection of a caller that may leave breaks before its time is over; it then submits its job again.
+    double brokenConnectionProbability = 0;
 
     bool vmsStandStill() const { return freezes > 0 || stallSeries > 0; }
     bool callersLeave() const { return vmsStandStill() || lateStopPeriods > 0 || longTaskProbability > 0; }
@@ -165,8 +167,9 @@
     std::optional<OrderReply> connectionFailure(const UpstreamId& id);
     void submitJob(int number, int vm);
     void receiveSubmission(const std::shared_ptr<Submission>& submission);
-    void onCallerDeadline(const std::shared_ptr<Submission>& submission);
+    void leave(const std::shared_ptr<Submission>& submission, bool connectionBroken);
     void checkCallers(int vm, std::uint64_t processIncarnation);
+    Milliseconds callerTimeout() const;
     DispatchJob jobFor(const std::string& id);
     void onReply(int vm, CallerTicket ticket, const JobResult& result);
     Upstream& upstream(const UpstreamId& id);
--- a/tests/model/unit-dispatch-rules.cpp
+++ b/tests/model/unit-dispatch-rules.cpp
@@ -73,6 +73,12 @@
     return faults;
 }
 
+DispatchFaults withBrokenConnections(DispatchFaults faults)
+{
+    faults.brokenConnectionProbability = 0.3;
+    return faults;
+}
+
 DispatchFaults withLeavingCallers(int freezes, int lateStopPeriods, double longTaskProbability, int crashes = 0)
 {
     DispatchFaults faults;
@@ -96,6 +102,7 @@
         { "VMs crash, upstreams execute stops late", withLeavingCallers(0, 4, 0.1, 2), 660'000 },
         { "VMs stall again and again", withStalls(20, 0, 0.5), 700'000 },
         { "VMs stall and stand still", withStalls(20, 4, 0.5), 710'000 },
+        { "VMs stall and stand still, connections break", withBrokenConnections(withStalls(12, 4, 0.3)), 770'000 },
     };
     for (const FaultCase& example : cases) {
         for (std::uint64_t seed = example.firstSeed; seed < example.firstSeed + schedulesPerCase; ++seed) {
@@ -120,7 +127,7 @@
     constexpr std::uint64_t maxSchedules = 400;
     const RuleCase cases[] = {
         { "withdrawn run limit", &DispatchRules::withdrawnRunLimit, withLeavingCallers(0, 6, 0.2), 600'000 },
-        { "pause check", &DispatchRules::pauseCheck, withLeavingCallers(4, 0, 0), 610'200 },
+        { "pause check", &DispatchRules::pauseCheck, withBrokenConnections(withLeavingCallers(4, 0, 0.5)), 760'340 },
         { "request age", &DispatchRules::requestAge, withStalls(20, 0, 0.5), 740'300 },
     };
     for (const RuleCase& example : cases) {
