--- a/packages/decision/include/egrettrestle/decision/capacity_table.hpp
+++ b/packages/decision/include/egrettrestle/decision/capacity_table.hpp
@@ -22,6 +22,22 @@
     Milliseconds workAhead { 0 };
 };
 
+/// A task for which an owner is to be chosen.
+struct OwnerQuery {
+    /// The VM that asks.
+    VmId self;
+    std::string service;
+    /// Owners that must not be chosen.
+    std::vector<VmId> except = {};
+    /// The rack in which the task runs fastest; empty for none.
+    std::string rack = {};
+    std::string route = {};
+    /// Resources that the task needs; all zero if unknown.
+    Resources need = {};
+    /// The greatest duration relative to the expected one with which the task meets its objective; 0 for no limit.
+    double maxSlowness = 0;
+};
+
 /// The last reported capacity of each owner, reduced by the requests that this VM has sent to it since. Chooses owners for
 /// tasks. Not thread-safe.
 class CapacityTable {
@@ -67,10 +83,10 @@
     /// capacity, else any one with the most, else the one with the shortest queue relative to its capacity. Owners in
     /// `except` are not chosen. With a `rack`, owners of upstreams in it are preferred instead of `self` and local ones.
     /// Returns nothing if no reachable owner has capacity for the service.
-    std::optional<VmId> chooseOwner(const VmId& self, const std::string& service, const std::vector<VmId>& except, const std::string& rack = {}, const std::string& route = {}) const;
+    std::optional<VmId> chooseOwner(const OwnerQuery& query) const;
 
-    /// The reachable owner other than `except` with the most free capacity; nothing if none has any.
-    std::optional<VmId> ownerWithCapacity(const std::string& service, const VmId& except, const std::string& route = {}) const;
+    /// The reachable owner with the most free capacity that the query does not exclude; nothing if none has any.
+    std::optional<VmId> ownerWithCapacity(const OwnerQuery& query) const;
 
 private:
     struct Entry {
--- a/packages/decision/include/egrettrestle/decision/dispatch_types.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatch_types.hpp
@@ -165,6 +165,8 @@
     Milliseconds expectedRunTime { 0 };
     /// The run is returned as expired if it cannot be started by then.
     TimePoint latestStart;
+    /// When the run has to end for its job to meet the route's latency objective. Empty if the sender does not tell.
+    std::optional<TimePoint> dueBy = {};
     /// Label that the upstream must have; empty for none.
     std::string requiredLabel;
     /// The rack in which the task runs fastest; empty for none.
@@ -281,6 +283,16 @@
     std::vector<RouteExposure> exposures = {};
 };
 
+/// Free capacity for tasks of one size.
+struct SizedCapacity {
+    /// Processor capacity that each task needs.
+    std::int64_t milliCores = 0;
+    /// How many such tasks can start now.
+    std::uint32_t freeTasks = 0;
+
+    friend bool operator==(const SizedCapacity& left, const SizedCapacity& right) { return left.milliCores == right.milliCores && left.freeTasks == right.freeTasks; }
+};
+
 /// Capacity of an owner's upstreams of one service and kind of hardware, in tasks with the typical need.
 struct KindCapacity {
     std::string service;
@@ -291,6 +303,8 @@
     std::uint32_t totalTasks = 0;
     /// Duration of a task on this kind relative to the expected duration.
     double slowness = 1;
+    /// Free capacity by size of task, in ascending order of size. Empty if the sender does not tell.
+    std::vector<SizedCapacity> places = {};
 };
 
 /// Capacity for a route that is confined to a part of an owner's upstreams, and the route's tasks queued there. They count
--- a/packages/decision/include/egrettrestle/decision/job_executor.hpp
+++ b/packages/decision/include/egrettrestle/decision/job_executor.hpp
@@ -279,6 +279,10 @@
         Route route;
         TimePoint receivedAt;
         TimePoint deadline;
+        /// When the job has to be answered to meet its route's latency objective.
+        TimePoint dueBy;
+        /// Expected run time of the steps that follow each step.
+        std::vector<Milliseconds> runAfterStep;
         std::vector<CallerTicket> callers;
         std::vector<Task> tasks;
         /// Preferred rack of each step, for tasks that run faster near each other or near their data; empty if none.
@@ -304,6 +308,8 @@
     struct Forecast {
         /// Run time of the longest chain of dependent steps.
         Milliseconds run { 0 };
+        /// When each step ends, without waits.
+        std::vector<Milliseconds> stepEnds;
         /// Time until the tasks of the widest step have found capacity.
         Milliseconds wait { 0 };
         CapacityTotals capacity;
@@ -312,6 +318,11 @@
     Forecast forecast(const DispatchJob& request, const Route& route) const;
     /// Whether a job would finish within its route's latency objective and its caller's timeout.
     bool meetsObjective(const Forecast& forecast, const DispatchJob& request, const Route& route) const;
+    /// The route's latency objective for a job, bounded by its caller's timeout.
+    Milliseconds objectiveOf(const Forecast& forecast, const DispatchJob& request, const Route& route) const;
+    /// The greatest duration relative to the expected one with which a task that starts now meets the job's objective; 0 if
+    /// none does.
+    double maxSlowness(const Job& job, std::uint32_t step, TimePoint now) const;
     void refuse(CallerTicket ticket, const DispatchJob& request, const Route& route, const Forecast& forecast, const std::string& reason);
     /// Makes the tasks of steps whose dependencies have completed ready to be sent.
     void unblockSteps(Job& job);
--- a/packages/decision/src/capacity_table.cpp
+++ b/packages/decision/src/capacity_table.cpp
@@ -5,6 +5,15 @@
 
 namespace egrettrestle {
 
+namespace {
+
+    bool isExcluded(const OwnerQuery& query, const VmId& owner)
+    {
+        return std::find(query.except.begin(), query.except.end(), owner) != query.except.end();
+    }
+
+}
+
 void CapacityTable::update(const VmId& owner, CapacityReport report)
 {
     m_owners[owner].report = std::move(report);
@@ -140,13 +149,15 @@
     return mostCapacity == capacityByRack.end() ? std::string() : mostCapacity->first;
 }
 
-std::optional<VmId> CapacityTable::chooseOwner(const VmId& self, const std::string& service, const std::vector<VmId>& except, const std::string& rack, const std::string& route) const
+std::optional<VmId> CapacityTable::chooseOwner(const OwnerQuery& query) const
 {
-    const auto isExcluded = [&except](const VmId& id) { return std::find(except.begin(), except.end(), id) != except.end(); };
-    const std::set<VmId> rackOwners = rack.empty() ? std::set<VmId> {} : ownersIn(service, rack);
+    const VmId& self = query.self;
+    const std::string& service = query.service;
+    const std::string& route = query.route;
+    const std::set<VmId> rackOwners = query.rack.empty() ? std::set<VmId> {} : ownersIn(service, query.rack);
     const std::set<VmId>& preferred = rackOwners.empty() ? m_localOwners : rackOwners;
     const bool preferSelf = rackOwners.empty() || rackOwners.count(self) > 0;
-    if (preferSelf && freeTasks(self, service, route) > 0 && !isExcluded(self))
+    if (preferSelf && freeTasks(self, service, route) > 0 && !isExcluded(query, self))
         return self;
     std::optional<VmId> mostCapacity;
     std::int64_t maxFreeTasks = 0;
@@ -156,7 +167,7 @@
     for (const auto& owner : m_owners) {
         const Entry& entry = owner.second;
         const std::int64_t total = totalTasksOf(entry, service, route);
-        if (!entry.reachable || total == 0 || isExcluded(owner.first))
+        if (!entry.reachable || total == 0 || isExcluded(query, owner.first))
             continue;
         const std::int64_t free = freeTasksOf(entry, service, route);
         const bool isPreferred = preferred.count(owner.first) > 0;
@@ -175,12 +186,12 @@
     return mostCapacity ? mostCapacity : shortestQueue;
 }
 
-std::optional<VmId> CapacityTable::ownerWithCapacity(const std::string& service, const VmId& except, const std::string& route) const
+std::optional<VmId> CapacityTable::ownerWithCapacity(const OwnerQuery& query) const
 {
     std::optional<VmId> best;
     std::int64_t maxFreeTasks = 0;
     for (const auto& owner : m_owners) {
-        const std::int64_t free = owner.second.reachable && owner.first != except ? freeTasksOf(owner.second, service, route) : 0;
+        const std::int64_t free = owner.second.reachable && !isExcluded(query, owner.first) ? freeTasksOf(owner.second, query.service, query.route) : 0;
         if (free > maxFreeTasks) {
             maxFreeTasks = free;
             best = owner.first;
--- a/packages/decision/src/job_executor.cpp
+++ b/packages/decision/src/job_executor.cpp
@@ -59,6 +59,9 @@
     job.route = route;
     job.receivedAt = now;
     job.deadline = now + request.callerTimeout - m_limits.replyMargin;
+    job.dueBy = now + objectiveOf(expected, request, route);
+    for (const Milliseconds stepEnd : expected.stepEnds)
+        job.runAfterStep.push_back(expected.run - stepEnd);
     job.callers.push_back(ticket);
     job.anyStarted = crashes.possible.total > 0;
     // Messages about runs of an earlier submission may still arrive.
@@ -100,7 +103,7 @@
 JobExecutor::Forecast JobExecutor::forecast(const DispatchJob& request, const Route& route) const
 {
     Forecast result;
-    std::vector<Milliseconds> stepEnds;
+    std::vector<Milliseconds>& stepEnds = result.stepEnds;
     std::uint32_t widestStep = 0;
     for (const JobStep& step : request.steps) {
         Milliseconds begin { 0 };
@@ -128,9 +131,22 @@
         return false;
     if (forecast.wait.count() == 0)
         return true;
-    const Milliseconds objective = scaled(forecast.run, route.stretch) + route.targetLatency;
     const Milliseconds end = scaled(forecast.wait, m_limits.waitErrorFactor) + scaled(forecast.run, m_limits.contentionFactor);
-    return end <= std::min(objective, request.callerTimeout - m_limits.replyMargin);
+    return end <= objectiveOf(forecast, request, route);
+}
+
+Milliseconds JobExecutor::objectiveOf(const Forecast& forecast, const DispatchJob& request, const Route& route) const
+{
+    return std::min(scaled(forecast.run, route.stretch) + route.targetLatency, request.callerTimeout - m_limits.replyMargin);
+}
+
+double JobExecutor::maxSlowness(const Job& job, std::uint32_t step, TimePoint now) const
+{
+    const Milliseconds expected = m_runTimeEstimator.expectedRunTime(job.route.name, job.request.steps[step].estimate);
+    const Milliseconds left = toMilliseconds(job.dueBy - job.runAfterStep[step] - now);
+    if (expected.count() <= 0 || left.count() <= 0)
+        return 0;
+    return static_cast<double>(left.count()) / static_cast<double>(expected.count());
 }
 
 void JobExecutor::refuse(CallerTicket ticket, const DispatchJob& request, const Route& route, const Forecast& forecast, const std::string& reason)
@@ -178,7 +194,7 @@
         const bool unsuitable = owner && std::find(task.unsuitableOwners.begin(), task.unsuitableOwners.end(), *owner) != task.unsuitableOwners.end();
         const std::string& rack = preferredRack(job, task.step);
         if (!owner || unsuitable || !rack.empty() || m_capacities.freeTasks(*owner, job.route.service, job.route.name) <= 0)
-            owner = m_capacities.chooseOwner(m_self, job.route.service, task.unsuitableOwners, rack, job.route.name);
+            owner = m_capacities.chooseOwner({ m_self, job.route.service, task.unsuitableOwners, rack, job.route.name, job.request.steps[task.step].need, maxSlowness(job, task.step, now) });
         if (owner)
             sendTask(job, task, *owner, now);
     }
@@ -214,6 +230,7 @@
     request.estimate = step.estimate;
     request.expectedRunTime = m_runTimeEstimator.expectedRunTime(job.route.name, step.estimate);
     request.latestStart = std::max(now, job.deadline - scaled(request.expectedRunTime, m_limits.minRemainingShare));
+    request.dueBy = job.dueBy - job.runAfterStep[task.step];
     request.requiredLabel = step.requiredLabel;
     request.dataRack = preferredRack(job, task.step);
     request.maxPerUpstream = step.maxPerUpstream;
@@ -546,7 +563,7 @@
     for (Task& task : job.tasks) {
         if (task.state != TaskState::Sent || task.orphanedUntil || now - task.sentAt < m_limits.moveAfter || m_capacities.freeTasks(task.owner, job.route.service, job.route.name) > 0)
             continue;
-        if (!m_capacities.ownerWithCapacity(job.route.service, task.owner, job.route.name))
+        if (!m_capacities.ownerWithCapacity({ m_self, job.route.service, { task.owner }, {}, job.route.name, job.request.steps[task.step].need, maxSlowness(job, task.step, now) }))
             return;
         withdrawTask(job, task, true);
     }
--- a/packages/wire/src/dispatch_messages.cpp
+++ b/packages/wire/src/dispatch_messages.cpp
@@ -49,6 +49,8 @@
         value["estimateMs"] = request.estimate.count();
         value["expectedMs"] = request.expectedRunTime.count();
         value["startWithinMs"] = std::max<std::int64_t>(0, toMilliseconds(request.latestStart - now).count());
+        if (request.dueBy)
+            value["dueWithinMs"] = std::max<std::int64_t>(0, toMilliseconds(*request.dueBy - now).count());
         if (!request.requiredLabel.empty())
             value["label"] = request.requiredLabel;
         if (!request.dataRack.empty())
@@ -87,6 +89,8 @@
         request.estimate = reader.milliseconds("estimateMs");
         request.expectedRunTime = reader.milliseconds("expectedMs");
         request.latestStart = now + reader.milliseconds("startWithinMs");
+        if (reader.has("dueWithinMs"))
+            request.dueBy = now + reader.milliseconds("dueWithinMs");
         request.requiredLabel = reader.textOr("label", "");
         request.dataRack = reader.textOr("rack", "");
         request.maxPerUpstream = static_cast<std::uint32_t>(reader.numberOr("maxPerUpstream", 0));
@@ -198,11 +202,35 @@
         return message;
     }
 
+    json kindJson(const KindCapacity& kind)
+    {
+        json value { { "service", kind.service }, { "kind", kind.kind }, { "free", kind.freeTasks }, { "total", kind.totalTasks }, { "slowness", kind.slowness } };
+        if (!kind.places.empty()) {
+            json& places = value["places"] = json::array();
+            for (const SizedCapacity& place : kind.places)
+                places.push_back(json::array({ place.milliCores, place.freeTasks }));
+        }
+        return value;
+    }
+
+    std::vector<SizedCapacity> readPlaces(ObjectReader& reader, std::vector<ValidationError>& errors)
+    {
+        constexpr std::size_t fields = 2;
+        std::vector<SizedCapacity> places;
+        for (const json& row : reader.arrayOrEmpty("places")) {
+            if (row.is_array() && row.size() == fields && row[0].is_number_unsigned() && row[1].is_number_unsigned())
+                places.push_back({ row[0].get<std::int64_t>(), row[1].get<std::uint32_t>() });
+            else
+                errors.push_back({ dispatchErrorCodes.outOfRange(), reader.pointer("places"), row.dump(), "rows of a size and a number of tasks" });
+        }
+        return places;
+    }
+
     json capacityJson(const CapacityReport& capacity)
     {
         json kinds = json::array();
         for (const KindCapacity& kind : capacity.kinds)
-            kinds.push_back({ { "service", kind.service }, { "kind", kind.kind }, { "free", kind.freeTasks }, { "total", kind.totalTasks }, { "slowness", kind.slowness } });
+            kinds.push_back(kindJson(kind));
         json queues = json::array();
         for (const QueueBacklog& queue : capacity.queues)
             queues.push_back({ { "service", queue.service }, { "priority", queue.priority }, { "tasks", queue.tasks }, { "workMs", queue.work.count() } });
@@ -227,7 +255,7 @@
         }
         for (const json& element : reader.array("kinds")) {
             ObjectReader item(element, reader.pointer("kinds", capacity.kinds.size()), dispatchErrorCodes, errors);
-            capacity.kinds.push_back({ item.text("service"), item.text("kind"), static_cast<std::uint32_t>(item.number("free")), static_cast<std::uint32_t>(item.number("total")), item.real("slowness") });
+            capacity.kinds.push_back({ item.text("service"), item.text("kind"), static_cast<std::uint32_t>(item.number("free")), static_cast<std::uint32_t>(item.number("total")), item.real("slowness"), readPlaces(item, errors) });
         }
         for (const json& element : reader.array("queues")) {
             ObjectReader item(element, reader.pointer("queues", capacity.queues.size()), dispatchErrorCodes, errors);
--- a/tests/unit/unit-job-executor.cpp
+++ b/tests/unit/unit-job-executor.cpp
@@ -110,6 +110,21 @@
     CHECK(fixture.request(1).run.task.step == 1);
 }
 
+TEST_CASE("executor tells owners when a run has to end for its job to meet the objective")
+{
+    // Guards against owners that order runs by the callers' timeouts, which say nothing about the objective.
+    ExecutorFixture fixture;
+    DispatchJob job = jobOf("j", 1);
+    job.steps.push_back(job.steps[0]);
+    job.steps[1].after = { 0 };
+    fixture.submit(job);
+    fixture.endAll(RunOutcome::Done);
+    REQUIRE(fixture.port.sent.size() == 2);
+    // Two steps of 110 ms each, 1.6 times that and 60 ms; the second step follows the first run.
+    CHECK(fixture.request(0).dueBy == fixture.now + Milliseconds { 302 });
+    CHECK(fixture.request(1).dueBy == fixture.now + Milliseconds { 412 });
+}
+
 TEST_CASE("executor refuses jobs early, and only if none of their tasks has run")
 {
     SECTION("a job that would wait too long is refused with a retry delay before any task is sent")
--- a/tests/unit/unit-placement.cpp
+++ b/tests/unit/unit-placement.cpp
@@ -121,15 +121,15 @@
 
     SECTION("an owner of upstreams in the rack is preferred to this VM and to local owners")
     {
-        CHECK(capacities.chooseOwner("x", "print", {}, "r2") == "z");
-        CHECK(capacities.chooseOwner("x", "print", {}, "r1") == "x");
+        CHECK(capacities.chooseOwner({ "x", "print", {}, "r2" }) == "z");
+        CHECK(capacities.chooseOwner({ "x", "print", {}, "r1" }) == "x");
     }
 
     SECTION("without free capacity in the rack another owner is chosen")
     {
         capacities.update("z", capacityFor(0, 8));
-        CHECK(capacities.chooseOwner("x", "print", {}, "r2") == "y");
-        CHECK(capacities.chooseOwner("x", "print", {}, "r9") == "x");
+        CHECK(capacities.chooseOwner({ "x", "print", {}, "r2" }) == "y");
+        CHECK(capacities.chooseOwner({ "x", "print", {}, "r9" }) == "x");
     }
 
     SECTION("the rack with the most free capacity of its owners is chosen")
@@ -188,6 +188,6 @@
     CHECK(other.freeTasks == 8);
     CHECK(other.totalTasks == 32);
     CHECK(other.tasksAhead == 0);
-    CHECK(table.chooseOwner("x", "print", {}, {}, "proof") == VmId { "y" });
-    CHECK(table.chooseOwner("x", "print", {}, {}, "quote") == VmId { "x" });
+    CHECK(table.chooseOwner({ "x", "print", {}, {}, "proof" }) == VmId { "y" });
+    CHECK(table.chooseOwner({ "x", "print", {}, {}, "quote" }) == VmId { "x" });
 }
--- a/tests/unit/unit-wire.cpp
+++ b/tests/unit/unit-wire.cpp
@@ -148,7 +148,7 @@
     batch.stamp = { 7, 8, 99, 3 };
     batch.capacity.typicalNeed = { 27'000, 64, 1 };
     batch.capacity.completeAtEpoch = { 4 };
-    batch.capacity.kinds.push_back({ "print", "a", 2, 8, 1.5 });
+    batch.capacity.kinds.push_back({ "print", "a", 2, 8, 1.5, { { 24'000, 3 }, { 40'000, 1 } } });
     batch.capacity.confinedRoutes.push_back({ "proof", 1, 4, 3, Milliseconds { 300 } });
     batch.capacity.queues.push_back({ "print", 1, 4, Milliseconds { 400 } });
     RunRequest request;
@@ -156,6 +156,7 @@
     request.spec = "text";
     request.need = { 1, 2, 3 };
     request.latestStart = now + Milliseconds { 250 };
+    request.dueBy = now + Milliseconds { 150 };
     request.avoid = { "u1" };
     request.crashes = { 2, 1 };
     const TaskRun run { { "j", 1, 2 }, 3 };
@@ -175,6 +176,19 @@
         CHECK_FALSE(reparsed->messages[0].withdrawal->endBy);
     }
 
+    SECTION("a batch of an earlier build tells neither places nor when runs are due")
+    {
+        batch.capacity.kinds[0].places.clear();
+        batch.messages[0].request->dueBy.reset();
+        const std::string text = toText(batch, now);
+        CHECK(text.find("places") == std::string::npos);
+        CHECK(text.find("dueWithinMs") == std::string::npos);
+        const std::optional<DispatchBatch> reparsed = parseDispatchBatch(text, now);
+        REQUIRE(reparsed);
+        CHECK(reparsed->capacity.kinds[0].places.empty());
+        CHECK_FALSE(reparsed->messages[0].request->dueBy);
+    }
+
     SECTION("batches are unchanged by a round trip; times are relative to the receiver's clock")
     {
         const TimePoint later = now + Seconds { 100 };
@@ -182,6 +196,7 @@
         REQUIRE(reparsed);
         REQUIRE(reparsed->messages.size() == 7);
         CHECK(reparsed->messages[0].request->latestStart == later + Milliseconds { 250 });
+        CHECK(reparsed->messages[0].request->dueBy == later + Milliseconds { 150 });
         CHECK(reparsed->messages[0].request->need == request.need);
         CHECK(reparsed->messages[1].started->epoch.value == 5);
         CHECK(reparsed->messages[2].ended->outcome == RunOutcome::Failed);
@@ -196,6 +211,7 @@
         CHECK(reparsed->stamp.firstMessage == 3);
         CHECK(reparsed->capacity.completeAtEpoch.value == 4);
         CHECK(reparsed->capacity.kinds[0].slowness == Approx(1.5));
+        CHECK(reparsed->capacity.kinds[0].places == batch.capacity.kinds[0].places);
         CHECK(reparsed->messages[0].request->crashes.total == 2);
         CHECK(reparsed->messages[0].request->crashes.alone == 1);
         REQUIRE(reparsed->messages[6].crash);
