Run repeated functions of an event loop at common times

The dispatcher's tick and the measurement of the input both ran every 20 ms, each with a wake-up of its own. They now expire at multiples of their interval since the loop was made, so that one wake-up serves both.

--- a/packages/http/src/detail/event_loop_state.hpp
+++ b/packages/http/src/detail/event_loop_state.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <atomic>
+#include <chrono>
 #include <optional>
 #include <thread>
 
@@ -12,6 +13,8 @@
 namespace egrettrestle {
 
 struct EventLoop::State {
+    /// The times of repeated functions are counted from here.
+    const std::chrono::steady_clock::time_point origin = std::chrono::steady_clock::now();
     // One thread runs the context; others may post to it.
     boost::asio::io_context context { 1 };
     boost::asio::executor_work_guard<boost::asio::io_context::executor_type> work { context.get_executor() };
--- a/packages/http/src/event_loop.cpp
+++ b/packages/http/src/event_loop.cpp
@@ -9,6 +9,8 @@
 
 namespace {
 
+    using SteadyTimePoint = std::chrono::steady_clock::time_point;
+
     constexpr Milliseconds inputMeasurementInterval { 20 };
     // A turn of the loop handles at most 128 events. Four turns are two for new connections and two for their data; after a
     // time in which events can have piled up, there may be as many as the connections of a VM.
@@ -16,11 +18,13 @@
     constexpr int turnsAfterDelay = 16;
     constexpr Milliseconds delayedMeasurement { 100 };
 
-    /// Repeats a function until the loop stops.
+    /// Repeats a function until the loop stops, at multiples of the interval since `origin`: functions with the same interval
+    /// run in one wake-up of the process.
     class Repeater : public std::enable_shared_from_this<Repeater> {
     public:
-        Repeater(boost::asio::io_context& context, Milliseconds interval, std::function<void()> function)
+        Repeater(boost::asio::io_context& context, SteadyTimePoint origin, Milliseconds interval, std::function<void()> function)
             : m_timer(context)
+            , m_origin(origin)
             , m_interval(interval)
             , m_function(std::move(function))
         {
@@ -28,7 +32,8 @@
 
         void schedule()
         {
-            m_timer.expires_after(m_interval);
+            const SteadyTimePoint now = std::chrono::steady_clock::now();
+            m_timer.expires_at(now + m_interval - (now - m_origin) % m_interval);
             m_timer.async_wait([self = shared_from_this()](const boost::system::error_code& error) {
                 if (error)
                     return;
@@ -39,6 +44,7 @@
 
     private:
         boost::asio::steady_timer m_timer;
+        SteadyTimePoint m_origin;
         Milliseconds m_interval;
         std::function<void()> m_function;
     };
@@ -99,7 +105,7 @@
 
 void EventLoop::runEvery(Milliseconds interval, std::function<void()> function)
 {
-    std::make_shared<Repeater>(m_state->context, interval, std::move(function))->schedule();
+    std::make_shared<Repeater>(m_state->context, m_state->origin, interval, std::move(function))->schedule();
 }
 
 namespace {
