Move the queue of UpstreamOwner to RunQueue

The order in which queued runs are offered capacity becomes a module that can be tested alone. Behaviour is unchanged; an entry is no longer moved at each pass.

--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -10,6 +10,7 @@
 #include <egrettrestle/decision/dispatch_types.hpp>
 #include <egrettrestle/decision/owned_upstream.hpp>
 #include <egrettrestle/decision/recent_runs.hpp>
+#include <egrettrestle/decision/run_queue.hpp>
 #include <egrettrestle/decision/run_time_estimator.hpp>
 #include <egrettrestle/decision/upstream_orders.hpp>
 
@@ -155,12 +156,6 @@
     const RunTimeEstimator& runTimeEstimator() const { return m_runTimeEstimator; }
 
 private:
-    struct QueuedRun {
-        VmId executor;
-        RunRequest request;
-        TimePoint since;
-    };
-
     /// A claim for an upstream that this VM does not own yet, or not yet under the claim's epoch.
     struct EarlyClaim {
         VmId executor;
@@ -259,17 +254,13 @@
     /// When the runs of an executor that was lost or has restarted must have ended.
     TimePoint orphanedRunsEndBy(const VmId& executor, TimePoint now) const;
     OwnedUpstream* findUpstream(const UpstreamId& upstream);
-    void enqueue(QueuedRun queuedRun);
-    /// Removes all queued runs of an executor and returns them.
-    std::vector<TaskRun> dequeueRunsOf(const VmId& executor);
 
     OwnerPort& m_port;
     const CrashTable& m_crashes;
     OwnerLimits m_limits;
     RunTimeEstimator m_runTimeEstimator;
     std::map<UpstreamId, OwnedUpstream> m_upstreams;
-    /// Ordered by priority, then by latest start.
-    std::vector<QueuedRun> m_queue;
+    RunQueue m_queue;
     /// Runs that ended recently, for claims and withdrawals that arrive after the end.
     RecentRuns<RunEnded> m_recentEnds;
     /// Runs that passed to another owner together with their upstream.
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -22,11 +22,6 @@
     // A pause doubled this many times exceeds the maximum pause.
     constexpr int maxPauseDoublings = 6;
 
-    bool hasPrecedence(const RunRequest& left, const RunRequest& right)
-    {
-        return left.priority != right.priority ? left.priority < right.priority : left.latestStart < right.latestStart;
-    }
-
     const char* causeName(StopCause cause)
     {
         static const std::map<StopCause, const char*> names {
@@ -232,16 +227,14 @@
     // These belong to an earlier submission of the job, whose run numbers started at 1 as well.
     m_recentEnds.remove(executor, request.run);
     m_released.remove(executor, request.run);
-    enqueue({ executor, request, now });
+    m_queue.add({ executor, request, now });
     startQueuedRuns(now);
 }
 
 void UpstreamOwner::withdraw(const VmId& executor, const RunWithdrawal& withdrawal, TimePoint now)
 {
     const TaskRun& run = withdrawal.run;
-    const auto queuedRun = std::find_if(m_queue.begin(), m_queue.end(), [&](const QueuedRun& entry) { return entry.request.run == run && entry.executor == executor; });
-    if (queuedRun != m_queue.end()) {
-        m_queue.erase(queuedRun);
+    if (m_queue.remove(executor, run)) {
         returnRun(executor, run, ReturnReason::Withdrawn);
         return;
     }
@@ -317,7 +310,7 @@
 void UpstreamOwner::onExecutorLost(const VmId& executor, TimePoint now)
 {
     // An executor that is still alive thereby learns the fate of each of its tasks.
-    for (const TaskRun& run : dequeueRunsOf(executor))
+    for (const TaskRun& run : m_queue.removeRunsOf(executor))
         returnRun(executor, run, ReturnReason::Withdrawn);
     const TimePoint endBy = orphanedRunsEndBy(executor, now);
     for (auto& entry : m_upstreams) {
@@ -332,7 +325,7 @@
 
 void UpstreamOwner::onExecutorRestarted(const VmId& executor, TimePoint now)
 {
-    dequeueRunsOf(executor);
+    m_queue.removeRunsOf(executor);
     const TimePoint endBy = orphanedRunsEndBy(executor, now);
     for (auto& entry : m_upstreams) {
         for (auto& run : entry.second.runs) {
@@ -347,20 +340,6 @@
     }
 }
 
-std::vector<TaskRun> UpstreamOwner::dequeueRunsOf(const VmId& executor)
-{
-    std::vector<TaskRun> dequeued;
-    for (auto entry = m_queue.begin(); entry != m_queue.end();) {
-        if (entry->executor == executor) {
-            dequeued.push_back(entry->request.run);
-            entry = m_queue.erase(entry);
-        } else {
-            ++entry;
-        }
-    }
-    return dequeued;
-}
-
 std::optional<PollOrder> UpstreamOwner::nextPoll(const UpstreamId& upstream, TimePoint now)
 {
     OwnedUpstream* owned = findUpstream(upstream);
@@ -729,14 +708,11 @@
 
 void UpstreamOwner::expireQueuedRuns(TimePoint now)
 {
-    const auto expired = [this, now](const QueuedRun& queuedRun) {
-        if (queuedRun.request.latestStart >= now)
-            return false;
-        m_port.recordEvent({ EventKind::RequestExpired, {}, queuedRun.request.run, {}, toMilliseconds(now - queuedRun.since), m_queue.size() });
-        returnRun(queuedRun.executor, queuedRun.request.run, ReturnReason::Expired);
-        return true;
-    };
-    m_queue.erase(std::remove_if(m_queue.begin(), m_queue.end(), expired), m_queue.end());
+    const std::size_t queued = m_queue.size();
+    for (const QueuedRun& expired : m_queue.removeExpired(now)) {
+        m_port.recordEvent({ EventKind::RequestExpired, {}, expired.request.run, {}, toMilliseconds(now - expired.since), queued });
+        returnRun(expired.executor, expired.request.run, ReturnReason::Expired);
+    }
 }
 
 void UpstreamOwner::startQueuedRuns(TimePoint now)
@@ -745,26 +721,25 @@
         releaseReservations();
         return;
     }
-    std::vector<QueuedRun> stillQueued;
-    std::vector<QueuedRun> queue;
-    queue.swap(m_queue);
-    for (QueuedRun& queuedRun : queue) {
+    m_queue.beginPass();
+    while (const QueuedRun* queuedRun = m_queue.next()) {
+        const RunRequest& request = queuedRun->request;
         // The executor decides what becomes of the task.
-        if (isConclusive(possibleCrashesOf(queuedRun.request))) {
-            returnRun(queuedRun.executor, queuedRun.request.run, ReturnReason::Withdrawn);
+        if (isConclusive(possibleCrashesOf(request))) {
+            returnRun(queuedRun->executor, request.run, ReturnReason::Withdrawn);
+            m_queue.removeOffered();
             continue;
         }
-        const bool canStart = queuedRun.request.latestStart >= now && isResponsive(queuedRun.executor, now) && (m_ownStartsEnabled || queuedRun.executor != m_self);
-        OwnedUpstream* upstream = canStart ? bestUpstreamFor(queuedRun.request, now) : nullptr;
+        const bool canStart = request.latestStart >= now && isResponsive(queuedRun->executor, now) && (m_ownStartsEnabled || queuedRun->executor != m_self);
+        OwnedUpstream* upstream = canStart ? bestUpstreamFor(request, now) : nullptr;
         if (upstream) {
-            startRun(*upstream, queuedRun, now);
+            startRun(*upstream, *queuedRun, now);
+            m_queue.removeOffered();
             continue;
         }
-        if (canStart && mustBeAlone(queuedRun.request))
-            reserveUpstream(queuedRun.request, now);
-        stillQueued.push_back(std::move(queuedRun));
+        if (canStart && mustBeAlone(request))
+            reserveUpstream(request, now);
     }
-    m_queue = std::move(stillQueued);
     releaseReservations();
 }
 
@@ -839,13 +814,7 @@
 
 void UpstreamOwner::requeueRun(OwnedRun& run, TimePoint now)
 {
-    enqueue({ run.executor, run.request, now });
-}
-
-void UpstreamOwner::enqueue(QueuedRun queuedRun)
-{
-    const auto place = std::upper_bound(m_queue.begin(), m_queue.end(), queuedRun, [](const QueuedRun& left, const QueuedRun& right) { return hasPrecedence(left.request, right.request); });
-    m_queue.insert(place, std::move(queuedRun));
+    m_queue.add({ run.executor, run.request, now });
 }
 
 void UpstreamOwner::eraseRun(OwnedUpstream& upstream, const TaskRun& run)
