Order queued runs by due time and keep a share for each route

Runs that are late anyway go behind those of their priority, and each route keeps half of an equal share of the owner's cores. The search for an upstream is left out for runs that fit nowhere.

--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -70,7 +70,7 @@
     /// Enables or disables the start of new runs on all upstreams; initially enabled.
     void setStartsEnabled(bool enabled) { m_startsEnabled = enabled; }
 
-    /// Starts queued runs, in order of priority, wherever an upstream has capacity.
+    /// Starts queued runs, in the order of RunQueue, wherever an upstream has capacity.
     void startQueuedRuns(TimePoint now);
 
     /// Enables or disables the start of queued runs of the executor on this VM; initially enabled.
@@ -243,6 +243,10 @@
     /// Stops runs that are still unclaimed at the end of the claim grace period.
     void resolveUnclaimedRuns(OwnedUpstream& upstream, TimePoint now);
     void expireQueuedRuns(TimePoint now);
+    /// The most processor capacity that is free on any upstream that accepts runs; negative if none does.
+    std::int64_t largestFreeMilliCores(TimePoint now) const;
+    /// The processor capacity that each route uses here.
+    CoreUsage coreUsage(TimePoint now) const;
     /// Includes a task's need in the moving average, unless the task can run on no owned upstream.
     void updateTypicalNeed(const Resources& need);
     /// Whether a need fits into the total capacity of any owned upstream.
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -721,7 +721,13 @@
         releaseReservations();
         return;
     }
-    m_queue.beginPass();
+    std::int64_t largestFree = largestFreeMilliCores(now);
+    // While no queued run fits anywhere, only the reports about crashes matter.
+    if (m_queue.smallestNeed() > largestFree && m_crashes.size() == 0 && !m_queue.hasSuspects()) {
+        releaseReservations();
+        return;
+    }
+    m_queue.beginPass(m_queue.needsUsage() ? coreUsage(now) : CoreUsage {}, now);
     while (const QueuedRun* queuedRun = m_queue.next()) {
         const RunRequest& request = queuedRun->request;
         // The executor decides what becomes of the task.
@@ -731,10 +737,11 @@
             continue;
         }
         const bool canStart = request.latestStart >= now && isResponsive(queuedRun->executor, now) && (m_ownStartsEnabled || queuedRun->executor != m_self);
-        OwnedUpstream* upstream = canStart ? bestUpstreamFor(request, now) : nullptr;
+        OwnedUpstream* upstream = canStart && request.need.milliCores <= largestFree ? bestUpstreamFor(request, now) : nullptr;
         if (upstream) {
             startRun(*upstream, *queuedRun, now);
-            m_queue.removeOffered();
+            m_queue.removeStarted();
+            largestFree = largestFreeMilliCores(now);
             continue;
         }
         if (canStart && mustBeAlone(request))
@@ -743,6 +750,33 @@
     releaseReservations();
 }
 
+std::int64_t UpstreamOwner::largestFreeMilliCores(TimePoint now) const
+{
+    std::int64_t largest = -1;
+    for (const auto& entry : m_upstreams) {
+        if (acceptsRuns(entry.second, m_limits, now))
+            largest = std::max(largest, entry.second.available().milliCores);
+    }
+    return largest;
+}
+
+CoreUsage UpstreamOwner::coreUsage(TimePoint now) const
+{
+    CoreUsage usage;
+    for (const auto& entry : m_upstreams) {
+        const OwnedUpstream& upstream = entry.second;
+        ServiceCores& cores = usage[upstream.info.service];
+        if (acceptsRuns(upstream, m_limits, now))
+            cores.total += upstream.info.capacity.milliCores;
+        for (const auto& run : upstream.runs) {
+            // The route of a run that was found at the upstream is unknown.
+            if (!run.second.request.route.empty())
+                cores.usedByRoute[run.second.request.route] += run.second.request.need.milliCores;
+        }
+    }
+    return usage;
+}
+
 double UpstreamOwner::relativeDurationOn(const OwnedUpstream& upstream, const RunRequest& request) const
 {
     const bool outsideDataRack = !request.dataRack.empty() && request.dataRack != upstream.info.rack;
