--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -11,6 +11,7 @@
 #include <egrettrestle/decision/need_sample.hpp>
 #include <egrettrestle/decision/owned_upstream.hpp>
 #include <egrettrestle/decision/recent_runs.hpp>
+#include <egrettrestle/decision/run_queue.hpp>
 #include <egrettrestle/decision/run_time_estimator.hpp>
 #include <egrettrestle/decision/upstream_orders.hpp>
 
@@ -70,7 +71,7 @@
     /// Enables or disables the start of new runs on all upstreams; initially enabled.
     void setStartsEnabled(bool enabled) { m_startsEnabled = enabled; }
 
-    /// Starts queued runs, in order of priority, wherever an upstream has capacity.
+    /// Starts queued runs, in the order of RunQueue, wherever an upstream has capacity.
     void startQueuedRuns(TimePoint now);
 
     /// Enables or disables the start of queued runs of the executor on this VM; initially enabled.
@@ -156,12 +157,6 @@
     const RunTimeEstimator& runTimeEstimator() const { return m_runTimeEstimator; }
 
 private:
-    struct QueuedRun {
-        VmId executor;
-        RunRequest request;
-        TimePoint since;
-    };
-
     /// A claim for an upstream that this VM does not own yet, or not yet under the claim's epoch.
     struct EarlyClaim {
         VmId executor;
@@ -249,6 +244,10 @@
     /// Stops runs that are still unclaimed at the end of the claim grace period.
     void resolveUnclaimedRuns(OwnedUpstream& upstream, TimePoint now);
     void expireQueuedRuns(TimePoint now);
+    /// The most processor capacity that is free on any upstream that accepts runs; negative if none does.
+    std::int64_t largestFreeMilliCores(TimePoint now) const;
+    /// The processor capacity that each route uses here.
+    CoreUsage coreUsage(TimePoint now) const;
     /// Includes a task's need in the moving average and the sample, unless the task can run on no owned upstream.
     void updateTypicalNeed(const Resources& need);
     /// Whether a need fits into the total capacity of any owned upstream.
@@ -267,17 +266,13 @@
     /// When the runs of an executor that was lost or has restarted must have ended.
     TimePoint orphanedRunsEndBy(const VmId& executor, TimePoint now) const;
     OwnedUpstream* findUpstream(const UpstreamId& upstream);
-    void enqueue(QueuedRun queuedRun);
-    /// Removes all queued runs of an executor and returns them.
-    std::vector<TaskRun> dequeueRunsOf(const VmId& executor);
 
     OwnerPort& m_port;
     const CrashTable& m_crashes;
     OwnerLimits m_limits;
     RunTimeEstimator m_runTimeEstimator;
     std::map<UpstreamId, OwnedUpstream> m_upstreams;
-    /// Ordered by priority, then by latest start.
-    std::vector<QueuedRun> m_queue;
+    RunQueue m_queue;
     /// Runs that ended recently, for claims and withdrawals that arrive after the end.
     RecentRuns<RunEnded> m_recentEnds;
     /// Runs that passed to another owner together with their upstream.
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -23,11 +23,6 @@
     // A pause doubled this many times exceeds the maximum pause.
     constexpr int maxPauseDoublings = 6;
 
-    bool hasPrecedence(const RunRequest& left, const RunRequest& right)
-    {
-        return left.priority != right.priority ? left.priority < right.priority : left.latestStart < right.latestStart;
-    }
-
     /// Keeps the largest of the sizes with equal numbers of places: receivers use the smallest size that covers a need.
     void removeRedundantPlaces(std::vector<SizedCapacity>& places)
     {
@@ -251,16 +246,14 @@
     // These belong to an earlier submission of the job, whose run numbers started at 1 as well.
     m_recentEnds.remove(executor, request.run);
     m_released.remove(executor, request.run);
-    enqueue({ executor, request, now });
+    m_queue.add({ executor, request, now });
     startQueuedRuns(now);
 }
 
 void UpstreamOwner::withdraw(const VmId& executor, const RunWithdrawal& withdrawal, TimePoint now)
 {
     const TaskRun& run = withdrawal.run;
-    const auto queuedRun = std::find_if(m_queue.begin(), m_queue.end(), [&](const QueuedRun& entry) { return entry.request.run == run && entry.executor == executor; });
-    if (queuedRun != m_queue.end()) {
-        m_queue.erase(queuedRun);
+    if (m_queue.remove(executor, run)) {
         returnRun(executor, run, ReturnReason::Withdrawn);
         return;
     }
@@ -336,7 +329,7 @@
 void UpstreamOwner::onExecutorLost(const VmId& executor, TimePoint now)
 {
     // An executor that is still alive thereby learns the fate of each of its tasks.
-    for (const TaskRun& run : dequeueRunsOf(executor))
+    for (const TaskRun& run : m_queue.removeRunsOf(executor))
         returnRun(executor, run, ReturnReason::Withdrawn);
     const TimePoint endBy = orphanedRunsEndBy(executor, now);
     for (auto& entry : m_upstreams) {
@@ -351,7 +344,7 @@
 
 void UpstreamOwner::onExecutorRestarted(const VmId& executor, TimePoint now)
 {
-    dequeueRunsOf(executor);
+    m_queue.removeRunsOf(executor);
     const TimePoint endBy = orphanedRunsEndBy(executor, now);
     for (auto& entry : m_upstreams) {
         for (auto& run : entry.second.runs) {
@@ -366,20 +359,6 @@
     }
 }
 
-std::vector<TaskRun> UpstreamOwner::dequeueRunsOf(const VmId& executor)
-{
-    std::vector<TaskRun> dequeued;
-    for (auto entry = m_queue.begin(); entry != m_queue.end();) {
-        if (entry->executor == executor) {
-            dequeued.push_back(entry->request.run);
-            entry = m_queue.erase(entry);
-        } else {
-            ++entry;
-        }
-    }
-    return dequeued;
-}
-
 std::optional<PollOrder> UpstreamOwner::nextPoll(const UpstreamId& upstream, TimePoint now)
 {
     OwnedUpstream* owned = findUpstream(upstream);
@@ -748,14 +727,11 @@
 
 void UpstreamOwner::expireQueuedRuns(TimePoint now)
 {
-    const auto expired = [this, now](const QueuedRun& queuedRun) {
-        if (queuedRun.request.latestStart >= now)
-            return false;
-        m_port.recordEvent({ EventKind::RequestExpired, {}, queuedRun.request.run, {}, toMilliseconds(now - queuedRun.since), m_queue.size() });
-        returnRun(queuedRun.executor, queuedRun.request.run, ReturnReason::Expired);
-        return true;
-    };
-    m_queue.erase(std::remove_if(m_queue.begin(), m_queue.end(), expired), m_queue.end());
+    const std::size_t queued = m_queue.size();
+    for (const QueuedRun& expired : m_queue.removeExpired(now)) {
+        m_port.recordEvent({ EventKind::RequestExpired, {}, expired.request.run, {}, toMilliseconds(now - expired.since), queued });
+        returnRun(expired.executor, expired.request.run, ReturnReason::Expired);
+    }
 }
 
 void UpstreamOwner::startQueuedRuns(TimePoint now)
@@ -764,29 +740,62 @@
         releaseReservations();
         return;
     }
-    std::vector<QueuedRun> stillQueued;
-    std::vector<QueuedRun> queue;
-    queue.swap(m_queue);
-    for (QueuedRun& queuedRun : queue) {
+    std::int64_t largestFree = largestFreeMilliCores(now);
+    // While no queued run fits anywhere, only the reports about crashes matter.
+    if (m_queue.smallestNeed() > largestFree && m_crashes.size() == 0 && !m_queue.hasSuspects()) {
+        releaseReservations();
+        return;
+    }
+    m_queue.beginPass(m_queue.needsUsage() ? coreUsage(now) : CoreUsage {}, now);
+    while (const QueuedRun* queuedRun = m_queue.next()) {
+        const RunRequest& request = queuedRun->request;
         // The executor decides what becomes of the task.
-        if (isConclusive(possibleCrashesOf(queuedRun.request))) {
-            returnRun(queuedRun.executor, queuedRun.request.run, ReturnReason::Withdrawn);
+        if (isConclusive(possibleCrashesOf(request))) {
+            returnRun(queuedRun->executor, request.run, ReturnReason::Withdrawn);
+            m_queue.removeOffered();
             continue;
         }
-        const bool canStart = queuedRun.request.latestStart >= now && isResponsive(queuedRun.executor, now) && (m_ownStartsEnabled || queuedRun.executor != m_self);
-        OwnedUpstream* upstream = canStart ? bestUpstreamFor(queuedRun.request, now) : nullptr;
+        const bool canStart = request.latestStart >= now && isResponsive(queuedRun->executor, now) && (m_ownStartsEnabled || queuedRun->executor != m_self);
+        OwnedUpstream* upstream = canStart && request.need.milliCores <= largestFree ? bestUpstreamFor(request, now) : nullptr;
         if (upstream) {
-            startRun(*upstream, queuedRun, now);
+            startRun(*upstream, *queuedRun, now);
+            m_queue.removeStarted();
+            largestFree = largestFreeMilliCores(now);
             continue;
         }
-        if (canStart && mustBeAlone(queuedRun.request))
-            reserveUpstream(queuedRun.request, now);
-        stillQueued.push_back(std::move(queuedRun));
+        if (canStart && mustBeAlone(request))
+            reserveUpstream(request, now);
     }
-    m_queue = std::move(stillQueued);
     releaseReservations();
 }
 
+std::int64_t UpstreamOwner::largestFreeMilliCores(TimePoint now) const
+{
+    std::int64_t largest = -1;
+    for (const auto& entry : m_upstreams) {
+        if (acceptsRuns(entry.second, m_limits, now))
+            largest = std::max(largest, entry.second.available().milliCores);
+    }
+    return largest;
+}
+
+CoreUsage UpstreamOwner::coreUsage(TimePoint now) const
+{
+    CoreUsage usage;
+    for (const auto& entry : m_upstreams) {
+        const OwnedUpstream& upstream = entry.second;
+        ServiceCores& cores = usage[upstream.info.service];
+        if (acceptsRuns(upstream, m_limits, now))
+            cores.total += upstream.info.capacity.milliCores;
+        for (const auto& run : upstream.runs) {
+            // The route of a run that was found at the upstream is unknown.
+            if (!run.second.request.route.empty())
+                cores.usedByRoute[run.second.request.route] += run.second.request.need.milliCores;
+        }
+    }
+    return usage;
+}
+
 double UpstreamOwner::relativeDurationOn(const OwnedUpstream& upstream, const RunRequest& request) const
 {
     const bool outsideDataRack = !request.dataRack.empty() && request.dataRack != upstream.info.rack;
@@ -858,13 +867,7 @@
 
 void UpstreamOwner::requeueRun(OwnedRun& run, TimePoint now)
 {
-    enqueue({ run.executor, run.request, now });
-}
-
-void UpstreamOwner::enqueue(QueuedRun queuedRun)
-{
-    const auto place = std::upper_bound(m_queue.begin(), m_queue.end(), queuedRun, [](const QueuedRun& left, const QueuedRun& right) { return hasPrecedence(left.request, right.request); });
-    m_queue.insert(place, std::move(queuedRun));
+    m_queue.add({ run.executor, run.request, now });
 }
 
 void UpstreamOwner::eraseRun(OwnedUpstream& upstream, const TaskRun& run)
