Let runs wait for a faster upstream as long as that is worthwhile

The owner learns the speed of each upstream beside that of its kind, and predicts when busy upstreams have room. A run with an objective waits for one where it ends earlier by more than the error of the prediction, or where alone it meets its objective. Short runs leave scarce fast upstreams to the runs that need them.

--- a/packages/base/include/egrettrestle/base/event.hpp
+++ b/packages/base/include/egrettrestle/base/event.hpp
@@ -96,6 +96,7 @@
     inline constexpr Event entryRejected { 6113, Severity::Warning, "entry-rejected", "A discovery entry does not describe an upstream." };
     inline constexpr Event upstreamUnreachable { 6114, Severity::Warning, "upstream-unreachable", "Several polls of an upstream in a row have failed; the cause says how the last one did, and `runs` which runs are there." };
     inline constexpr Event upstreamReachable { 6115, Severity::Info, "upstream-reachable", "An unreachable upstream answers again and is the same incarnation." };
+    inline constexpr Event waitsEnded { 6120, Severity::Info, "waits-ended", "Runs that waited for a better place were started, on a better place or on a free one, by `cause`; `count` says how many since the last such line, at most one a second, and `ageMs` how long they waited on average." };
     inline constexpr Event storeLost { 7001, Severity::Warning, "store-lost", "The platform's store does not answer; the last known state stays in force." };
     inline constexpr Event storeRecovered { 7002, Severity::Info, "store-back", "The platform's store answers again." };
     inline constexpr Event vmListLost { 7003, Severity::Warning, "vm-list-lost", "The platform's VM list does not answer; the last known list stays in force." };
--- a/packages/base/include/egrettrestle/base/metrics.hpp
+++ b/packages/base/include/egrettrestle/base/metrics.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstdint>
 #include <memory>
 #include <string>
 
@@ -31,6 +32,9 @@
     /// Counts a run that was lost with its upstream; `cause` says how the upstream failed.
     void countLostRun(const std::string& route, const std::string& cause);
 
+    /// Counts runs that waited for a better place; `outcome` is `better-place` or `free-place`.
+    void countWaits(const std::string& outcome, std::uint64_t count);
+
     /// Records the response time of a job.
     void observeResponse(const std::string& urgencyClass, Duration responseTime);
 
--- a/packages/base/src/event.cpp
+++ b/packages/base/src/event.cpp
@@ -95,6 +95,7 @@
         events::entryRejected,
         events::upstreamUnreachable,
         events::upstreamReachable,
+        events::waitsEnded,
         events::storeLost,
         events::storeRecovered,
         events::vmListLost,
--- a/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
+++ b/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
@@ -191,6 +191,8 @@
         StartUnanswered,
         RunStopped,
         RequestExpired,
+        /// Summary of runs that waited for a better place.
+        WaitsEnded,
     };
 
     Kind kind = Kind::Owned;
@@ -200,9 +202,10 @@
     TaskRun run;
     /// What led to the decision; empty for some kinds.
     std::string cause;
-    /// A duration that depends on the kind, such as the age of the run or request, or the length of a pause.
+    /// A duration that depends on the kind, such as the age of the run or request, the length of a pause or the mean
+    /// length of waits.
     Milliseconds age { 0 };
-    /// For Owned and Fenced the token; otherwise the number of runs concerned, queued requests or consecutive pauses.
+    /// For Owned and Fenced the token; otherwise the number of runs concerned, queued requests, waits or consecutive pauses.
     std::uint64_t count = 0;
     /// The runs that were at an upstream when it became unreachable or lost them.
     std::vector<LostRun> runs = {};
--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -9,9 +9,11 @@
 #include <egrettrestle/decision/crash_table.hpp>
 #include <egrettrestle/decision/dispatch_types.hpp>
 #include <egrettrestle/decision/owned_upstream.hpp>
+#include <egrettrestle/decision/placement_wait.hpp>
 #include <egrettrestle/decision/recent_runs.hpp>
 #include <egrettrestle/decision/run_time_estimator.hpp>
 #include <egrettrestle/decision/upstream_orders.hpp>
+#include <egrettrestle/decision/upstream_speed.hpp>
 
 namespace egrettrestle {
 
@@ -159,6 +161,45 @@
         VmId executor;
         RunRequest request;
         TimePoint since;
+        PlacementWaitState wait = {};
+    };
+
+    /// Capacity at an upstream that a waiting run is to get.
+    struct PlacePromise {
+        Resources need;
+        TimePoint availableAt;
+    };
+
+    /// Runs of one service that cannot meet their objective on its slow upstreams.
+    struct FastRuns {
+        /// The greatest relative duration with which one of them meets it.
+        double maxRelativeDuration = 0;
+        std::int64_t milliCores = 0;
+        std::int64_t largestMilliCores = 0;
+    };
+
+    /// What is known during one pass over the queue.
+    struct PlacementPass {
+        std::map<UpstreamId, std::vector<PlacePromise>> promises;
+        /// Number of runs that wait for a better place.
+        std::size_t waiting = 0;
+        /// The queued runs that need fast upstreams, by service.
+        std::map<std::string, FastRuns> queuedFastRuns;
+    };
+
+    /// The relative durations of a service's upstreams, for runs without a preferred rack.
+    struct SpeedRange {
+        double fastest = 0;
+        double slowest = 0;
+    };
+
+    /// What restricts the places of a request, apart from capacity.
+    struct PlacementRules {
+        bool suspect = false;
+        bool alone = false;
+        bool confined = false;
+        /// For a confined route, the upstreams that it may use.
+        std::set<UpstreamId> usable;
     };
 
     /// A claim for an upstream that this VM does not own yet, or not yet under the claim's epoch.
@@ -173,10 +214,38 @@
     /// Whether a lease granted now may cover all runs at the upstream: their executors are responsive, and none of them has
     /// to end before the lease does.
     bool mayExtendLease(const OwnedUpstream& upstream, TimePoint now) const;
-    /// The upstream on which the run would finish first; among equals, the one with the least processor capacity left.
-    OwnedUpstream* bestUpstreamFor(const RunRequest& request, TimePoint now);
+    PlacementPass beginPlacement(TimePoint now) const;
+    /// The upstream on which a queued run is started now. Null if there is none, or if the run waits for a better one.
+    OwnedUpstream* placeFor(QueuedRun& queuedRun, PlacementPass& pass, TimePoint now);
+    /// The free upstream on which the run would finish first; among equals, the one with the least processor capacity left.
+    /// Only those with a relative duration above a bound are considered.
+    OwnedUpstream* bestUpstreamFor(const RunRequest& request, const PlacementRules& rules, const PlacementPass& pass, TimePoint now, double above = 0);
+    PlacementRules rulesFor(const RunRequest& request, TimePoint now) const;
+    /// Whether a request may be started on an upstream, apart from its free capacity.
+    bool isAllowed(const OwnedUpstream& upstream, const RunRequest& request, const PlacementRules& rules, TimePoint now) const;
+    /// When the request is expected to fit on an upstream; `now` if it does. Empty if that cannot be predicted.
+    std::optional<TimePoint> availableAt(const OwnedUpstream& upstream, const RunRequest& request, const PlacementPass& pass, TimePoint now) const;
+    /// A free upstream that is slow, for a run that meets its objective there, while other runs need the fast ones. `best` is
+    /// the fastest free one. Null if nothing has to be left to other runs.
+    OwnedUpstream* upstreamForUndemandingRun(OwnedUpstream& best, const RunRequest& request, const PlacementRules& rules, const PlacementPass& pass, TimePoint now);
+    /// The runs queued here or requested lately that need fast upstreams. Empty if there are none.
+    std::optional<FastRuns> fastRuns(const std::string& service, const PlacementPass& pass, TimePoint now);
+    /// Whether less fast capacity would be left beside a run on a fast upstream than these runs are expected to need while
+    /// it runs there.
+    bool isFastCapacityScarce(const OwnedUpstream& fast, const RunRequest& request, const FastRuns& demand, TimePoint now);
+    /// The greatest relative duration with which a run meets its objective with a margin, if the slowest upstreams exceed
+    /// it. Empty for a run that does not need a fast upstream, or that cannot meet its objective on any.
+    std::optional<double> neededDuration(const RunRequest& request, TimePoint now) const;
+    void recordFastDemand(const RunRequest& request, TimePoint now);
+    void updateSpeedRanges();
+    /// Learns from a completed run.
+    void recordRunTime(const OwnedUpstream& upstream, const RunRequest& request, Milliseconds took, TimePoint now);
+    /// Reports the waits that have ended.
+    void reportWaits(TimePoint now);
     /// Expected duration on an upstream relative to one of the fastest kind in the rack of the task's data.
     double relativeDurationOn(const OwnedUpstream& upstream, const RunRequest& request) const;
+    /// The same for an average upstream of its kind.
+    double kindDurationOn(const OwnedUpstream& upstream, const RunRequest& request) const;
     void startRun(OwnedUpstream& upstream, const QueuedRun& queuedRun, TimePoint now);
     void stopRun(OwnedUpstream& upstream, OwnedRun& run, StopCause cause, TimePoint now);
     void requeueRun(OwnedRun& run, TimePoint now);
@@ -267,6 +336,11 @@
     const CrashTable& m_crashes;
     OwnerLimits m_limits;
     RunTimeEstimator m_runTimeEstimator;
+    UpstreamSpeed m_speeds;
+    FastDemand m_fastDemand;
+    WaitCounts m_waitCounts;
+    /// By service.
+    std::map<std::string, SpeedRange> m_speedRanges;
     std::map<UpstreamId, OwnedUpstream> m_upstreams;
     /// Ordered by priority, then by latest start.
     std::vector<QueuedRun> m_queue;
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -91,18 +91,6 @@
     /// The need that capacity is counted in. Tasks with accelerators are few, and most upstreams have none.
     Resources withoutAccelerators(const Resources& need) { return { need.milliCores, need.memoryMb, 0 }; }
 
-    bool hasLabel(const UpstreamInfo& info, const std::string& label)
-    {
-        return label.empty() || std::find(info.labels.begin(), info.labels.end(), label) != info.labels.end();
-    }
-
-    std::uint32_t countRunsOfStep(const OwnedUpstream& upstream, const TaskRef& task)
-    {
-        return static_cast<std::uint32_t>(std::count_if(upstream.runs.begin(), upstream.runs.end(), [&task](const auto& entry) {
-            return entry.first.task.job == task.job && entry.first.task.step == task.step;
-        }));
-    }
-
 }
 
 UpstreamOwner::UpstreamOwner(OwnerPort& port, const CrashTable& crashes, OwnerLimits limits, VmId self)
@@ -141,6 +129,7 @@
         if (restarted) {
             m_port.recordEvent({ EventKind::Restarted, info.id, {}, "discovery", {}, upstream.runs.size(), runsAt(upstream) });
             onCrashConfirmed(upstream);
+            m_speeds.forget(info.id);
             m_upstreams.erase(found);
         } else {
             if (info.startedAt >= upstream.info.startedAt)
@@ -200,6 +189,7 @@
         if (entry.second.state == RunState::Starting)
             m_port.notify(entry.second.executor, { {}, started, {}, {}, {}, {} });
     }
+    m_speeds.forget(upstream);
     m_upstreams.erase(upstream);
 }
 
@@ -232,6 +222,7 @@
     // These belong to an earlier submission of the job, whose run numbers started at 1 as well.
     m_recentEnds.remove(executor, request.run);
     m_released.remove(executor, request.run);
+    recordFastDemand(request, now);
     enqueue({ executor, request, now });
     startQueuedRuns(now);
 }
@@ -402,6 +393,7 @@
     if (restarted) {
         m_port.recordEvent({ EventKind::Restarted, upstream, {}, "look", {}, owned->runs.size(), runsAt(*owned) });
         onCrashConfirmed(*owned);
+        m_speeds.forget(upstream);
         owned->acknowledgedEnd = 0;
         owned->clockOffset.reset();
     } else {
@@ -473,7 +465,7 @@
         upstream.probing = false;
         upstream.consecutivePauses = 0;
         if (measured && run.request.expectedRunTime.count() > 0)
-            m_runTimeEstimator.record(run.request.route, upstream.info.kind, run.request.estimate, took);
+            recordRunTime(upstream, run.request, took, now);
     } else if (outcome == RunOutcome::Failed) {
         ++upstream.consecutiveFailures;
         if (upstream.consecutiveFailures >= m_limits.failuresBeforePause || upstream.probing) {
@@ -689,6 +681,9 @@
         release(upstream, now);
     m_recentEnds.expire(now);
     m_released.expire(now);
+    m_speeds.expire(now);
+    updateSpeedRanges();
+    reportWaits(now);
     startQueuedRuns(now);
 }
 
@@ -717,7 +712,7 @@
         }
         if (run.state != RunState::Running || run.request.expectedRunTime.count() == 0)
             continue;
-        const Duration allowedTime = std::chrono::duration_cast<Duration>(run.request.expectedRunTime * relativeDurationOn(upstream, run.request) * m_limits.hangFactor) + m_limits.hangAllowance;
+        const Duration allowedTime = std::chrono::duration_cast<Duration>(run.request.expectedRunTime * std::max(relativeDurationOn(upstream, run.request), kindDurationOn(upstream, run.request)) * m_limits.hangFactor) + m_limits.hangAllowance;
         // Only the time up to the last poll that listed the run counts: it may have ended since.
         if (run.lastListedAt - run.confirmedAt <= allowedTime)
             continue;
@@ -747,6 +742,7 @@
     }
     std::vector<QueuedRun> stillQueued;
     std::vector<QueuedRun> queue;
+    PlacementPass pass = beginPlacement(now);
     queue.swap(m_queue);
     for (QueuedRun& queuedRun : queue) {
         // The executor decides what becomes of the task.
@@ -755,7 +751,7 @@
             continue;
         }
         const bool canStart = queuedRun.request.latestStart >= now && isResponsive(queuedRun.executor, now) && (m_ownStartsEnabled || queuedRun.executor != m_self);
-        OwnedUpstream* upstream = canStart ? bestUpstreamFor(queuedRun.request, now) : nullptr;
+        OwnedUpstream* upstream = canStart ? placeFor(queuedRun, pass, now) : nullptr;
         if (upstream) {
             startRun(*upstream, queuedRun, now);
             continue;
@@ -768,52 +764,6 @@
     releaseReservations();
 }
 
-double UpstreamOwner::relativeDurationOn(const OwnedUpstream& upstream, const RunRequest& request) const
-{
-    const bool outsideDataRack = !request.dataRack.empty() && request.dataRack != upstream.info.rack;
-    return m_runTimeEstimator.slowness(upstream.info.kind) * (outsideDataRack ? m_limits.remoteDataFactor : 1);
-}
-
-bool UpstreamOwner::suits(const OwnedUpstream& upstream, const RunRequest& request, TimePoint now) const
-{
-    const bool matches = upstream.info.service == request.service && hasLabel(upstream.info, request.requiredLabel);
-    // The upstream may still hold a run with the same number from an earlier submission of the job.
-    const bool avoided = std::find(request.avoid.begin(), request.avoid.end(), upstream.info.id) != request.avoid.end() || upstream.runs.count(request.run) > 0;
-    return matches && !avoided && acceptsRuns(upstream, m_limits, now) && mayExtendLease(upstream, now);
-}
-
-OwnedUpstream* UpstreamOwner::bestUpstreamFor(const RunRequest& request, TimePoint now)
-{
-    const bool suspect = possibleCrashesOf(request).total > 0;
-    const bool alone = mustBeAlone(request);
-    const bool confined = !alone && m_crashes.isCrashing(request.route);
-    const std::set<UpstreamId> usable = confined ? upstreamsForCrashingRoute(request.service, request.route, now) : std::set<UpstreamId> {};
-    OwnedUpstream* best = nullptr;
-    double bestDuration = 0;
-    std::int64_t bestLeft = 0;
-    for (auto& entry : m_upstreams) {
-        OwnedUpstream& upstream = entry.second;
-        if (!suits(upstream, request, now) || !fits(request.need, upstream.available()) || (confined && usable.count(entry.first) == 0))
-            continue;
-        const bool isKept = isKeptForOneTask(upstream);
-        if (alone ? !upstream.runs.empty() || (!isKept && !mayKeepUpstreamForOneTask(request.service)) : isKept || (suspect && hasSuspect(upstream)))
-            continue;
-        if (request.maxPerUpstream > 0 && countRunsOfStep(upstream, request.run.task) >= request.maxPerUpstream)
-            continue;
-        const double duration = relativeDurationOn(upstream, request);
-        const Duration extraTime = std::chrono::duration_cast<Duration>(request.expectedRunTime * (duration - 1));
-        if (now + extraTime > request.latestStart)
-            continue;
-        const std::int64_t left = (upstream.available() - request.need).milliCores;
-        if (best && (duration > bestDuration || (duration == bestDuration && left >= bestLeft)))
-            continue;
-        best = &upstream;
-        bestDuration = duration;
-        bestLeft = left;
-    }
-    return best;
-}
-
 void UpstreamOwner::startRun(OwnedUpstream& upstream, const QueuedRun& queuedRun, TimePoint now)
 {
     OwnedRun run;
--- a/packages/fleet/src/dispatch_service.cpp
+++ b/packages/fleet/src/dispatch_service.cpp
@@ -61,6 +61,7 @@
             { OwnerEvent::Kind::StartUnanswered, &events::startUnanswered },
             { OwnerEvent::Kind::RunStopped, &events::runStopped },
             { OwnerEvent::Kind::RequestExpired, &events::requestExpired },
+            { OwnerEvent::Kind::WaitsEnded, &events::waitsEnded },
         };
         return *events.at(kind);
     }
@@ -208,6 +209,8 @@
         for (const LostRun& lost : event.runs)
             m_context.metrics.countLostRun(lost.route, event.cause);
     }
+    if (event.kind == OwnerEvent::Kind::WaitsEnded)
+        m_context.metrics.countWaits(event.cause, event.count);
     m_context.log.write(eventOf(event.kind), { { "request", event.run.task.job }, { "run", runToString(event.run) }, { "upstream", event.upstream }, { "cause", event.cause }, { "ageMs", event.age.count() }, { "count", static_cast<std::int64_t>(event.count) }, { "runs", runsToString(event.runs) } });
 }
 
