--- a/packages/decision/include/egrettrestle/decision/run_queue.hpp
+++ b/packages/decision/include/egrettrestle/decision/run_queue.hpp
@@ -10,6 +10,7 @@
 #include <vector>
 
 #include <egrettrestle/decision/dispatch_types.hpp>
+#include <egrettrestle/decision/placement_wait.hpp>
 
 namespace egrettrestle {
 
@@ -23,6 +24,8 @@
     bool late = false;
     /// The last pass in which it was offered capacity as a run of a route below its guaranteed share. Kept by RunQueue.
     std::uint64_t offeredInPass = 0;
+    /// The run's wait for a better place than those that are free.
+    PlacementWaitState wait = {};
 };
 
 /// The processor capacity of an owner's upstreams of one service, and its use, in thousandths of a core.
@@ -69,7 +72,7 @@
     void beginPass(CoreUsage usage, TimePoint now);
 
     /// The next run to be offered capacity; null at the end of the pass.
-    const QueuedRun* next();
+    QueuedRun* next();
 
     /// Removes the run that next() returned last, which has been started.
     void removeStarted();
--- a/packages/decision/src/run_queue.cpp
+++ b/packages/decision/src/run_queue.cpp
@@ -180,7 +180,7 @@
     return m_phase == Phase::BelowShare ? !isBelowShare(run.request) : run.offeredInPass == m_pass;
 }
 
-const QueuedRun* RunQueue::next()
+QueuedRun* RunQueue::next()
 {
     if (m_phase == Phase::Urgent) {
         if (m_next != m_runs.end() && m_next->request.priority == 0) {
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -100,18 +100,6 @@
     /// The need that capacity is counted in. Tasks with accelerators are few, and most upstreams have none.
     Resources withoutAccelerators(const Resources& need) { return { need.milliCores, need.memoryMb, 0 }; }
 
-    bool hasLabel(const UpstreamInfo& info, const std::string& label)
-    {
-        return label.empty() || std::find(info.labels.begin(), info.labels.end(), label) != info.labels.end();
-    }
-
-    std::uint32_t countRunsOfStep(const OwnedUpstream& upstream, const TaskRef& task)
-    {
-        return static_cast<std::uint32_t>(std::count_if(upstream.runs.begin(), upstream.runs.end(), [&task](const auto& entry) {
-            return entry.first.task.job == task.job && entry.first.task.step == task.step;
-        }));
-    }
-
 }
 
 UpstreamOwner::UpstreamOwner(OwnerPort& port, const CrashTable& crashes, OwnerLimits limits, VmId self)
@@ -150,6 +138,7 @@
         if (restarted) {
             m_port.recordEvent({ EventKind::Restarted, info.id, {}, "discovery", {}, upstream.runs.size(), runsAt(upstream) });
             onCrashConfirmed(upstream);
+            m_speeds.forget(info.id);
             m_upstreams.erase(found);
         } else {
             if (info.startedAt >= upstream.info.startedAt) {
@@ -213,6 +202,7 @@
         if (entry.second.state == RunState::Starting)
             m_port.notify(entry.second.executor, { {}, started, {}, {}, {}, {} });
     }
+    m_speeds.forget(upstream);
     m_upstreams.erase(upstream);
     removeImpossibleNeeds();
 }
@@ -246,6 +236,7 @@
     // These belong to an earlier submission of the job, whose run numbers started at 1 as well.
     m_recentEnds.remove(executor, request.run);
     m_released.remove(executor, request.run);
+    recordFastDemand(request, now);
     m_queue.add({ executor, request, now });
     startQueuedRuns(now);
 }
@@ -400,6 +391,7 @@
     if (restarted) {
         m_port.recordEvent({ EventKind::Restarted, upstream, {}, "look", {}, owned->runs.size(), runsAt(*owned) });
         onCrashConfirmed(*owned);
+        m_speeds.forget(upstream);
         owned->acknowledgedEnd = 0;
         owned->clockOffset.reset();
     } else {
@@ -471,7 +463,7 @@
         upstream.probing = false;
         upstream.consecutivePauses = 0;
         if (measured && run.request.expectedRunTime.count() > 0)
-            m_runTimeEstimator.record(run.request.route, upstream.info.kind, run.request.estimate, took);
+            recordRunTime(upstream, run.request, took, now);
     } else if (outcome == RunOutcome::Failed) {
         ++upstream.consecutiveFailures;
         if (upstream.consecutiveFailures >= m_limits.failuresBeforePause || upstream.probing) {
@@ -687,6 +679,9 @@
         release(upstream, now);
     m_recentEnds.expire(now);
     m_released.expire(now);
+    m_speeds.expire(now);
+    updateSpeedRanges();
+    reportWaits(now);
     startQueuedRuns(now);
 }
 
@@ -715,7 +710,7 @@
         }
         if (run.state != RunState::Running || run.request.expectedRunTime.count() == 0)
             continue;
-        const Duration allowedTime = std::chrono::duration_cast<Duration>(run.request.expectedRunTime * relativeDurationOn(upstream, run.request) * m_limits.hangFactor) + m_limits.hangAllowance;
+        const Duration allowedTime = std::chrono::duration_cast<Duration>(run.request.expectedRunTime * std::max(relativeDurationOn(upstream, run.request), kindDurationOn(upstream, run.request)) * m_limits.hangFactor) + m_limits.hangAllowance;
         // Only the time up to the last poll that listed the run counts: it may have ended since.
         if (run.lastListedAt - run.confirmedAt <= allowedTime)
             continue;
@@ -747,7 +742,8 @@
         return;
     }
     m_queue.beginPass(m_queue.needsUsage() ? coreUsage(now) : CoreUsage {}, now);
-    while (const QueuedRun* queuedRun = m_queue.next()) {
+    PlacementPass pass = beginPlacement(now);
+    while (QueuedRun* queuedRun = m_queue.next()) {
         const RunRequest& request = queuedRun->request;
         // The executor decides what becomes of the task.
         if (isConclusive(possibleCrashesOf(request))) {
@@ -756,7 +752,7 @@
             continue;
         }
         const bool canStart = request.latestStart >= now && isResponsive(queuedRun->executor, now) && (m_ownStartsEnabled || queuedRun->executor != m_self);
-        OwnedUpstream* upstream = canStart && request.need.milliCores <= largestFree ? bestUpstreamFor(request, now) : nullptr;
+        OwnedUpstream* upstream = canStart && request.need.milliCores <= largestFree ? placeFor(*queuedRun, pass, now) : nullptr;
         if (upstream) {
             startRun(*upstream, *queuedRun, now);
             m_queue.removeStarted();
@@ -796,52 +792,6 @@
     return usage;
 }
 
-double UpstreamOwner::relativeDurationOn(const OwnedUpstream& upstream, const RunRequest& request) const
-{
-    const bool outsideDataRack = !request.dataRack.empty() && request.dataRack != upstream.info.rack;
-    return m_runTimeEstimator.slowness(upstream.info.kind) * (outsideDataRack ? m_limits.remoteDataFactor : 1);
-}
-
-bool UpstreamOwner::suits(const OwnedUpstream& upstream, const RunRequest& request, TimePoint now) const
-{
-    const bool matches = upstream.info.service == request.service && hasLabel(upstream.info, request.requiredLabel);
-    // The upstream may still hold a run with the same number from an earlier submission of the job.
-    const bool avoided = std::find(request.avoid.begin(), request.avoid.end(), upstream.info.id) != request.avoid.end() || upstream.runs.count(request.run) > 0;
-    return matches && !avoided && acceptsRuns(upstream, m_limits, now) && mayExtendLease(upstream, now);
-}
-
-OwnedUpstream* UpstreamOwner::bestUpstreamFor(const RunRequest& request, TimePoint now)
-{
-    const bool suspect = possibleCrashesOf(request).total > 0;
-    const bool alone = mustBeAlone(request);
-    const bool confined = !alone && m_crashes.isCrashing(request.route);
-    const std::set<UpstreamId> usable = confined ? upstreamsForCrashingRoute(request.service, request.route, now) : std::set<UpstreamId> {};
-    OwnedUpstream* best = nullptr;
-    double bestDuration = 0;
-    std::int64_t bestLeft = 0;
-    for (auto& entry : m_upstreams) {
-        OwnedUpstream& upstream = entry.second;
-        if (!suits(upstream, request, now) || !fits(request.need, upstream.available()) || (confined && usable.count(entry.first) == 0))
-            continue;
-        const bool isKept = isKeptForOneTask(upstream);
-        if (alone ? !upstream.runs.empty() || (!isKept && !mayKeepUpstreamForOneTask(request.service)) : isKept || (suspect && hasSuspect(upstream)))
-            continue;
-        if (request.maxPerUpstream > 0 && countRunsOfStep(upstream, request.run.task) >= request.maxPerUpstream)
-            continue;
-        const double duration = relativeDurationOn(upstream, request);
-        const Duration extraTime = std::chrono::duration_cast<Duration>(request.expectedRunTime * (duration - 1));
-        if (now + extraTime > request.latestStart)
-            continue;
-        const std::int64_t left = (upstream.available() - request.need).milliCores;
-        if (best && (duration > bestDuration || (duration == bestDuration && left >= bestLeft)))
-            continue;
-        best = &upstream;
-        bestDuration = duration;
-        bestLeft = left;
-    }
-    return best;
-}
-
 void UpstreamOwner::startRun(OwnedUpstream& upstream, const QueuedRun& queuedRun, TimePoint now)
 {
     OwnedRun run;
