--- a/packages/decision/include/egrettrestle/decision/capacity_table.hpp
+++ b/packages/decision/include/egrettrestle/decision/capacity_table.hpp
@@ -142,7 +142,7 @@
 
     /// An owner that has places for a task.
     struct Candidate {
-        VmId owner;
+        const VmId* owner = nullptr;
         std::int64_t places = 0;
     };
 
@@ -156,9 +156,11 @@
 
     /// The greatest slowness of kinds that are fast enough for the query's task; 0 for no limit.
     double effectiveMaxSlowness(const OwnerQuery& query) const;
+    /// Places on kinds that are fast enough; 0 for an unknown owner.
+    std::int64_t fastPlacesOf(const VmId& owner, const OwnerQuery& query, double maxSlowness) const;
     static Places placesOf(const Entry& entry, const OwnerQuery& query, double maxSlowness);
     /// The owners with places, the preferred ones only if one of them has any.
-    std::vector<Candidate> candidates(const OwnerQuery& query, const std::set<VmId>& preferred) const;
+    std::vector<Candidate> candidates(const OwnerQuery& query, const std::set<VmId>& preferred, double maxSlowness) const;
     /// One of the candidates; nothing if there are none.
     std::optional<Candidate> choose(const OwnerQuery& query, const std::vector<Candidate>& candidates);
     /// How many other VMs have no place for the task on their own upstreams.
--- a/packages/decision/include/egrettrestle/decision/need_sample.hpp
+++ b/packages/decision/include/egrettrestle/decision/need_sample.hpp
@@ -15,8 +15,8 @@
 /// ignored. Not thread-safe.
 class NeedSample {
 public:
-    /// 256 needs keep the count of capacity within a few percent, although the tasks of a job have the same need: the error of
-    /// 64 needs was more than 10% in the tests. An owner in a busy fleet receives as many requests within a few seconds.
+    /// With four tasks of equal need a job, the standard deviation of the counts was 9.6% with 64 needs and 4.4% with 256. An
+    /// owner in a busy fleet receives as many requests within a few seconds.
     static constexpr std::size_t maxSize = 256;
 
     /// Adds a need in place of the oldest one. The counts follow within a sixteenth of the sample.
--- a/packages/decision/src/capacity_table.cpp
+++ b/packages/decision/src/capacity_table.cpp
@@ -212,9 +212,14 @@
 }
 
 std::int64_t CapacityTable::placesFor(const VmId& owner, const OwnerQuery& query) const
+{
+    return fastPlacesOf(owner, query, effectiveMaxSlowness(query));
+}
+
+std::int64_t CapacityTable::fastPlacesOf(const VmId& owner, const OwnerQuery& query, double maxSlowness) const
 {
     const auto found = m_owners.find(owner);
-    return found == m_owners.end() ? 0 : placesOf(found->second, query, effectiveMaxSlowness(query)).fast;
+    return found == m_owners.end() ? 0 : placesOf(found->second, query, maxSlowness).fast;
 }
 
 std::int64_t CapacityTable::placesBeyondQueue(const VmId& owner, const OwnerQuery& query) const
@@ -248,9 +253,8 @@
         --found->second.reservedMoves;
 }
 
-std::vector<CapacityTable::Candidate> CapacityTable::candidates(const OwnerQuery& query, const std::set<VmId>& preferred) const
+std::vector<CapacityTable::Candidate> CapacityTable::candidates(const OwnerQuery& query, const std::set<VmId>& preferred, double maxSlowness) const
 {
-    const double maxSlowness = effectiveMaxSlowness(query);
     // In the order in which they are used: fast and preferred, fast, preferred, any.
     std::vector<Candidate> tiers[4];
     for (const auto& owner : m_owners) {
@@ -261,7 +265,7 @@
             continue;
         const bool isFast = places.fast > 0;
         const bool isPreferred = preferred.count(owner.first) > 0;
-        tiers[(isFast ? 0U : 2U) + (isPreferred ? 0U : 1U)].push_back({ owner.first, isFast ? places.fast : places.all });
+        tiers[(isFast ? 0U : 2U) + (isPreferred ? 0U : 1U)].push_back({ &owner.first, isFast ? places.fast : places.all });
     }
     for (std::vector<Candidate>& tier : tiers) {
         if (!tier.empty())
@@ -308,15 +312,16 @@
     const std::set<VmId> rackOwners = query.rack.empty() ? std::set<VmId> {} : ownersIn(query.service, query.rack);
     const std::set<VmId>& preferred = rackOwners.empty() ? m_localOwners : rackOwners;
     const bool preferSelf = rackOwners.empty() || rackOwners.count(self) > 0;
-    if (preferSelf && !isExcluded(query, self) && placesFor(self, query) > 0)
+    const double maxSlowness = effectiveMaxSlowness(query);
+    if (preferSelf && !isExcluded(query, self) && fastPlacesOf(self, query, maxSlowness) > 0)
         return self;
-    const std::vector<Candidate> withPlaces = candidates(query, preferred);
+    const std::vector<Candidate> withPlaces = candidates(query, preferred, maxSlowness);
     // Only slow places are left here if this VM is among those that have some.
-    const bool selfHasPlaces = std::any_of(withPlaces.begin(), withPlaces.end(), [&self](const Candidate& candidate) { return candidate.owner == self; });
+    const bool selfHasPlaces = std::any_of(withPlaces.begin(), withPlaces.end(), [&self](const Candidate& candidate) { return *candidate.owner == self; });
     if (preferSelf && selfHasPlaces)
         return self;
     if (const std::optional<Candidate> chosen = choose(query, withPlaces))
-        return chosen->owner;
+        return *chosen->owner;
     std::optional<VmId> shortestQueue;
     double shortestRelativeQueue = std::numeric_limits<double>::max();
     for (const auto& owner : m_owners) {
@@ -336,13 +341,13 @@
 
 std::optional<VmId> CapacityTable::ownerWithCapacity(const OwnerQuery& query)
 {
-    const bool selfHasPlaces = !isExcluded(query, query.self) && placesFor(query.self, query) > 0;
-    if (selfHasPlaces)
+    const double maxSlowness = effectiveMaxSlowness(query);
+    if (!isExcluded(query, query.self) && fastPlacesOf(query.self, query, maxSlowness) > 0)
         return query.self;
-    const std::optional<Candidate> chosen = choose(query, candidates(query, m_localOwners));
+    const std::optional<Candidate> chosen = choose(query, candidates(query, m_localOwners, maxSlowness));
     if (!chosen)
         return std::nullopt;
-    Entry& entry = m_owners.at(chosen->owner);
+    Entry& entry = m_owners.at(*chosen->owner);
     if (!entry.movesLeft) {
         // This VM and the competitors share the places. A random remainder of the share lets one of them take a single place.
         const double share = static_cast<double>(chosen->places) / static_cast<double>(1 + competitors(query));
@@ -351,7 +356,7 @@
     if (*entry.movesLeft <= 0)
         return std::nullopt;
     --*entry.movesLeft;
-    return chosen->owner;
+    return *chosen->owner;
 }
 
 } // namespace egrettrestle
--- a/packages/fleet/src/caller_server.cpp
+++ b/packages/fleet/src/caller_server.cpp
@@ -1,5 +1,7 @@
 #include <egrettrestle/fleet/caller_server.hpp>
 
+#include <map>
+
 #include <egrettrestle/fleet/dispatch_service.hpp>
 #include <egrettrestle/fleet/membership.hpp>
 
@@ -45,6 +47,7 @@
         m_metricsServer = std::make_unique<AsyncHttpServer>(m_context.loop, m_context.settings.metricsAddress, limits, [this](const std::shared_ptr<HttpExchange>& exchange) {
             HttpResponse response;
             response.contentType = "text/plain";
+            updateCapacityGauges();
             response.body = m_context.metrics.render();
             exchange->reply(std::move(response));
         });
@@ -57,6 +60,21 @@
     return absl::OkStatus();
 }
 
+void CallerServer::updateCapacityGauges()
+{
+    DispatchService& dispatch = m_context.kernel.find<DispatchService>(fleetServices::dispatch);
+    const CapacityReport report = dispatch.withDispatcher([](Dispatcher& dispatcher, TimePoint now) { return dispatcher.capacityReport(now); });
+    std::map<std::string, std::uint32_t> values;
+    for (const KindCapacity& kind : report.kinds) {
+        values["free_tasks_" + kind.kind] += kind.freeTasks;
+        values["total_tasks_" + kind.kind] += kind.totalTasks;
+        values["places_small_" + kind.kind] += kind.places.empty() ? kind.freeTasks : kind.places.front().freeTasks;
+        values["places_large_" + kind.kind] += kind.places.empty() ? kind.freeTasks : kind.places.back().freeTasks;
+    }
+    for (const auto& value : values)
+        m_context.metrics.setGauge(value.first, value.second);
+}
+
 absl::Status CallerServer::start()
 {
     for (AsyncHttpServer* server : servers()) {
--- a/tests/unit/unit-capacity-by-size.cpp
+++ b/tests/unit/unit-capacity-by-size.cpp
@@ -795,11 +795,17 @@
     constexpr int seeds = 5;
     for (std::uint64_t seed = 1; seed <= seeds; ++seed) {
         const UnevenLoad::Result result = UnevenLoad(seed, 190).run();
-        WARN("seed " << seed << ": queued " << result.queued << ", of these in vain " << result.queuedInVain << ", withdrawals " << result.moves << ", started " << result.started << " of " << result.requested << ", mean wait " << result.meanWaitMs << " ms");
+        CAPTURE(seed, result.queued, result.queuedInVain, result.moves, result.started, result.requested, result.meanWaitMs);
+        CHECK(result.started > 0.97 * result.requested);
         sum.queuedInVain += result.queuedInVain / seeds;
         sum.queued += result.queued / seeds;
         sum.meanWaitMs += result.meanWaitMs / seeds;
         sum.moves += result.moves;
     }
-    WARN("mean: queued " << sum.queued << ", in vain " << sum.queuedInVain << ", withdrawals " << sum.moves << ", wait " << sum.meanWaitMs);
+    CAPTURE(sum.queued, sum.queuedInVain, sum.moves, sum.meanWaitMs);
+    // The counts of mean tasks and the choice of the fullest report gave 18.9 tasks, 25.7 ms and 540 moves; now 10.7, 15.5 and
+    // 257.
+    CHECK(sum.queuedInVain < 14);
+    CHECK(sum.meanWaitMs < 20);
+    CHECK(sum.moves < 400);
 }
