--- a/tests/unit/unit-capacity-by-size.cpp
+++ b/tests/unit/unit-capacity-by-size.cpp
@@ -734,7 +734,8 @@
             m_jobsDue -= 1;
             // Half of the VMs get three quarters of the jobs.
             const double position = m_needs.uniform();
-            const std::size_t number = static_cast<std::size_t>(position < 0.75 ? position / 0.75 * (vmCount / 2) : vmCount / 2 + (position - 0.75) / 0.25 * (vmCount / 2));
+            constexpr double half = vmCount / 2.0;
+            const std::size_t number = static_cast<std::size_t>(position < 0.75 ? position / 0.75 * half : half + (position - 0.75) / 0.25 * half);
             Vm& executor = *m_vms[std::min<std::size_t>(number, vmCount - 1)];
             DispatchJob job = jobOf("j" + std::to_string(m_submittedAt.size()), 4);
             job.steps[0].need.milliCores = m_needs.next();
