Refuse jobs by observed waits and by the caller's time

Under overload only part of the jobs was refused and half of the answers were late: the forecast relied on reports alone. A job that exceeds its caller's time by the most favourable error of estimates seen lately is refused at once.

--- a/packages/decision/include/egrettrestle/decision/job_executor.hpp
+++ b/packages/decision/include/egrettrestle/decision/job_executor.hpp
@@ -9,6 +9,7 @@
 #include <egrettrestle/decision/capacity_table.hpp>
 #include <egrettrestle/decision/crash_table.hpp>
 #include <egrettrestle/decision/dispatch_types.hpp>
+#include <egrettrestle/decision/queueing_delay.hpp>
 #include <egrettrestle/decision/run_time_estimator.hpp>
 #include <egrettrestle/decision/upstream_orders.hpp>
 #include <egrettrestle/decision/view.hpp>
@@ -131,13 +132,14 @@
     /// @{
 
     /// Submits a job. Its outcome is passed to ExecutorPort::reply(), at once if the job is refused because no upstream
-    /// is available, it would finish too late or its caller's time is over, or if one of its tasks has crashed too many
+    /// is available, it would finish too late by the forecast or by the waits of other runs, it cannot be done in its
+    /// caller's time, or that time is over, or if one of its tasks has crashed too many
     /// upstreams in an earlier submission. A caller that submits the id of a job in progress receives that job's
     /// outcome; a job that is being stopped is executed again afterwards.
     void submit(CallerTicket ticket, const DispatchJob& request, const Route& route, TimePoint now);
 
     /// Refuses a job that has not been submitted, with the given reason.
-    void refuse(CallerTicket ticket, const DispatchJob& request, const Route& route, const std::string& reason) { refuse(ticket, request, route, forecast(request, route), reason); }
+    void refuse(CallerTicket ticket, const DispatchJob& request, const Route& route, const std::string& reason, TimePoint now) { refuse(ticket, request, route, forecast(request, route, now), reason); }
 
     /// While a VM is warming up, it refuses no job for lack of capacity, since it does not know the capacity of the
     /// other VMs yet.
@@ -215,7 +217,7 @@
     bool contains(const std::string& job) const { return m_jobs.count(job) > 0; }
 
     /// Expected run time of a job's longest chain of dependent steps.
-    Milliseconds expectedRunTime(const DispatchJob& job, const Route& route) const { return forecast(job, route).run; }
+    Milliseconds expectedRunTime(const DispatchJob& job, const Route& route) const;
 
     /// Whether a task sent to the owner is still queued or running there.
     bool hasTasksAt(const VmId& owner) const;
@@ -310,14 +312,27 @@
         Milliseconds run { 0 };
         /// When each step ends, without waits.
         std::vector<Milliseconds> stepEnds;
-        /// Time until the tasks of the widest step have found capacity.
+        /// Time until the tasks of the widest step have found capacity, by the reports of the owners.
         Milliseconds wait { 0 };
+        /// The wait that runs of the priority had lately; 0 while capacity for the widest step is free.
+        Milliseconds observedWait { 0 };
         CapacityTotals capacity;
     };
 
-    Forecast forecast(const DispatchJob& request, const Route& route) const;
-    /// Whether a job would finish within its route's latency objective and its caller's timeout.
-    bool meetsObjective(const Forecast& forecast, const DispatchJob& request, const Route& route) const;
+    /// When each step of a job is expected to end, without waits.
+    std::vector<Milliseconds> expectedStepEnds(const DispatchJob& request, const Route& route) const;
+    Forecast forecast(const DispatchJob& request, const Route& route, TimePoint now) const;
+    /// Why a job is to be refused; empty if it is to be admitted.
+    std::string refusalReason(const Forecast& forecast, const DispatchJob& request, const Route& route, TimePoint now);
+    /// Whether a job cannot be done in its caller's time even if it waits for nothing, runs on the fastest kind of upstream,
+    /// and takes as little of its estimate as any run of the route did lately.
+    bool exceedsTimeout(const DispatchJob& request, const Route& route) const;
+    /// Records how long a run has waited for its start.
+    void recordWait(const Job& job, const Task& task, Milliseconds wait, TimePoint now);
+    /// Passes on how long the runs have been waiting that are not known to have started.
+    void updateWaiting(TimePoint now);
+    /// Whether a job would finish within its route's latency objective and its caller's timeout after a wait.
+    bool meetsObjective(const Forecast& forecast, Milliseconds wait, const DispatchJob& request, const Route& route) const;
     /// The route's latency objective for a job, bounded by its caller's timeout.
     Milliseconds objectiveOf(const Forecast& forecast, const DispatchJob& request, const Route& route) const;
     /// The greatest duration relative to the expected one with which a task that starts now meets the job's objective; 0 if
@@ -358,6 +373,7 @@
     VmId m_self;
     ExecutorLimits m_limits;
     RunTimeEstimator m_runTimeEstimator;
+    QueueingDelay m_queueingDelay;
     std::map<std::string, Job> m_jobs;
     std::map<CallerTicket, std::string> m_jobByTicket;
     std::map<std::string, EndedJob> m_endedJobs;
--- a/packages/decision/include/egrettrestle/decision/run_time_estimator.hpp
+++ b/packages/decision/include/egrettrestle/decision/run_time_estimator.hpp
@@ -1,7 +1,9 @@
 #pragma once
 
+#include <cstddef>
 #include <map>
 #include <string>
+#include <vector>
 
 #include <egrettrestle/base/clock.hpp>
 
@@ -18,6 +20,10 @@
     /// The expected run time on an upstream of average speed; `estimate` until the route has completed runs.
     Milliseconds expectedRunTime(const std::string& route, Milliseconds estimate) const;
 
+    /// The shortest run time that the latest runs of the route give reason to expect, on the fastest kind of upstream: the
+    /// estimate times the smallest ratio of actual to estimated time among them. 0 with too few runs or no estimate.
+    Milliseconds shortestRunTime(const std::string& route, Milliseconds estimate) const;
+
     /// The ratio of the run time on a kind of upstream to that on the fastest kind; 1 for a kind with too few runs.
     double slowness(const std::string& kind) const;
 
@@ -26,6 +32,9 @@
         double meanMs = 0;
         double errorFactor = 1;
         int samples = 0;
+        /// Ratios of actual to estimated run times of the latest runs; the oldest is replaced next.
+        std::vector<double> latestErrors;
+        std::size_t nextError = 0;
     };
 
     struct KindTimes {
--- a/packages/decision/src/dispatcher.cpp
+++ b/packages/decision/src/dispatcher.cpp
@@ -168,7 +168,7 @@
     const Milliseconds age = m_pauseGuard.onInput(now, arrivedAfter);
     request.callerTimeout -= age;
     if (age > m_limits.usualInputDelay && !m_executor.contains(request.id) && request.callerTimeout < m_executor.expectedRunTime(request, route)) {
-        m_executor.refuse(ticket, request, route, "read-late");
+        m_executor.refuse(ticket, request, route, "read-late", now);
         return;
     }
     m_owner.seedTypicalNeed(request.steps.front().need);
--- a/packages/decision/src/job_executor.cpp
+++ b/packages/decision/src/job_executor.cpp
@@ -14,6 +14,25 @@
     // Reason of the failure of a job that has crashed too many upstreams.
     constexpr const char* crashesReason = "crashed-upstreams";
 
+    /// When each step of a job ends without waits, given the run time by step.
+    template <typename RunTimeOf>
+    std::vector<Milliseconds> stepEndsOf(const DispatchJob& request, const RunTimeOf& runTimeOf)
+    {
+        std::vector<Milliseconds> stepEnds;
+        for (const JobStep& step : request.steps) {
+            Milliseconds begin { 0 };
+            for (const std::uint32_t earlier : step.after)
+                begin = std::max(begin, stepEnds[earlier]);
+            stepEnds.push_back(begin + runTimeOf(step));
+        }
+        return stepEnds;
+    }
+
+    Milliseconds latestOf(const std::vector<Milliseconds>& times)
+    {
+        return times.empty() ? Milliseconds { 0 } : *std::max_element(times.begin(), times.end());
+    }
+
     std::uint32_t taskCount(const DispatchJob& request)
     {
         std::uint32_t count = 0;
@@ -45,13 +64,14 @@
         return;
     }
     if (request.callerTimeout <= m_limits.replyMargin) {
-        refuse(ticket, request, route, "deadline");
+        refuse(ticket, request, route, "deadline", now);
         return;
     }
     const TaskCrashes crashes = m_crashes.mostCrashesOf(request.id);
-    const Forecast expected = forecast(request, route);
-    if (!isConclusive(crashes.confirmed) && !m_warmingUp && !meetsObjective(expected, request, route)) {
-        refuse(ticket, request, route, expected, expected.capacity.totalTasks == 0 ? "no-upstream" : "overloaded");
+    const Forecast expected = forecast(request, route, now);
+    const std::string refusal = isConclusive(crashes.confirmed) || m_warmingUp ? std::string() : refusalReason(expected, request, route, now);
+    if (!refusal.empty()) {
+        refuse(ticket, request, route, expected, refusal);
         return;
     }
     Job job;
@@ -100,20 +120,28 @@
     }
 }
 
-JobExecutor::Forecast JobExecutor::forecast(const DispatchJob& request, const Route& route) const
+std::vector<Milliseconds> JobExecutor::expectedStepEnds(const DispatchJob& request, const Route& route) const
+{
+    return stepEndsOf(request, [this, &route](const JobStep& step) { return scaled(m_runTimeEstimator.expectedRunTime(route.name, step.estimate), m_limits.longestTaskFactor); });
+}
+
+Milliseconds JobExecutor::expectedRunTime(const DispatchJob& job, const Route& route) const
+{
+    return latestOf(expectedStepEnds(job, route));
+}
+
+JobExecutor::Forecast JobExecutor::forecast(const DispatchJob& request, const Route& route, TimePoint now) const
 {
     Forecast result;
-    std::vector<Milliseconds>& stepEnds = result.stepEnds;
+    result.stepEnds = expectedStepEnds(request, route);
+    result.run = latestOf(result.stepEnds);
     std::uint32_t widestStep = 0;
-    for (const JobStep& step : request.steps) {
-        Milliseconds begin { 0 };
-        for (const std::uint32_t earlier : step.after)
-            begin = std::max(begin, stepEnds[earlier]);
-        stepEnds.push_back(begin + scaled(m_runTimeEstimator.expectedRunTime(route.name, step.estimate), m_limits.longestTaskFactor));
-        result.run = std::max(result.run, stepEnds.back());
+    for (const JobStep& step : request.steps)
         widestStep = std::max(widestStep, step.count);
-    }
     result.capacity = m_capacities.totals(route.service, route.priority, route.name);
+    // A wait that others had is no reason to refuse a job for which capacity is free.
+    if (result.capacity.freeTasks < widestStep)
+        result.observedWait = m_queueingDelay.expectedWait(route.service, route.priority, now);
     const std::int64_t shortfall = result.capacity.tasksAhead + widestStep - result.capacity.freeTasks;
     if (shortfall <= 0 || result.capacity.totalTasks == 0)
         return result;
@@ -125,14 +153,53 @@
     return result;
 }
 
-bool JobExecutor::meetsObjective(const Forecast& forecast, const DispatchJob& request, const Route& route) const
+std::string JobExecutor::refusalReason(const Forecast& forecast, const DispatchJob& request, const Route& route, TimePoint now)
 {
     if (forecast.capacity.totalTasks == 0)
-        return false;
-    if (forecast.wait.count() == 0)
-        return true;
-    const Milliseconds end = scaled(forecast.wait, m_limits.waitErrorFactor) + scaled(forecast.run, m_limits.contentionFactor);
-    return end <= objectiveOf(forecast, request, route);
+        return "no-upstream";
+    if (exceedsTimeout(request, route))
+        return "exceeds-timeout";
+    if (!meetsObjective(forecast, scaled(forecast.wait, m_limits.waitErrorFactor), request, route))
+        return "overloaded";
+    if (!meetsObjective(forecast, forecast.observedWait, request, route) && !m_queueingDelay.admitsProbe(route.service, route.priority, now))
+        return "queueing-delay";
+    return {};
+}
+
+bool JobExecutor::exceedsTimeout(const DispatchJob& request, const Route& route) const
+{
+    const std::vector<Milliseconds> stepEnds = stepEndsOf(request, [this, &route](const JobStep& step) { return m_runTimeEstimator.shortestRunTime(route.name, step.estimate); });
+    return latestOf(stepEnds) > request.callerTimeout - m_limits.replyMargin;
+}
+
+bool JobExecutor::meetsObjective(const Forecast& forecast, Milliseconds wait, const DispatchJob& request, const Route& route) const
+{
+    return wait.count() == 0 || wait + scaled(forecast.run, m_limits.contentionFactor) <= objectiveOf(forecast, request, route);
+}
+
+void JobExecutor::recordWait(const Job& job, const Task& task, Milliseconds wait, TimePoint now)
+{
+    // A run that was claimed, or is being withdrawn, has waited for other things than capacity.
+    if (task.state == TaskState::Sent && !task.claimSentAt && !task.orphanedUntil)
+        m_queueingDelay.record(job.route.service, job.route.priority, wait, now);
+}
+
+void JobExecutor::updateWaiting(TimePoint now)
+{
+    std::map<std::pair<std::string, int>, std::vector<Milliseconds>> waiting;
+    for (const auto& entry : m_jobs) {
+        const Job& job = entry.second;
+        std::vector<Milliseconds>* ages = nullptr;
+        for (const Task& task : job.tasks) {
+            // A run that is late already waits behind those that can be in time, which a new one can.
+            if (job.ending || task.state != TaskState::Sent || task.claimSentAt || task.orphanedUntil || now > job.dueBy)
+                continue;
+            if (!ages)
+                ages = &waiting[{ job.route.service, job.route.priority }];
+            ages->push_back(toMilliseconds(now - task.sentAt));
+        }
+    }
+    m_queueingDelay.setWaiting(std::move(waiting));
 }
 
 Milliseconds JobExecutor::objectiveOf(const Forecast& forecast, const DispatchJob& request, const Route& route) const
@@ -151,14 +218,14 @@
 
 void JobExecutor::refuse(CallerTicket ticket, const DispatchJob& request, const Route& route, const Forecast& forecast, const std::string& reason)
 {
-    const JobResult reply { JobOutcome::Refused, std::max(m_limits.minRetryAfter, forecast.wait), reason };
+    const JobResult reply { JobOutcome::Refused, std::max({ m_limits.minRetryAfter, forecast.wait, forecast.observedWait }), reason };
     JobEvent event;
     event.kind = JobEvent::Kind::Refused;
     event.job = request.id;
     event.route = route.name;
     event.reason = reason;
     event.expectedRunTime = forecast.run;
-    event.expectedWait = forecast.wait;
+    event.expectedWait = std::max(forecast.wait, forecast.observedWait);
     event.capacity = forecast.capacity;
     event.tasks = taskCount(request);
     m_port.recordEvent(event);
@@ -314,6 +381,7 @@
     if (!task || task->state == TaskState::Done)
         return;
     job->anyStarted = true;
+    recordWait(*job, *task, toMilliseconds(now - task->sentAt), now);
     task->upstream = started.upstream;
     task->startEpoch = std::max(task->startEpoch, started.epoch);
     task->orphanedUntil.reset();
@@ -335,6 +403,9 @@
         return;
     job->anyStarted = true;
     const JobStep& step = job->request.steps[task->step];
+    // The message about the start may not have been sent.
+    if (ended.duration.count() > 0)
+        recordWait(*job, *task, toMilliseconds(now - task->sentAt) - ended.duration, now);
     if (ended.outcome == RunOutcome::Done) {
         task->state = TaskState::Done;
         if (ended.duration.count() > 0)
@@ -364,6 +435,8 @@
     // The restarted owner does not know whether its previous incarnation has started the run.
     if (task->orphanedUntil && returned.reason == ReturnReason::Withdrawn)
         return;
+    if (returned.reason == ReturnReason::Expired)
+        recordWait(*job, *task, toMilliseconds(now - task->sentAt), now);
     task->state = TaskState::Unsent;
     // The start order may have been executed before the run was lost.
     if (returned.reason == ReturnReason::Lost)
@@ -606,6 +679,7 @@
         }
         finishIfComplete(id, now);
     }
+    updateWaiting(now);
 }
 
 bool JobExecutor::hasTasksAt(const VmId& owner) const
--- a/packages/decision/src/run_time_estimator.cpp
+++ b/packages/decision/src/run_time_estimator.cpp
@@ -17,6 +17,11 @@
     // A run that takes this many times longer than expected reflects a problem of the upstream, not of the route.
     constexpr double outlierFactor = 4;
 
+    // Runs whose errors are kept for shortestRunTime(), and the number of them that is needed. One job in 33 has seven times
+    // the usual work, and the tasks of a job have the same error, so that some tens of jobs have to be among them.
+    constexpr std::size_t maxErrors = 256;
+    constexpr std::size_t minErrors = 100;
+
     void updateMean(double& mean, int samples, double value)
     {
         const double weight = samples < minMovingMeanSamples ? 1.0 / (samples + 1) : smoothingFactor;
@@ -37,6 +42,14 @@
     ++kindTimes.samples;
     const double normalisedMs = durationMs / slowness(kind);
     updateMean(times.meanMs, times.samples, normalisedMs);
+    if (estimate.count() > 0) {
+        const double error = normalisedMs / static_cast<double>(estimate.count());
+        if (times.latestErrors.size() < maxErrors)
+            times.latestErrors.push_back(error);
+        else
+            times.latestErrors[times.nextError] = error;
+        times.nextError = (times.nextError + 1) % maxErrors;
+    }
     if (estimate.count() > 0)
         updateMean(times.errorFactor, times.samples, normalisedMs / static_cast<double>(estimate.count()));
     ++times.samples;
@@ -54,6 +67,15 @@
     return Milliseconds { static_cast<std::int64_t>(estimateWeight * corrected + (1 - estimateWeight) * times.meanMs) };
 }
 
+Milliseconds RunTimeEstimator::shortestRunTime(const std::string& route, Milliseconds estimate) const
+{
+    const auto known = m_routes.find(route);
+    if (known == m_routes.end() || known->second.latestErrors.size() < minErrors || estimate.count() <= 0)
+        return Milliseconds { 0 };
+    const std::vector<double>& errors = known->second.latestErrors;
+    return Milliseconds { static_cast<std::int64_t>(static_cast<double>(estimate.count()) * *std::min_element(errors.begin(), errors.end())) };
+}
+
 double RunTimeEstimator::slowness(const std::string& kind) const
 {
     const auto known = m_kinds.find(kind);
