--- a/packages/decision/include/egrettrestle/decision/job_executor.hpp
+++ b/packages/decision/include/egrettrestle/decision/job_executor.hpp
@@ -323,7 +323,7 @@
     std::vector<Milliseconds> expectedStepEnds(const DispatchJob& request, const Route& route) const;
     Forecast forecast(const DispatchJob& request, const Route& route, TimePoint now) const;
     /// Why a job is to be refused; empty if it is to be admitted.
-    std::string refusalReason(const Forecast& forecast, const DispatchJob& request, const Route& route, TimePoint now);
+    std::string refusalReason(const Forecast& forecast, const DispatchJob& request, const Route& route);
     /// Whether a job cannot be done in its caller's time even if it waits for nothing, runs on the fastest kind of upstream,
     /// and takes as little of its estimate as any run of the route did lately.
     bool exceedsTimeout(const DispatchJob& request, const Route& route) const;
--- a/packages/decision/include/egrettrestle/decision/queueing_delay.hpp
+++ b/packages/decision/include/egrettrestle/decision/queueing_delay.hpp
@@ -20,12 +20,14 @@
     /// Replaces what is known about the runs that wait at present; one entry for each run, with the time since it was sent.
     void setWaiting(std::map<std::pair<std::string, int>, std::vector<Milliseconds>> waiting) { m_waiting = std::move(waiting); }
 
-    /// The wait that a run of the service and priority has to expect: a high quantile of the recent and present waits, or
+    /// The wait that a run of the service and priority has to expect: the median of the recent and present waits, or
     /// that of priority 0, which goes first, if it is longer. 0 with too few samples.
     Milliseconds expectedWait(const std::string& service, int priority, TimePoint now) const;
 
-    /// Whether a job that the expected wait rules out is to be admitted, to obtain samples. True once in each interval.
-    bool admitsProbe(const std::string& service, int priority, TimePoint now);
+    /// Whether a job that the expected wait rules out is to be admitted nevertheless. Admits as large a part of these jobs
+    /// as the tolerated wait is of the expected one: refusing all of them would let the queue run empty and then fill again.
+    /// At least a small part is admitted, to obtain samples.
+    bool admitsAnyway(const std::string& service, int priority, Milliseconds tolerated, Milliseconds expected);
 
 private:
     using Key = std::pair<std::string, int>;
@@ -39,7 +41,8 @@
 
     std::map<Key, std::deque<Sample>> m_samples;
     std::map<Key, std::vector<Milliseconds>> m_waiting;
-    std::map<Key, TimePoint> m_lastProbe;
+    /// The parts of jobs that were to be admitted, less the jobs that were.
+    std::map<Key, double> m_credit;
 };
 
 } // namespace egrettrestle
--- a/packages/decision/src/job_executor.cpp
+++ b/packages/decision/src/job_executor.cpp
@@ -69,7 +69,7 @@
     }
     const TaskCrashes crashes = m_crashes.mostCrashesOf(request.id);
     const Forecast expected = forecast(request, route, now);
-    const std::string refusal = isConclusive(crashes.confirmed) || m_warmingUp ? std::string() : refusalReason(expected, request, route, now);
+    const std::string refusal = isConclusive(crashes.confirmed) || m_warmingUp ? std::string() : refusalReason(expected, request, route);
     if (!refusal.empty()) {
         refuse(ticket, request, route, expected, refusal);
         return;
@@ -153,7 +153,7 @@
     return result;
 }
 
-std::string JobExecutor::refusalReason(const Forecast& forecast, const DispatchJob& request, const Route& route, TimePoint now)
+std::string JobExecutor::refusalReason(const Forecast& forecast, const DispatchJob& request, const Route& route)
 {
     if (forecast.capacity.totalTasks == 0)
         return "no-upstream";
@@ -161,7 +161,10 @@
         return "exceeds-timeout";
     if (!meetsObjective(forecast, scaled(forecast.wait, m_limits.waitErrorFactor), request, route))
         return "overloaded";
-    if (!meetsObjective(forecast, forecast.observedWait, request, route) && !m_queueingDelay.admitsProbe(route.service, route.priority, now))
+    if (meetsObjective(forecast, forecast.observedWait, request, route))
+        return {};
+    const Milliseconds tolerated = std::max(Milliseconds { 0 }, objectiveOf(forecast, request, route) - scaled(forecast.run, m_limits.contentionFactor));
+    if (!m_queueingDelay.admitsAnyway(route.service, route.priority, tolerated, forecast.observedWait))
         return "queueing-delay";
     return {};
 }
--- a/packages/decision/src/queueing_delay.cpp
+++ b/packages/decision/src/queueing_delay.cpp
@@ -11,13 +11,14 @@
     constexpr Milliseconds window { 500 };
     // The message about a start may be deferred by 50 ms and takes some milliseconds both ways. Waits are known only beyond.
     constexpr Milliseconds messageDelay { 65 };
-    // A job is as late as the last of its tasks, so most runs have to start in time.
-    constexpr double quantile = 0.8;
+    // With 0.8, at 1.7 times the capacity, jobs were refused that the forecast rightly admitted: some runs always start at the
+    // last moment, since the earliest due goes first.
+    constexpr double quantile = 0.5;
     constexpr std::size_t minSamples = 3;
     // Bounds the memory; more than a VM's runs in the window at the highest load seen.
     constexpr std::size_t maxSamples = 256;
-    // Interval of the jobs admitted against the estimate. Shorter than the window, so that samples do not run out.
-    constexpr Milliseconds probeInterval { 250 };
+    // Least part of the jobs that is admitted against the estimate.
+    constexpr double minPart = 0.1;
 
     Milliseconds withoutMessageDelay(Milliseconds wait) { return std::max(Milliseconds { 0 }, wait - messageDelay); }
 
@@ -62,12 +63,14 @@
     return priority == 0 ? own : std::max(own, quantileOf({ service, 0 }, now));
 }
 
-bool QueueingDelay::admitsProbe(const std::string& service, int priority, TimePoint now)
+bool QueueingDelay::admitsAnyway(const std::string& service, int priority, Milliseconds tolerated, Milliseconds expected)
 {
-    const auto last = m_lastProbe.find({ service, priority });
-    if (last != m_lastProbe.end() && now - last->second < probeInterval)
+    double& credit = m_credit[{ service, priority }];
+    const double part = static_cast<double>(tolerated.count()) / static_cast<double>(std::max<std::int64_t>(1, expected.count()));
+    credit += std::clamp(part * part, minPart, 1.0);
+    if (credit < 1)
         return false;
-    m_lastProbe[{ service, priority }] = now;
+    credit -= 1;
     return true;
 }
 
