Evacuate data centres on operators' request

The keys op/evacuate/NAME of the store name data centres on whose upstreams nothing more is started. The store's watch of the configuration is widened to their common prefix, and VMs also tell each other the set with the store's revision at which it was read, so that one that the store does not serve learns it from any contact. Owners report no capacity for such upstreams, return runs that nothing else of theirs can run, and let runs in progress end.

Upstreams that were just started are used last among equals, and durations on them are not learned.

--- a/packages/base/include/egrettrestle/base/event.hpp
+++ b/packages/base/include/egrettrestle/base/event.hpp
@@ -96,6 +96,10 @@
     inline constexpr Event entryRejected { 6113, Severity::Warning, "entry-rejected", "A discovery entry does not describe an upstream." };
     inline constexpr Event upstreamUnreachable { 6114, Severity::Warning, "upstream-unreachable", "Several polls of an upstream in a row have failed; the cause says how the last one did, and `runs` which runs are there." };
     inline constexpr Event upstreamReachable { 6115, Severity::Info, "upstream-reachable", "An unreachable upstream answers again and is the same incarnation." };
+    inline constexpr Event entryFieldIgnored { 6116, Severity::Warning, "entry-field-ignored", "A field of a store entry cannot be read; the entry is used without it." };
+    inline constexpr Event evacuationBegun { 6201, Severity::Info, "evacuation-begun", "A data centre is being evacuated: nothing more is started on its upstreams; `upstreams` is how many are listed there." };
+    inline constexpr Event evacuationEnded { 6202, Severity::Info, "evacuation-ended", "A data centre is back in service after an evacuation." };
+    inline constexpr Event dataCentreEmpty { 6203, Severity::Info, "data-centre-empty", "No run is left at this VM's upstreams in a data centre that is being evacuated." };
     inline constexpr Event storeLost { 7001, Severity::Warning, "store-lost", "The platform's store does not answer; the last known state stays in force." };
     inline constexpr Event storeRecovered { 7002, Severity::Info, "store-back", "The platform's store answers again." };
     inline constexpr Event vmListLost { 7003, Severity::Warning, "vm-list-lost", "The platform's VM list does not answer; the last known list stays in force." };
--- a/packages/decision/include/egrettrestle/decision/dispatch_types.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatch_types.hpp
@@ -56,6 +56,9 @@
     std::string kind;
     std::string rack;
     std::vector<std::string> labels;
+    /// How much longer the upstream is slow after its start, when its entry was read. Not compared: it changes with every
+    /// heartbeat.
+    Milliseconds coldRemaining { 0 };
 
     friend bool operator==(const UpstreamInfo& left, const UpstreamInfo& right)
     {
--- a/packages/decision/include/egrettrestle/decision/dispatcher.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatcher.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include <egrettrestle/decision/contacts.hpp>
+#include <egrettrestle/decision/evacuations.hpp>
 #include <egrettrestle/decision/job_executor.hpp>
 #include <egrettrestle/decision/ownership.hpp>
 #include <egrettrestle/decision/pause_guard.hpp>
@@ -61,6 +62,7 @@
     /// Reports a decision for the log.
     virtual void recordEvent(const OwnerEvent& event) = 0;
     virtual void recordEvent(const JobEvent& event) = 0;
+    virtual void recordEvent(const EvacuationEvent& event) = 0;
     /// Reports that the set of owned upstreams, or the description of one of them, has changed.
     virtual void onOwnedUpstreamsChanged() = 0;
     /// Reports the loss of a VM, whose runs are now started elsewhere. Messages pending for it must not be delivered.
@@ -87,6 +89,19 @@
     /// started there, and it is removed once none of its runs can still be running.
     void onUpstreamUnlisted(const UpstreamId& upstream, TimePoint now);
 
+    /// Adopts the set of data centres that are being evacuated if it was read at a higher revision than the present one.
+    /// From then on this VM starts nothing on their upstreams and reports no capacity for them; queued runs that no other
+    /// upstream of this VM can run are returned at once.
+    void setEvacuations(const Evacuations& evacuations, EvacuationSource source, TimePoint now);
+
+    const Evacuations& evacuations() const { return m_evacuations; }
+
+    /// The set to be sent to other VMs: empty as long as no VM is known to have known of any evacuation.
+    std::optional<Evacuations> evacuationsToShare() const;
+
+    /// Number of runs left at this VM's upstreams in data centres that are being evacuated.
+    std::size_t evacuatedRuns() const;
+
     /// @}
     /// @name pauses of the process
     /// See PauseGuard.
@@ -234,6 +249,12 @@
     bool hasCompleteCapacity() const;
     /// Detects VMs that are unreachable or lost.
     void checkPeers(TimePoint now);
+    /// Reports each data centre that is being evacuated once no run is left there at this VM's upstreams.
+    void checkEvacuations();
+    void recordEvacuation(EvacuationEvent::Kind kind, const DataCentreId& dataCentre);
+    void updateColdTime(const UpstreamInfo& upstream, TimePoint now);
+    /// Sets where an upstream is for the choice of owners, unless its data centre is being evacuated.
+    void updatePlacement(const UpstreamInfo& upstream, const std::optional<VmId>& owner);
     /// Removes upstreams that discovery has not listed during the grace period.
     void removeUnlistedUpstreams(TimePoint now);
 
@@ -254,6 +275,14 @@
     std::map<UpstreamId, UpstreamInfo> m_upstreams;
     /// Known upstreams that discovery no longer lists, and since when.
     std::map<UpstreamId, TimePoint> m_unlistedSince;
+    /// Until when upstreams are slow after their start, for those that were listed as cold.
+    std::map<UpstreamId, TimePoint> m_coldUntil;
+    Evacuations m_evacuations;
+    EvacuationSource m_evacuationsSource = EvacuationSource::Store;
+    /// Whether any VM has known of an evacuation.
+    bool m_evacuationsKnown = false;
+    /// The data centres reported as empty since their evacuation began.
+    std::set<DataCentreId> m_emptyDataCentres;
     std::map<VmId, PeerState> m_peers;
     /// Messages between the owner and the executor on this VM.
     std::deque<PeerMessage> m_localMessages;
--- a/packages/decision/include/egrettrestle/decision/job_executor.hpp
+++ b/packages/decision/include/egrettrestle/decision/job_executor.hpp
@@ -143,6 +143,11 @@
     /// other VMs yet.
     void setWarmingUp(bool warmingUp) { m_warmingUp = warmingUp; }
 
+    /// Sets whether any data centre is being evacuated. Owners then return what none of their upstreams can run, and a job
+    /// that every owner has returned is refused. To be called at each change of the evacuations: owners that were
+    /// unsuitable for a task may be suitable now.
+    void setEvacuating(bool evacuating);
+
     /// Sets since when callers may have left without this VM's knowledge; empty if it knows who is connected. Until then no
     /// task is sent, and the runs of jobs that end must have ended earlier.
     void setCallersUncheckedSince(std::optional<TimePoint> since) { m_callersUncheckedSince = since; }
@@ -350,6 +355,8 @@
     void sendClaim(Job& job, Task& task, TimePoint now);
     /// Whether nothing of a job has been started or sent and no owner has upstreams for it.
     bool cannotBePlaced(const Job& job) const;
+    /// Whether every owner with capacity has returned one of the job's tasks as unschedulable.
+    bool wasReturnedByAllOwners(const Job& job) const;
     void recordJobEvent(JobEvent::Kind kind, const Job& job, const std::string& reason, TimePoint now);
 
     ExecutorPort& m_port;
@@ -366,6 +373,7 @@
     std::map<UpstreamId, VmId> m_owners;
     FencingToken m_epoch;
     bool m_warmingUp = false;
+    bool m_evacuating = false;
     std::optional<TimePoint> m_callersUncheckedSince;
 };
 
--- a/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
+++ b/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
@@ -123,6 +123,10 @@
     bool fenced = false;
     /// Whether discovery no longer lists the upstream.
     bool unlisted = false;
+    /// Whether its data centre is being evacuated: nothing new is started there, and runs end by themselves.
+    bool evacuated = false;
+    /// Until when the upstream is slow after its start; in the past for one that is not.
+    TimePoint coldUntil;
     /// Set when the upstream refuses a start for lack of capacity or an expired lease, or does not reply to one.
     /// Nothing is started until the next successful poll.
     bool startsBlocked = false;
@@ -161,9 +165,15 @@
     Resources available() const { return info.capacity - used; }
 };
 
+/// Whether an upstream has a label; true for an empty one.
+bool hasLabel(const UpstreamInfo& info, const std::string& label);
+
 /// How many tasks with the given need fit into a capacity; 0 if nothing is needed.
 std::uint32_t tasksThatFit(const Resources& capacity, const Resources& need);
 
+/// Whether an upstream can be used at all for a request, whatever its state and its load at present.
+bool isUsableFor(const OwnedUpstream& upstream, const RunRequest& request);
+
 /// Whether runs may be started on an upstream now, apart from its free capacity.
 bool acceptsRuns(const OwnedUpstream& upstream, const OwnerLimits& limits, TimePoint now);
 
--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -35,6 +35,14 @@
     virtual void recordEvent(const OwnerEvent& event) = 0;
 };
 
+/// What is left at an owner's upstreams of one data centre.
+struct EvacuationProgress {
+    std::size_t upstreams = 0;
+    std::size_t runs = 0;
+    /// Whether a poll has listed the runs of every upstream.
+    bool complete = true;
+};
+
 /// Controls the upstreams that this VM owns: places the runs that executors request, keeps them under a lease, and
 /// reports how they ended. A run is returned to its executor, which may then start the task elsewhere, only once the
 /// upstream has reported that the run is not running or its lease has expired. Not thread-safe.
@@ -62,6 +70,18 @@
     /// leases have expired.
     void markUnlisted(const UpstreamId& upstream);
 
+    /// Sets the data centres on whose upstreams nothing new is started. Queued runs that no other upstream of this owner can
+    /// run are returned as unschedulable by the next startQueuedRuns(), runs in progress end by themselves.
+    void setEvacuated(std::set<DataCentreId> dataCentres);
+
+    /// Sets until when an upstream is slow after its start; a time that is not after `now` ends that. Among otherwise equal
+    /// upstreams a cold one is used last, and the durations of runs that began on it are not learned. Does nothing if the
+    /// upstream is not owned.
+    void setCold(const UpstreamId& upstream, TimePoint until, TimePoint now);
+
+    /// This owner's upstreams in a data centre, and the runs left at them.
+    EvacuationProgress evacuationProgress(const DataCentreId& dataCentre) const;
+
     std::vector<UpstreamId> owned() const;
 
     bool owns(const UpstreamId& upstream) const { return m_upstreams.count(upstream) > 0; }
@@ -229,6 +249,9 @@
     void reserveUpstream(const RunRequest& request, TimePoint now);
     /// Ends the reservations that no queued run needs.
     void releaseReservations();
+    bool isEvacuated(const UpstreamInfo& info) const { return m_evacuated.count(info.dataCentre) > 0; }
+    /// Whether, with the data centres that are being evacuated, none of this owner's upstreams can ever run a request.
+    bool isLeftWithoutUpstream(const RunRequest& request) const;
     /// Whether an upstream accepts runs now and may run a request, apart from its free capacity.
     bool suits(const OwnedUpstream& upstream, const RunRequest& request, TimePoint now) const;
     void processEndedRuns(OwnedUpstream& upstream, const PollReply& reply, TimePoint now);
@@ -283,6 +306,7 @@
     bool m_ownStartsEnabled = true;
     /// The services of the requested routes whose tasks crash upstreams, by route.
     std::map<std::string, std::string> m_crashingRoutes;
+    std::set<DataCentreId> m_evacuated;
 };
 
 } // namespace egrettrestle
--- a/packages/decision/src/dispatcher.cpp
+++ b/packages/decision/src/dispatcher.cpp
@@ -97,6 +97,8 @@
 {
     UpstreamInfo& known = m_upstreams[upstream.id];
     const bool wasUnlisted = m_unlistedSince.erase(upstream.id) > 0;
+    // Every heartbeat has another remaining time, which alone must not have the owners reassigned.
+    updateColdTime(upstream, now);
     if (known == upstream && !wasUnlisted)
         return;
     known = upstream;
@@ -116,15 +118,91 @@
         m_unlistedSince.emplace(upstream, now);
 }
 
+void Dispatcher::updateColdTime(const UpstreamInfo& upstream, TimePoint now)
+{
+    const TimePoint until = now + upstream.coldRemaining;
+    if (until > now)
+        m_coldUntil[upstream.id] = until;
+    else if (m_coldUntil.erase(upstream.id) == 0)
+        return;
+    m_owner.setCold(upstream.id, until, now);
+}
+
+void Dispatcher::updatePlacement(const UpstreamInfo& upstream, const std::optional<VmId>& owner)
+{
+    if (m_evacuations.dataCentres.count(upstream.dataCentre) > 0)
+        m_capacities.removePlacement(upstream.id);
+    else if (owner)
+        m_capacities.setPlacement(upstream, *owner);
+}
+
+void Dispatcher::setEvacuations(const Evacuations& evacuations, EvacuationSource source, TimePoint now)
+{
+    // An empty set that a peer has sent was not empty at an earlier revision.
+    m_evacuationsKnown = m_evacuationsKnown || !evacuations.dataCentres.empty() || source == EvacuationSource::Peer;
+    const EvacuationChanges changes = mergeEvacuations(m_evacuations, evacuations);
+    if (!changes.any())
+        return;
+    m_evacuationsSource = source;
+    for (const DataCentreId& dataCentre : changes.ended)
+        m_emptyDataCentres.erase(dataCentre);
+    m_owner.setEvacuated(m_evacuations.dataCentres);
+    for (const auto& entry : m_upstreams)
+        updatePlacement(entry.second, ownerOf(m_view, entry.second));
+    m_executor.setEvacuating(!m_evacuations.dataCentres.empty());
+    for (const DataCentreId& dataCentre : changes.begun)
+        recordEvacuation(EvacuationEvent::Kind::Begun, dataCentre);
+    for (const DataCentreId& dataCentre : changes.ended)
+        recordEvacuation(EvacuationEvent::Kind::Ended, dataCentre);
+    updateOwnCapacity(now);
+    m_owner.startQueuedRuns(now);
+    deliverLocalMessages(now);
+}
+
+std::optional<Evacuations> Dispatcher::evacuationsToShare() const
+{
+    return m_evacuationsKnown && m_evacuations.revision > 0 ? std::optional<Evacuations>(m_evacuations) : std::nullopt;
+}
+
+std::size_t Dispatcher::evacuatedRuns() const
+{
+    std::size_t runs = 0;
+    for (const DataCentreId& dataCentre : m_evacuations.dataCentres)
+        runs += m_owner.evacuationProgress(dataCentre).runs;
+    return runs;
+}
+
+void Dispatcher::checkEvacuations()
+{
+    for (const DataCentreId& dataCentre : m_evacuations.dataCentres) {
+        const EvacuationProgress progress = m_owner.evacuationProgress(dataCentre);
+        // Runs may be found there after a change of owners.
+        if (progress.runs > 0)
+            m_emptyDataCentres.erase(dataCentre);
+        else if (progress.upstreams > 0 && progress.complete && m_emptyDataCentres.insert(dataCentre).second)
+            recordEvacuation(EvacuationEvent::Kind::Empty, dataCentre);
+    }
+}
+
+void Dispatcher::recordEvacuation(EvacuationEvent::Kind kind, const DataCentreId& dataCentre)
+{
+    const EvacuationProgress progress = m_owner.evacuationProgress(dataCentre);
+    const auto listed = std::count_if(m_upstreams.begin(), m_upstreams.end(), [&dataCentre](const auto& entry) { return entry.second.dataCentre == dataCentre; });
+    m_port.recordEvent(EvacuationEvent { kind, dataCentre, m_evacuations.revision, m_evacuationsSource, static_cast<std::size_t>(listed), progress.upstreams, progress.runs });
+}
+
 std::optional<VmId> Dispatcher::assignOwner(const UpstreamInfo& upstream, TimePoint now)
 {
     std::optional<VmId> owner = ownerOf(m_view, upstream);
-    if (owner)
-        m_capacities.setPlacement(upstream, *owner);
-    if (owner == m_self)
+    updatePlacement(upstream, owner);
+    if (owner == m_self) {
         m_owner.acquire(upstream, { m_view.epoch.value }, now);
-    else if (m_owner.owns(upstream.id))
+        const auto coldUntil = m_coldUntil.find(upstream.id);
+        if (coldUntil != m_coldUntil.end())
+            m_owner.setCold(upstream.id, coldUntil->second, now);
+    } else if (m_owner.owns(upstream.id)) {
         m_owner.release(upstream.id, now);
+    }
     return owner;
 }
 
@@ -285,6 +363,7 @@
     m_executor.setWarmingUp(isWarmingUp(now));
     m_executor.tick(now);
     deliverLocalMessages(now);
+    checkEvacuations();
 }
 
 bool Dispatcher::isWarmingUp(TimePoint now)
@@ -348,6 +427,7 @@
         } else {
             entry = m_unlistedSince.erase(entry);
             m_upstreams.erase(id);
+            m_coldUntil.erase(id);
             m_executor.removeUpstream(id);
             m_port.onOwnedUpstreamsChanged();
         }
--- a/packages/decision/src/job_executor.cpp
+++ b/packages/decision/src/job_executor.cpp
@@ -630,7 +630,25 @@
 bool JobExecutor::cannotBePlaced(const Job& job) const
 {
     const bool neverPlaced = !job.anyStarted && std::none_of(job.tasks.begin(), job.tasks.end(), [](const Task& task) { return isOutstanding(task); });
-    return neverPlaced && !m_warmingUp && m_capacities.totals(job.route.service, job.route.priority).totalTasks == 0;
+    if (!neverPlaced || m_warmingUp)
+        return false;
+    return m_capacities.totals(job.route.service, job.route.priority).totalTasks == 0 || (m_evacuating && wasReturnedByAllOwners(job));
+}
+
+bool JobExecutor::wasReturnedByAllOwners(const Job& job) const
+{
+    return std::any_of(job.tasks.begin(), job.tasks.end(), [this, &job](const Task& task) {
+        return task.state == TaskState::Unsent && !task.unsuitableOwners.empty() && !m_capacities.chooseOwner({ m_self, job.route.service, task.unsuitableOwners, {}, job.route.name });
+    });
+}
+
+void JobExecutor::setEvacuating(bool evacuating)
+{
+    m_evacuating = evacuating;
+    for (auto& entry : m_jobs) {
+        for (Task& task : entry.second.tasks)
+            task.unsuitableOwners.clear();
+    }
 }
 
 std::size_t JobExecutor::notStarted(const std::string& route) const
--- a/packages/decision/src/owned_upstream.cpp
+++ b/packages/decision/src/owned_upstream.cpp
@@ -5,6 +5,11 @@
 
 namespace egrettrestle {
 
+bool hasLabel(const UpstreamInfo& info, const std::string& label)
+{
+    return label.empty() || std::find(info.labels.begin(), info.labels.end(), label) != info.labels.end();
+}
+
 std::uint32_t tasksThatFit(const Resources& capacity, const Resources& need)
 {
     std::int64_t count = std::numeric_limits<std::int32_t>::max();
@@ -18,10 +23,17 @@
     return count == std::numeric_limits<std::int32_t>::max() ? 0 : static_cast<std::uint32_t>(count);
 }
 
+bool isUsableFor(const OwnedUpstream& upstream, const RunRequest& request)
+{
+    const bool lasting = !upstream.info.draining && !upstream.unlisted && !upstream.replaced && !upstream.fenced && !upstream.evacuated;
+    const bool matches = upstream.info.service == request.service && hasLabel(upstream.info, request.requiredLabel) && fits(request.need, upstream.info.capacity);
+    return lasting && matches && std::find(request.avoid.begin(), request.avoid.end(), upstream.info.id) == request.avoid.end();
+}
+
 bool acceptsRuns(const OwnedUpstream& upstream, const OwnerLimits& limits, TimePoint now)
 {
     const bool reachable = upstream.synced && upstream.claimsResolved && upstream.failedPolls == 0 && now - upstream.lastSuccessfulPoll < limits.upstreamTimeout;
-    const bool accepting = !upstream.info.draining && !upstream.unlisted && !upstream.replaced && !upstream.fenced && !upstream.startsBlocked;
+    const bool accepting = !upstream.info.draining && !upstream.unlisted && !upstream.replaced && !upstream.fenced && !upstream.startsBlocked && !upstream.evacuated;
     return reachable && accepting && now >= upstream.pausedUntil && !(upstream.probing && !upstream.runs.empty());
 }
 
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <tuple>
 
 namespace egrettrestle {
 
@@ -91,11 +92,6 @@
     /// The need that capacity is counted in. Tasks with accelerators are few, and most upstreams have none.
     Resources withoutAccelerators(const Resources& need) { return { need.milliCores, need.memoryMb, 0 }; }
 
-    bool hasLabel(const UpstreamInfo& info, const std::string& label)
-    {
-        return label.empty() || std::find(info.labels.begin(), info.labels.end(), label) != info.labels.end();
-    }
-
     std::uint32_t countRunsOfStep(const OwnedUpstream& upstream, const TaskRef& task)
     {
         return static_cast<std::uint32_t>(std::count_if(upstream.runs.begin(), upstream.runs.end(), [&task](const auto& entry) {
@@ -146,6 +142,7 @@
             if (info.startedAt >= upstream.info.startedAt)
                 upstream.info = info;
             upstream.unlisted = false;
+            upstream.evacuated = isEvacuated(upstream.info);
             if (token > upstream.token) {
                 // In a view that was skipped another VM may have owned the upstream.
                 if (token.value > upstream.token.value + 1)
@@ -159,6 +156,7 @@
     }
     OwnedUpstream upstream;
     upstream.info = info;
+    upstream.evacuated = isEvacuated(info);
     upstream.token = token;
     upstream.ownedSince = now;
     upstream.lastSuccessfulPoll = now;
@@ -209,6 +207,40 @@
         owned->unlisted = true;
 }
 
+void UpstreamOwner::setEvacuated(std::set<DataCentreId> dataCentres)
+{
+    m_evacuated = std::move(dataCentres);
+    for (auto& entry : m_upstreams)
+        entry.second.evacuated = isEvacuated(entry.second.info);
+}
+
+void UpstreamOwner::setCold(const UpstreamId& upstream, TimePoint until, TimePoint now)
+{
+    OwnedUpstream* owned = findUpstream(upstream);
+    // An end in the past is kept: runs that began before it were slow.
+    if (owned && (until > now || owned->coldUntil > now))
+        owned->coldUntil = until;
+}
+
+EvacuationProgress UpstreamOwner::evacuationProgress(const DataCentreId& dataCentre) const
+{
+    EvacuationProgress progress;
+    for (const auto& entry : m_upstreams) {
+        const OwnedUpstream& upstream = entry.second;
+        if (upstream.info.dataCentre != dataCentre)
+            continue;
+        ++progress.upstreams;
+        progress.runs += upstream.runs.size();
+        progress.complete = progress.complete && upstream.synced;
+    }
+    return progress;
+}
+
+bool UpstreamOwner::isLeftWithoutUpstream(const RunRequest& request) const
+{
+    return !m_evacuated.empty() && std::none_of(m_upstreams.begin(), m_upstreams.end(), [&request](const auto& entry) { return isUsableFor(entry.second, request); });
+}
+
 std::vector<UpstreamId> UpstreamOwner::owned() const
 {
     std::vector<UpstreamId> ids;
@@ -462,7 +494,8 @@
 
 void UpstreamOwner::finishRun(OwnedUpstream& upstream, const OwnedRun& run, RunOutcome outcome, TimePoint now)
 {
-    const bool measured = run.state != RunState::Starting && run.confirmedAt != TimePoint {};
+    // A run that began on a cold upstream tells nothing about the speed of its kind, neither here nor at the executor.
+    const bool measured = run.state != RunState::Starting && run.confirmedAt != TimePoint {} && run.confirmedAt >= upstream.coldUntil;
     const Milliseconds took = measured ? toMilliseconds(now - run.confirmedAt) : Milliseconds { 0 };
     const RunEnded ended { run.request.run, upstream.info.id, outcome, took, upstream.info.kind };
     m_recentEnds.add(run.executor, ended, now);
@@ -760,6 +793,10 @@
             startRun(*upstream, queuedRun, now);
             continue;
         }
+        if (isLeftWithoutUpstream(queuedRun.request)) {
+            returnRun(queuedRun.executor, queuedRun.request.run, ReturnReason::Unschedulable);
+            continue;
+        }
         if (canStart && mustBeAlone(queuedRun.request))
             reserveUpstream(queuedRun.request, now);
         stillQueued.push_back(std::move(queuedRun));
@@ -790,6 +827,7 @@
     const std::set<UpstreamId> usable = confined ? upstreamsForCrashingRoute(request.service, request.route, now) : std::set<UpstreamId> {};
     OwnedUpstream* best = nullptr;
     double bestDuration = 0;
+    bool bestIsCold = false;
     std::int64_t bestLeft = 0;
     for (auto& entry : m_upstreams) {
         OwnedUpstream& upstream = entry.second;
@@ -805,9 +843,11 @@
         if (now + extraTime > request.latestStart)
             continue;
         const std::int64_t left = (upstream.available() - request.need).milliCores;
-        if (best && (duration > bestDuration || (duration == bestDuration && left >= bestLeft)))
+        const bool isCold = now < upstream.coldUntil;
+        if (best && std::tie(duration, isCold, left) >= std::tie(bestDuration, bestIsCold, bestLeft))
             continue;
         best = &upstream;
+        bestIsCold = isCold;
         bestDuration = duration;
         bestLeft = left;
     }
--- a/packages/decision/src/upstream_owner_crashes.cpp
+++ b/packages/decision/src/upstream_owner_crashes.cpp
@@ -119,7 +119,7 @@
     std::size_t taken = 0;
     for (const auto& entry : m_upstreams) {
         const OwnedUpstream& upstream = entry.second;
-        if (upstream.info.service != service || upstream.replaced)
+        if (upstream.info.service != service || upstream.replaced || upstream.evacuated)
             continue;
         ++owned;
         const bool uses = std::any_of(upstream.runs.begin(), upstream.runs.end(), [&route](const auto& run) { return run.second.request.route == route; });
@@ -186,7 +186,7 @@
     std::size_t unavailable = 0;
     for (const auto& entry : m_upstreams) {
         const OwnedUpstream& upstream = entry.second;
-        if (upstream.info.service != service || upstream.replaced)
+        if (upstream.info.service != service || upstream.replaced || upstream.evacuated)
             continue;
         ++owned;
         unavailable += upstream.crashReported || isKeptForOneTask(upstream) ? 1 : 0;
@@ -215,7 +215,7 @@
 {
     for (auto& entry : m_upstreams) {
         OwnedUpstream& upstream = entry.second;
-        const bool usable = upstream.failedPolls == 0 && !upstream.info.draining && !upstream.unlisted;
+        const bool usable = upstream.failedPolls == 0 && !upstream.info.draining && !upstream.unlisted && !upstream.evacuated;
         upstream.reserved = upstream.reserved && usable && std::any_of(m_queue.begin(), m_queue.end(), [this, &upstream](const QueuedRun& queuedRun) {
             return queuedRun.request.service == upstream.info.service && mustBeAlone(queuedRun.request);
         });
--- a/packages/fleet/include/egrettrestle/fleet/dispatch_service.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/dispatch_service.hpp
@@ -58,9 +58,11 @@
     void reply(CallerTicket ticket, const JobResult& reply) override;
     void recordEvent(const OwnerEvent& event) override;
     void recordEvent(const JobEvent& event) override;
+    void recordEvent(const EvacuationEvent& event) override;
     void onOwnedUpstreamsChanged() override;
     void onPeerLost(const VmId& vm) override;
     void tick();
+    void updateEvacuationMetrics();
     /// To be called with the lock held before each use of the dispatcher. Returns the current time, and has the callers'
     /// connections checked if the process has just resumed after a pause.
     TimePoint beginActivity();
--- a/packages/fleet/include/egrettrestle/fleet/platform_adapters.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/platform_adapters.hpp
@@ -81,11 +81,16 @@
 
     virtual std::string configurationKey() const = 0;
     virtual std::string upstreamPrefix() const = 0;
-    /// The prefix to watch for changes of the configuration; few other keys share it.
-    virtual std::string configurationPrefix() const = 0;
+    /// The prefix of the keys by which operators have data centres evacuated; the rest of a key is the data centre.
+    virtual std::string evacuationPrefix() const = 0;
+    /// The prefix to watch for changes of the configuration and the evacuations; few other keys share it.
+    virtual std::string operatorPrefix() const = 0;
     /// Parses a configuration; nothing, and at least one error, if it is invalid.
     virtual std::optional<Configuration> readConfiguration(std::string_view text, std::vector<ValidationError>& errors) const = 0;
-    /// Parses an upstream's entry; nothing, and at least one error, if it is invalid.
+    /// The data centre that the key of an evacuation names; nothing, and an error, if it names none.
+    virtual std::optional<DataCentreId> readEvacuation(const std::string& key, std::vector<ValidationError>& errors) const = 0;
+    /// Parses an upstream's entry; nothing, and at least one error, if it is invalid. Errors beside an upstream concern
+    /// fields without which it can be used.
     virtual std::optional<UpstreamInfo> readUpstream(const std::string& key, std::string_view text, std::vector<ValidationError>& errors) const = 0;
 };
 
--- a/packages/fleet/include/egrettrestle/fleet/store_watcher.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/store_watcher.hpp
@@ -37,6 +37,12 @@
         std::uint64_t revision = 0;
         /// Keys of the upstreams that are listed.
         std::set<std::string> keys;
+        /// Those of them with a field that cannot be read. Each is logged once, as entries are written with every heartbeat.
+        std::set<std::string> keysWithIgnoredFields;
+        /// The data centres that are being evacuated, in the operators' stream.
+        std::set<DataCentreId> evacuated;
+        /// Whether `evacuated` has changed since it was last passed on.
+        bool evacuationsChanged = false;
         bool storeUnavailable = false;
         TimePoint unavailableSince;
         std::thread thread;
@@ -47,6 +53,10 @@
     absl::Status readAll(Stream& stream);
     absl::Status watch(Stream& stream);
     void applyEntry(Stream& stream, const StoreEntry& entry);
+    void rejectEntry(const StoreEntry& entry, const std::string& fault);
+    void applyEvacuation(Stream& stream, const StoreEntry& entry);
+    /// Passes the evacuations on as read at a revision of the store.
+    void publishEvacuations(Stream& stream, std::uint64_t revision);
     void applyUpstream(Stream& stream, const StoreEntry& entry);
     void removeUpstream(Stream& stream, const std::string& key);
     void onStoreUnavailable(Stream& stream, const absl::Status& status);
--- a/packages/fleet/src/dispatch_service.cpp
+++ b/packages/fleet/src/dispatch_service.cpp
@@ -78,6 +78,16 @@
         return *events.at(kind);
     }
 
+    const Event& eventOf(EvacuationEvent::Kind kind)
+    {
+        static const std::map<EvacuationEvent::Kind, const Event*> events {
+            { EvacuationEvent::Kind::Begun, &events::evacuationBegun },
+            { EvacuationEvent::Kind::Ended, &events::evacuationEnded },
+            { EvacuationEvent::Kind::Empty, &events::dataCentreEmpty },
+        };
+        return *events.at(kind);
+    }
+
     const char* outcomeName(JobEvent::Kind kind)
     {
         switch (kind) {
@@ -108,9 +118,19 @@
 void DispatchService::tick()
 {
     withDispatcher([](Dispatcher& dispatcher, TimePoint now) { dispatcher.tick(now); });
+    updateEvacuationMetrics();
     m_context.kernel.find<PeerLinks>(fleetServices::peerLinks).sendDueBatches();
 }
 
+void DispatchService::updateEvacuationMetrics()
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    if (!m_dispatcher.evacuationsToShare())
+        return;
+    m_context.metrics.setGauge("evacuated_data_centres", static_cast<double>(m_dispatcher.evacuations().dataCentres.size()));
+    m_context.metrics.setGauge("evacuated_runs", static_cast<double>(m_dispatcher.evacuatedRuns()));
+}
+
 TimePoint DispatchService::beginActivity()
 {
     const TimePoint now = bootTimeNow();
@@ -224,6 +244,11 @@
     m_context.log.write(eventOf(event.kind), { { "request", event.job }, { "route", event.route }, { "outcome", outcomeName(event.kind) }, { "reason", event.reason }, { "ageMs", event.age.count() }, { "tasks", static_cast<std::int64_t>(event.tasks) }, { "resent", static_cast<std::int64_t>(event.resentTasks) } });
 }
 
+void DispatchService::recordEvent(const EvacuationEvent& event)
+{
+    m_context.log.write(eventOf(event.kind), { { "dataCentre", event.dataCentre }, { "revision", static_cast<std::int64_t>(event.revision) }, { "source", event.source == EvacuationSource::Store ? "store" : "peer" }, { "upstreams", static_cast<std::int64_t>(event.upstreams) }, { "owned", static_cast<std::int64_t>(event.ownUpstreams) }, { "runs", static_cast<std::int64_t>(event.ownRuns) } });
+}
+
 void DispatchService::onOwnedUpstreamsChanged()
 {
     m_context.kernel.find<UpstreamLinks>(fleetServices::upstreamLinks).setOwned(m_dispatcher.ownedUpstreams());
--- a/packages/fleet/src/peer_links.cpp
+++ b/packages/fleet/src/peer_links.cpp
@@ -190,6 +190,7 @@
         sharesTasks = dispatcher.sharesTasks(peer.id);
         batch.capacity = dispatcher.capacityReport(now);
         batch.capacity.requestsReceived = dispatcher.requestsReceived(peer.id);
+        batch.evacuations = dispatcher.evacuationsToShare();
     });
     const std::lock_guard<std::mutex> lock(m_mutex);
     batch.epoch = m_epoch;
@@ -395,6 +396,10 @@
         }
         if (batchResult.peerRestarted)
             dispatcher.onPeerRestarted(batch.sender, now);
+        // Its revision says whether it is news, also in a batch that was delayed. Before the batch's requests: these must not
+        // be started where that is no longer allowed.
+        if (batch.evacuations)
+            dispatcher.setEvacuations(*batch.evacuations, EvacuationSource::Peer, now);
         if (!batchResult.accepted)
             return;
         batch.messages.erase(batch.messages.begin(), batch.messages.begin() + static_cast<std::ptrdiff_t>(batchResult.duplicates));
--- a/packages/fleet/src/store_watcher.cpp
+++ b/packages/fleet/src/store_watcher.cpp
@@ -17,6 +17,9 @@
     constexpr Milliseconds probeWatchDuration { 200 };
     // Lower bound for a draining VM, which watches only until its reply deadline.
     constexpr Milliseconds minWatchDuration { 50 };
+    // Every batch of messages between VMs carries the names of the data centres that are being evacuated. A platform has a
+    // few; more are an error of their writer, and the first ones by name count.
+    constexpr int maxEvacuations = 64;
 
     bool startsWith(const std::string& text, const std::string& prefix)
     {
@@ -38,9 +41,11 @@
 absl::Status StoreWatcher::start()
 {
     const StoreFormats& formats = *m_context.platform.formats;
-    m_streams.push_back({ formats.configurationPrefix(), Milliseconds { 0 }, false, 0, {}, false, {}, {} });
-    m_streams.push_back({ storeKeys::prefix, Milliseconds { 0 }, false, 0, {}, false, {}, {} });
-    m_streams.push_back({ formats.upstreamPrefix(), heartbeatBatchInterval, false, 0, {}, false, {}, {} });
+    for (const auto& watched : { std::make_pair(formats.operatorPrefix(), Milliseconds { 0 }), std::make_pair(storeKeys::prefix, Milliseconds { 0 }), std::make_pair(formats.upstreamPrefix(), heartbeatBatchInterval) }) {
+        m_streams.emplace_back();
+        m_streams.back().prefix = watched.first;
+        m_streams.back().batchInterval = watched.second;
+    }
     for (Stream& stream : m_streams)
         stream.thread = std::thread([this, &stream] { watchLoop(stream); });
     return absl::OkStatus();
@@ -105,6 +110,9 @@
         onStoreReply(stream);
         stream.revision = std::max(stream.revision, entry.modRevision);
         applyEntry(stream, entry);
+        // Not before all changes of a transaction have been applied: other VMs ignore a second set of the same revision.
+        if (stream.evacuationsChanged && !entry.moreFollow)
+            publishEvacuations(stream, std::max(stream.revision, entry.deliveredUntil));
     });
 }
 
@@ -114,6 +122,8 @@
     if (!snapshot.ok())
         return snapshot.status();
     std::set<std::string> present;
+    // An evacuation that is absent now has ended.
+    stream.evacuated.clear();
     for (const StoreEntry& entry : snapshot->entries) {
         present.insert(entry.key);
         applyEntry(stream, entry);
@@ -124,14 +134,24 @@
             removeUpstream(stream, key);
     }
     stream.revision = std::max(stream.revision, snapshot->revision);
+    if (startsWith(m_context.platform.formats->evacuationPrefix(), stream.prefix))
+        publishEvacuations(stream, snapshot->revision);
     return absl::OkStatus();
 }
 
 void StoreWatcher::applyEntry(Stream& stream, const StoreEntry& entry)
 {
     const StoreFormats& formats = *m_context.platform.formats;
+    if (startsWith(entry.key, formats.evacuationPrefix())) {
+        applyEvacuation(stream, entry);
+        return;
+    }
+    // Operators have other keys there, which mean nothing here.
+    const bool isForeign = !entry.key.empty() && startsWith(entry.key, formats.operatorPrefix()) && entry.key != formats.configurationKey();
+    if (isForeign)
+        return;
     if (!entry.fault.empty()) {
-        m_context.log.write(events::entryRejected, { { "key", entry.key }, { "revision", static_cast<std::int64_t>(entry.modRevision) }, { "fault", entry.fault } });
+        rejectEntry(entry, entry.fault);
         removeUpstream(stream, entry.key);
         return;
     }
@@ -148,6 +168,39 @@
     }
 }
 
+void StoreWatcher::rejectEntry(const StoreEntry& entry, const std::string& fault)
+{
+    m_context.log.write(events::entryRejected, { { "key", entry.key }, { "revision", static_cast<std::int64_t>(entry.modRevision) }, { "fault", fault } });
+}
+
+/// The key is the request, so one with an unreadable value counts as well.
+void StoreWatcher::applyEvacuation(Stream& stream, const StoreEntry& entry)
+{
+    std::vector<ValidationError> errors;
+    const std::optional<DataCentreId> dataCentre = m_context.platform.formats->readEvacuation(entry.key, errors);
+    if (!dataCentre) {
+        if (!entry.removed)
+            rejectEntry(entry, errors.empty() ? std::string() : toString(errors.front()));
+        return;
+    }
+    if (!entry.fault.empty())
+        m_context.log.write(events::entryFieldIgnored, { { "key", entry.key }, { "revision", static_cast<std::int64_t>(entry.modRevision) }, { "fault", entry.fault } });
+    if (entry.removed)
+        stream.evacuated.erase(*dataCentre);
+    else
+        stream.evacuated.insert(*dataCentre);
+    stream.evacuationsChanged = true;
+}
+
+void StoreWatcher::publishEvacuations(Stream& stream, std::uint64_t revision)
+{
+    stream.evacuationsChanged = false;
+    Evacuations evacuations { revision, stream.evacuated };
+    if (evacuations.dataCentres.size() > maxEvacuations)
+        evacuations.dataCentres.erase(std::next(evacuations.dataCentres.begin(), maxEvacuations), evacuations.dataCentres.end());
+    m_context.kernel.find<DispatchService>(fleetServices::dispatch).withDispatcher([&evacuations](Dispatcher& dispatcher, TimePoint now) { dispatcher.setEvacuations(evacuations, EvacuationSource::Store, now); });
+}
+
 void StoreWatcher::applyConfiguration(const std::string& text, const char* source)
 {
     std::vector<ValidationError> errors;
@@ -164,11 +217,15 @@
     std::vector<ValidationError> errors;
     const std::optional<UpstreamInfo> upstream = m_context.platform.formats->readUpstream(entry.key, entry.value, errors);
     if (!upstream) {
-        m_context.log.write(events::entryRejected, { { "key", entry.key }, { "revision", static_cast<std::int64_t>(entry.modRevision) }, { "fault", errors.empty() ? std::string() : toString(errors.front()) } });
+        rejectEntry(entry, errors.empty() ? std::string() : toString(errors.front()));
         removeUpstream(stream, entry.key);
         return;
     }
     stream.keys.insert(entry.key);
+    if (errors.empty())
+        stream.keysWithIgnoredFields.erase(entry.key);
+    else if (stream.keysWithIgnoredFields.insert(entry.key).second)
+        m_context.log.write(events::entryFieldIgnored, { { "key", entry.key }, { "revision", static_cast<std::int64_t>(entry.modRevision) }, { "fault", toString(errors.front()) } });
     const bool changed = m_context.kernel.find<DispatchService>(fleetServices::dispatch).withDispatcher([&upstream](Dispatcher& dispatcher, TimePoint now) {
         const UpstreamInfo* known = dispatcher.upstream(upstream->id);
         const bool differs = !known || *known != *upstream;
@@ -183,6 +240,7 @@
 {
     if (stream.keys.erase(key) == 0)
         return;
+    stream.keysWithIgnoredFields.erase(key);
     const UpstreamId id = key.substr(m_context.platform.formats->upstreamPrefix().size());
     m_context.log.write(events::upstreamUnlisted, { { "upstream", id } });
     m_context.kernel.find<DispatchService>(fleetServices::dispatch).withDispatcher([&id](Dispatcher& dispatcher, TimePoint now) { dispatcher.onUpstreamUnlisted(id, now); });
--- a/packages/store/include/egrettrestle/store/store.hpp
+++ b/packages/store/include/egrettrestle/store/store.hpp
@@ -23,6 +23,12 @@
     /// Why the store's item could not be decoded; empty if it was. The value is then empty, and so is a key that could not be
     /// read.
     std::string fault = {};
+    /// Set by a watch that delivers several changes at once, for all but the last of them. Changes of one transaction have
+    /// one revision and are delivered together.
+    bool moreFollow = false;
+    /// Set by a watch for the last change of a delivery: the store's revision up to which all changes have been delivered; 0
+    /// if the store does not tell.
+    std::uint64_t deliveredUntil = 0;
 };
 
 /// All keys under a prefix at one revision of the store.
--- a/packages/wire/include/egrettrestle/wire/dispatch_messages.hpp
+++ b/packages/wire/include/egrettrestle/wire/dispatch_messages.hpp
@@ -6,6 +6,7 @@
 #include <vector>
 
 #include <egrettrestle/decision/dispatch_types.hpp>
+#include <egrettrestle/decision/evacuations.hpp>
 #include <egrettrestle/decision/peer_channel.hpp>
 #include <egrettrestle/decision/view.hpp>
 
@@ -20,6 +21,8 @@
     std::uint64_t configurationVersion = 0;
     CapacityReport capacity;
     std::vector<PeerMessage> messages;
+    /// The data centres that are being evacuated. Empty if the sender has never known of any evacuation.
+    std::optional<Evacuations> evacuations = {};
 };
 
 /// The reply to a batch.
--- a/packages/wire/src/dispatch_messages.cpp
+++ b/packages/wire/src/dispatch_messages.cpp
@@ -244,6 +244,19 @@
         return value;
     }
 
+    Evacuations readEvacuations(ObjectReader& reader, std::vector<ValidationError>& errors)
+    {
+        Evacuations evacuations;
+        evacuations.revision = reader.number("revision");
+        for (const json& element : reader.array("dataCentres")) {
+            if (element.is_string())
+                evacuations.dataCentres.insert(element.get<std::string>());
+            else
+                errors.push_back({ dispatchErrorCodes.outOfRange(), reader.pointer("dataCentres"), element.dump(), "names of data centres" });
+        }
+        return evacuations;
+    }
+
     CapacityReport readCapacity(ObjectReader& reader, std::vector<ValidationError>& errors)
     {
         CapacityReport capacity;
@@ -283,6 +296,8 @@
         { "mark", batch.stamp.echoedTimestamp },
         { "room", capacityJson(batch.capacity) },
     };
+    if (batch.evacuations)
+        value["evacuations"] = { { "revision", batch.evacuations->revision }, { "dataCentres", batch.evacuations->dataCentres } };
     json& messages = value["messages"] = json::array();
     for (const PeerMessage& message : batch.messages)
         messages.push_back(messageJson(message, now));
@@ -305,6 +320,10 @@
             ObjectReader item(*capacity, reader.pointer("room"), dispatchErrorCodes, errors);
             batch.capacity = readCapacity(item, errors);
         }
+        if (reader.has("evacuations")) {
+            ObjectReader item(*reader.value("evacuations"), reader.pointer("evacuations"), dispatchErrorCodes, errors);
+            batch.evacuations = readEvacuations(item, errors);
+        }
         for (const json& element : reader.array("messages")) {
             ObjectReader item(element, reader.pointer("messages", batch.messages.size()), dispatchErrorCodes, errors);
             batch.messages.push_back(readMessage(item, now, errors));
--- a/tests/model/dispatch_simulation.cpp
+++ b/tests/model/dispatch_simulation.cpp
@@ -150,6 +150,7 @@
 
     void reply(CallerTicket ticket, const JobResult& result) override { simulation.onReply(number, ticket, result); }
     void recordEvent(const OwnerEvent&) override { }
+    void recordEvent(const EvacuationEvent&) override { }
     void recordEvent(const JobEvent&) override { }
     void onOwnedUpstreamsChanged() override
     {
--- a/tests/unit/fake_ports.hpp
+++ b/tests/unit/fake_ports.hpp
@@ -52,6 +52,38 @@
     std::vector<JobEvent> events;
 };
 
+class RecordingDispatcherPort : public DispatcherPort {
+public:
+    void start(const StartOrder& order) override { starts.push_back(order); }
+    void stop(const StopOrder& order) override { stops.push_back(order); }
+    void pollNow(const UpstreamId&) override { }
+    void send(const VmId& vm, PeerMessage message) override { sent.push_back({ vm, std::move(message) }); }
+    void reply(CallerTicket ticket, const JobResult& reply) override { replies.push_back({ ticket, reply }); }
+    void recordEvent(const OwnerEvent&) override { }
+    void recordEvent(const JobEvent&) override { }
+    void recordEvent(const EvacuationEvent& event) override { evacuations.push_back(event); }
+    void onOwnedUpstreamsChanged() override { ++ownedUpstreamsChanges; }
+    void onPeerLost(const VmId& vm) override { lostPeers.push_back(vm); }
+
+    std::vector<StartOrder> starts;
+    std::vector<StopOrder> stops;
+    std::vector<SentMessage> sent;
+    std::vector<SentReply> replies;
+    std::vector<VmId> lostPeers;
+    std::vector<EvacuationEvent> evacuations;
+    int ownedUpstreamsChanges = 0;
+};
+
+/// A view whose members are all in the data centre `dc1`.
+inline View viewOf(std::uint64_t epoch, const std::vector<VmId>& members)
+{
+    View view;
+    view.epoch.value = epoch;
+    for (const VmId& member : members)
+        view.members.push_back({ member, "p", "c", { 1 }, "dc1" });
+    return view;
+}
+
 /// An upstream of the service `print` in the rack `r1-1`. It fits two default tasks unless a capacity is given.
 inline UpstreamInfo upstreamNamed(const UpstreamId& id, std::int64_t milliCores = 64'000, const std::string& kind = "a")
 {
--- a/tests/unit/unit-dispatcher.cpp
+++ b/tests/unit/unit-dispatcher.cpp
@@ -9,35 +9,6 @@
 
 namespace {
 
-class RecordingDispatcherPort : public DispatcherPort {
-public:
-    void start(const StartOrder& order) override { starts.push_back(order); }
-    void stop(const StopOrder& order) override { stops.push_back(order); }
-    void pollNow(const UpstreamId&) override { }
-    void send(const VmId& vm, PeerMessage message) override { sent.push_back({ vm, std::move(message) }); }
-    void reply(CallerTicket ticket, const JobResult& reply) override { replies.push_back({ ticket, reply }); }
-    void recordEvent(const OwnerEvent&) override { }
-    void recordEvent(const JobEvent&) override { }
-    void onOwnedUpstreamsChanged() override { ++ownedUpstreamsChanges; }
-    void onPeerLost(const VmId& vm) override { lostPeers.push_back(vm); }
-
-    std::vector<StartOrder> starts;
-    std::vector<StopOrder> stops;
-    std::vector<SentMessage> sent;
-    std::vector<SentReply> replies;
-    std::vector<VmId> lostPeers;
-    int ownedUpstreamsChanges = 0;
-};
-
-View viewOf(std::uint64_t epoch, const std::vector<VmId>& members)
-{
-    View view;
-    view.epoch.value = epoch;
-    for (const VmId& member : members)
-        view.members.push_back({ member, "p", "c", { 1 }, "dc1" });
-    return view;
-}
-
 /// The dispatcher of VM `x`, with one upstream that it owns.
 struct DispatcherFixture {
     RecordingDispatcherPort port;
--- a/tests/unit/unit-wire.cpp
+++ b/tests/unit/unit-wire.cpp
@@ -189,6 +189,29 @@
         CHECK_FALSE(reparsed->messages[0].request->dueBy);
     }
 
+    SECTION("the evacuations are sent if the sender knows of any, also when none is left")
+    {
+        const std::string text = toText(batch, now);
+        CHECK(text.find("evacuations") == std::string::npos);
+        const std::optional<DispatchBatch> without = parseDispatchBatch(text, now);
+        REQUIRE(without);
+        CHECK_FALSE(without->evacuations);
+        for (const Evacuations& evacuations : { Evacuations { 7, { "dc1", "dc2" } }, Evacuations { 9, {} } }) {
+            batch.evacuations = evacuations;
+            const std::optional<DispatchBatch> reparsed = parseDispatchBatch(toText(batch, now), now);
+            REQUIRE(reparsed);
+            CHECK(reparsed->evacuations == evacuations);
+        }
+    }
+
+    SECTION("evacuations that cannot be read reject the batch")
+    {
+        batch.evacuations = Evacuations { 7, { "dc1" } };
+        std::string text = toText(batch, now);
+        text.replace(text.find("[\"dc1\"]"), 7, "[1]");
+        CHECK_FALSE(parseDispatchBatch(text, now));
+    }
+
     SECTION("batches are unchanged by a round trip; times are relative to the receiver's clock")
     {
         const TimePoint later = now + Seconds { 100 };
