--- a/packages/decision/include/egrettrestle/decision/dispatcher.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatcher.hpp
@@ -251,7 +251,9 @@
     void checkPeers(TimePoint now);
     /// Reports each data centre that is being evacuated once no run is left there at this VM's upstreams.
     void checkEvacuations();
+    /// Reports an evacuation for the log, with what is known of the data centre now.
     void recordEvacuation(EvacuationEvent::Kind kind, const DataCentreId& dataCentre);
+    /// Takes over until when an upstream is slow after its start, from an entry that was read now.
     void updateColdTime(const UpstreamInfo& upstream, TimePoint now);
     /// Sets where an upstream is for the choice of owners, unless its data centre is being evacuated.
     void updatePlacement(const UpstreamInfo& upstream, const std::optional<VmId>& owner);
--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -306,6 +306,7 @@
     bool m_ownStartsEnabled = true;
     /// The services of the requested routes whose tasks crash upstreams, by route.
     std::map<std::string, std::string> m_crashingRoutes;
+    /// The data centres that are being evacuated.
     std::set<DataCentreId> m_evacuated;
 };
 
--- a/tests/unit/unit-evacuations.cpp
+++ b/tests/unit/unit-evacuations.cpp
@@ -228,7 +228,7 @@
     CHECK(fixture.freeTasks() == 3);
     std::vector<std::string> events;
     for (const EvacuationEvent& event : fixture.x.port.evacuations)
-        events.push_back((event.kind == EvacuationEvent::Kind::Begun ? "+" : "-") + event.dataCentre + "@" + std::to_string(event.revision));
+        events.emplace_back((event.kind == EvacuationEvent::Kind::Begun ? "+" : "-") + event.dataCentre + "@" + std::to_string(event.revision));
     CHECK(events == std::vector<std::string> { "+dc1@5", "+dc2@6", "-dc1@7", "+dc1@8", "-dc1@9", "-dc2@9" });
 }
 
@@ -288,7 +288,7 @@
     SECTION("one whose label only evacuated upstreams have")
     {
         UpstreamInfo labelled = upstreamIn("dc1", "u1");
-        labelled.labels.push_back("special");
+        labelled.labels.emplace_back("special");
         fixture.x.dispatcher.setUpstream(labelled, fixture.now);
         fixture.evacuate(5, { "dc1" });
         fixture.submit("a", 1, "special");
