--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cmath>
 #include <limits>
+#include <tuple>
 
 namespace egrettrestle {
 
@@ -148,6 +149,7 @@
                     removeImpossibleNeeds();
             }
             upstream.unlisted = false;
+            upstream.evacuated = isEvacuated(upstream.info);
             if (token > upstream.token) {
                 // In a view that was skipped another VM may have owned the upstream.
                 if (token.value > upstream.token.value + 1)
@@ -161,6 +163,7 @@
     }
     OwnedUpstream upstream;
     upstream.info = info;
+    upstream.evacuated = isEvacuated(info);
     upstream.token = token;
     upstream.ownedSince = now;
     upstream.lastSuccessfulPoll = now;
@@ -213,6 +216,40 @@
         owned->unlisted = true;
 }
 
+void UpstreamOwner::setEvacuated(std::set<DataCentreId> dataCentres)
+{
+    m_evacuated = std::move(dataCentres);
+    for (auto& entry : m_upstreams)
+        entry.second.evacuated = isEvacuated(entry.second.info);
+}
+
+void UpstreamOwner::setCold(const UpstreamId& upstream, TimePoint until, TimePoint now)
+{
+    OwnedUpstream* owned = findUpstream(upstream);
+    // An end in the past is kept: runs that began before it were slow.
+    if (owned && (until > now || owned->coldUntil > now))
+        owned->coldUntil = until;
+}
+
+EvacuationProgress UpstreamOwner::evacuationProgress(const DataCentreId& dataCentre) const
+{
+    EvacuationProgress progress;
+    for (const auto& entry : m_upstreams) {
+        const OwnedUpstream& upstream = entry.second;
+        if (upstream.info.dataCentre != dataCentre)
+            continue;
+        ++progress.upstreams;
+        progress.runs += upstream.runs.size();
+        progress.complete = progress.complete && upstream.synced;
+    }
+    return progress;
+}
+
+bool UpstreamOwner::isLeftWithoutUpstream(const RunRequest& request) const
+{
+    return !m_evacuated.empty() && std::none_of(m_upstreams.begin(), m_upstreams.end(), [&request](const auto& entry) { return isUsableFor(entry.second, request); });
+}
+
 std::vector<UpstreamId> UpstreamOwner::owned() const
 {
     std::vector<UpstreamId> ids;
@@ -452,7 +489,8 @@
 
 void UpstreamOwner::finishRun(OwnedUpstream& upstream, const OwnedRun& run, RunOutcome outcome, TimePoint now)
 {
-    const bool measured = run.state != RunState::Starting && run.confirmedAt != TimePoint {};
+    // A run that began on a cold upstream tells nothing about the speed of its kind, neither here nor at the executor.
+    const bool measured = run.state != RunState::Starting && run.confirmedAt != TimePoint {} && run.confirmedAt >= upstream.coldUntil;
     const Milliseconds took = measured ? toMilliseconds(now - run.confirmedAt) : Milliseconds { 0 };
     const RunEnded ended { run.request.run, upstream.info.id, outcome, took, upstream.info.kind };
     m_recentEnds.add(run.executor, ended, now);
@@ -736,8 +774,8 @@
         return;
     }
     std::int64_t largestFree = largestFreeMilliCores(now);
-    // While no queued run fits anywhere, only the reports about crashes matter.
-    if (m_queue.smallestNeed() > largestFree && m_crashes.size() == 0 && !m_queue.hasSuspects()) {
+    // While no queued run fits anywhere, only the reports about crashes and the evacuations matter.
+    if (m_queue.smallestNeed() > largestFree && m_crashes.size() == 0 && !m_queue.hasSuspects() && m_evacuated.empty()) {
         releaseReservations();
         return;
     }
@@ -759,6 +797,11 @@
             largestFree = largestFreeMilliCores(now);
             continue;
         }
+        if (isLeftWithoutUpstream(request)) {
+            returnRun(queuedRun->executor, request.run, ReturnReason::Unschedulable);
+            m_queue.removeOffered();
+            continue;
+        }
         if (canStart && mustBeAlone(request))
             reserveUpstream(request, now);
     }
--- a/packages/decision/src/upstream_owner_placement.cpp
+++ b/packages/decision/src/upstream_owner_placement.cpp
@@ -3,6 +3,7 @@
 #include <egrettrestle/decision/upstream_owner.hpp>
 
 #include <algorithm>
+#include <tuple>
 
 namespace egrettrestle {
 
@@ -12,11 +13,6 @@
     // that need it.
     constexpr double minSpeedRatio = 1.25;
 
-    bool hasLabel(const UpstreamInfo& info, const std::string& label)
-    {
-        return label.empty() || std::find(info.labels.begin(), info.labels.end(), label) != info.labels.end();
-    }
-
     std::uint32_t countRunsOfStep(const OwnedUpstream& upstream, const TaskRef& task)
     {
         return static_cast<std::uint32_t>(std::count_if(upstream.runs.begin(), upstream.runs.end(), [&task](const auto& entry) {
@@ -113,6 +109,7 @@
 {
     OwnedUpstream* best = nullptr;
     double bestDuration = 0;
+    bool bestIsCold = false;
     std::int64_t bestLeft = 0;
     for (auto& entry : m_upstreams) {
         OwnedUpstream& upstream = entry.second;
@@ -122,12 +119,14 @@
         if (duration <= above || now + scaled(request.expectedRunTime, duration - 1) > request.latestStart)
             continue;
         const std::int64_t left = (upstream.available() - request.need).milliCores;
-        if (best && (duration > bestDuration || (duration == bestDuration && left >= bestLeft)))
+        const bool isCold = now < upstream.coldUntil;
+        if (best && std::tie(duration, isCold, left) >= std::tie(bestDuration, bestIsCold, bestLeft))
             continue;
         if (pass.promises.count(entry.first) > 0 && availableAt(upstream, request, pass, now) != now)
             continue;
         best = &upstream;
         bestDuration = duration;
+        bestIsCold = isCold;
         bestLeft = left;
     }
     return best;
