--- a/tests/model/dispatch_simulation.cpp
+++ b/tests/model/dispatch_simulation.cpp
@@ -36,6 +36,8 @@
     // Share of the callers without a reply that keep their connection until they submit their job again.
     constexpr double lingeringCallerShare = 0.5;
     constexpr int maxSubmissionsOfJob = 3;
+    constexpr int hotRackFactor = 3;
+    const std::string hotRack = "r1";
 
     VmId vmId(int number) { return "vm" + std::to_string(number); }
 
@@ -149,7 +151,11 @@
     }
 
     void reply(CallerTicket ticket, const JobResult& result) override { simulation.onReply(number, ticket, result); }
-    void recordEvent(const OwnerEvent&) override { }
+    void recordEvent(const OwnerEvent& event) override
+    {
+        if (event.kind == OwnerEvent::Kind::WaitsEnded)
+            simulation.m_result.waits += static_cast<int>(event.count);
+    }
     void recordEvent(const JobEvent&) override { }
     void onOwnedUpstreamsChanged() override
     {
@@ -202,6 +208,8 @@
     DispatcherLimits limits;
     limits.owner.leaseDuration = Milliseconds { 600 };
     limits.contacts = m_contacts;
+    if (m_faults.hotRack)
+        limits.owner.remoteDataFactor = hotRackFactor;
     if (!m_rules.leaseExpiryWait)
         limits.owner.leaseExpiryMargin = -limits.owner.leaseDuration;
     if (!m_rules.orphanedRunWait)
@@ -746,7 +754,8 @@
     ++m_result.started;
     m_startedJobs.insert(order.run.task.job);
     const bool isLong = m_faults.longTaskProbability > 0 && chance(m_faults.longTaskProbability);
-    target.running.push_back({ order.run, m_now + (isLong ? randomDuration(2'000, 5'000) : randomDuration(30, 400)) });
+    const int factor = m_faults.hotRack && target.info.rack != hotRack ? hotRackFactor : 1;
+    target.running.push_back({ order.run, m_now + factor * (isLong ? randomDuration(2'000, 5'000) : randomDuration(30, 400)) });
     if (isCrashing(order.run.task)) {
         countStartOfCrashingTask(order.run.task);
         after(timeToCrash, [this, &target, run = order.run] {
@@ -843,6 +852,8 @@
     step.count = static_cast<std::uint32_t>(1 + std::stoi(id) % 4);
     step.need = { 27'000, 64, 0 };
     step.estimate = Milliseconds { 200 };
+    if (m_faults.hotRack)
+        step.dataRack = hotRack;
     job.steps.push_back(step);
     return job;
 }
@@ -949,6 +960,8 @@
         info.dataCentre = "dc1";
         info.capacity = { 64'000, 100'000, 0 };
         info.kind = "a";
+        if (m_faults.hotRack)
+            info.rack = number % 2 == 0 ? hotRack : "r2";
     }
     m_vms.resize(vmCount);
     for (int number = 0; number < vmCount; ++number)
--- a/tests/model/dispatch_simulation.hpp
+++ b/tests/model/dispatch_simulation.hpp
@@ -55,6 +55,9 @@
     int stallSeries = 0;
     /// Probability that the connection of a caller that may leave breaks before its time is over; it then submits its job again.
     double brokenConnectionProbability = 0;
+    /// Whether all jobs name one rack, which has every second upstream, and tasks take three times as long elsewhere. Runs
+    /// then wait for a better place.
+    bool hotRack = false;
 
     bool vmsStandStill() const { return freezes > 0 || stallSeries > 0; }
     bool callersLeave() const { return vmsStandStill() || lateStopPeriods > 0 || longTaskProbability > 0; }
@@ -96,6 +99,8 @@
     int crashingJobsFailed = 0;
     /// Number of runs that were started.
     int started = 0;
+    /// Number of started runs that had waited for a better place.
+    int waits = 0;
     /// Numbers of jobs by outcome.
     int succeeded = 0;
     int refused = 0;
--- a/tests/model/explore_dispatch.cpp
+++ b/tests/model/explore_dispatch.cpp
@@ -44,7 +44,7 @@
         "orders", "probability that an order is lost, that its reply is lost, and that it is late", cxxopts::value<double>()->default_value("0.03"))("slow", "probability that a message is slow", cxxopts::value<double>()->default_value("0.05"))(
         "kills", "number of VM crashes", cxxopts::value<int>()->default_value("3"))("power-offs", "number of times that all VMs crash", cxxopts::value<int>()->default_value("1"))(
         "cuts", "number of network partitions of a VM", cxxopts::value<int>()->default_value("2"))("strains", "number of times that a VM is starved of CPU", cxxopts::value<int>()->default_value("2"))(
-        "silences", "number of times that an upstream does not reply", cxxopts::value<int>()->default_value("3"))("crashing-jobs", "number of jobs whose first task crashes its upstream", cxxopts::value<int>()->default_value("0"))("upstream-crashes", "number of times that an upstream crashes by itself", cxxopts::value<int>()->default_value("0"))("freezes", "number of times that a VM stands still", cxxopts::value<int>()->default_value("0"))("stalls", "number of series of short stalls of a VM", cxxopts::value<int>()->default_value("0"))("broken-connections", "probability that the connection of a caller that may leave breaks", cxxopts::value<double>()->default_value("0"))("late-stops", "number of times that an upstream executes stops late", cxxopts::value<int>()->default_value("0"))("long-tasks", "probability that a task runs for 2 to 5 s", cxxopts::value<double>()->default_value("0"))("neighbours", "regular contacts of a VM on each side; all other VMs if not given", cxxopts::value<std::size_t>())("without", "name of the rule to disable", cxxopts::value<std::string>()->default_value(""));
+        "silences", "number of times that an upstream does not reply", cxxopts::value<int>()->default_value("3"))("crashing-jobs", "number of jobs whose first task crashes its upstream", cxxopts::value<int>()->default_value("0"))("upstream-crashes", "number of times that an upstream crashes by itself", cxxopts::value<int>()->default_value("0"))("freezes", "number of times that a VM stands still", cxxopts::value<int>()->default_value("0"))("stalls", "number of series of short stalls of a VM", cxxopts::value<int>()->default_value("0"))("broken-connections", "probability that the connection of a caller that may leave breaks", cxxopts::value<double>()->default_value("0"))("late-stops", "number of times that an upstream executes stops late", cxxopts::value<int>()->default_value("0"))("long-tasks", "probability that a task runs for 2 to 5 s", cxxopts::value<double>()->default_value("0"))("hot-rack", "whether all jobs name one rack, outside of which tasks take longer", cxxopts::value<bool>()->default_value("false"))("neighbours", "regular contacts of a VM on each side; all other VMs if not given", cxxopts::value<std::size_t>())("without", "name of the rule to disable", cxxopts::value<std::string>()->default_value(""));
     const cxxopts::ParseResult arguments = options.parse(argc, argv);
     const double orders = arguments["orders"].as<double>();
     DispatchFaults faults { orders, orders, orders, arguments["kills"].as<int>(), arguments["cuts"].as<int>(), arguments["silences"].as<int>(), arguments["strains"].as<int>(),
@@ -56,6 +56,7 @@
     faults.stallSeries = arguments["stalls"].as<int>();
     faults.lateStopPeriods = arguments["late-stops"].as<int>();
     faults.longTaskProbability = arguments["long-tasks"].as<double>();
+    faults.hotRack = arguments["hot-rack"].as<bool>();
     const DispatchRules rules = rulesWithout(arguments["without"].as<std::string>());
     ContactLimits contacts;
     if (arguments.count("neighbours") > 0)
@@ -64,6 +65,7 @@
     const int count = arguments["count"].as<int>();
     int bad = 0;
     int crashes = 0;
+    int waits = 0;
     for (std::uint64_t seed = first; seed < first + static_cast<std::uint64_t>(count); ++seed) {
         const DispatchResult result = DispatchSimulation(seed, faults, rules, contacts).run();
         for (const std::string& overlap : result.concurrentRuns)
@@ -74,10 +76,11 @@
             std::cout << "seed " << seed << ": started three times more after three crashes, job " << job << '\n';
         for (const std::string& job : result.falseFailures)
             std::cout << "seed " << seed << ": failed although none of its tasks crashes upstreams, job " << job << '\n';
+        waits += result.waits;
         crashes += result.crashesUnderTasks;
         bad += result.concurrentRuns.empty() && result.falseRefusals.empty() && result.excessStarts.empty() && result.falseFailures.empty() ? 0 : 1;
     }
-    std::cout << "schedules " << count << ", upstreams crashed under tasks " << crashes << ", bad " << bad << '\n';
+    std::cout << "schedules " << count << ", waits for a better place " << waits << ", upstreams crashed under tasks " << crashes << ", bad " << bad << '\n';
     return bad == 0 ? 0 : 1;
 }
 
--- a/tests/model/unit-dispatch-rules.cpp
+++ b/tests/model/unit-dispatch-rules.cpp
@@ -62,6 +62,30 @@
     }
 }
 
+// Guards against a run that waits for a better place at its owner while it is withdrawn, moved, or given back because the
+// owner or an upstream is lost, and that is then started twice or refused although it was started.
+TEST_CASE("runs that wait for a better place are never started twice, whatever fails meanwhile")
+{
+    const FaultCase cases[] = {
+        { "VMs crash singly and all at once, slow messages", { 0, 0, 0, 5, 0, 0, 0, 0.1, 2 }, 810'000 },
+        { "all faults", { 0.03, 0.03, 0.03, 3, 2, 3, 2, 0.05, 1 }, 820'000 },
+    };
+    for (const FaultCase& example : cases) {
+        DispatchFaults faults = example.faults;
+        faults.hotRack = true;
+        int waits = 0;
+        for (std::uint64_t seed = example.firstSeed; seed < example.firstSeed + schedulesPerCase; ++seed) {
+            const DispatchResult result = DispatchSimulation(seed, faults).run();
+            CAPTURE(example.name, seed, result.concurrentRuns, result.falseRefusals);
+            CHECK(result.concurrentRuns.empty());
+            CHECK(result.falseRefusals.empty());
+            waits += result.waits;
+        }
+        INFO(example.name);
+        CHECK(waits > 0);
+    }
+}
+
 namespace {
 
 DispatchFaults withStalls(int series, int freezes, double longTaskProbability)
--- a/tests/unit/unit-placement-wait.cpp
+++ b/tests/unit/unit-placement-wait.cpp
@@ -472,6 +472,47 @@
     }
 }
 
+// Guards against runs that wait until they are returned as expired although something is free all the time.
+TEST_CASE("owner starts a waiting run before its latest start if anything is free")
+{
+    Fleet fleet;
+    fleet.add("f1", "fast");
+    fleet.add("f2", "fast");
+    fleet.add("s1", "slow", "r1-1", 40);
+    fleet.learn();
+    // The fast upstreams take two to four times as long as predicted.
+    fleet.duration = [&fleet](const UpstreamId& upstream, const TaskRun& run) { return Milliseconds { upstream[0] == 'f' ? 200 + 100 * (run.task.job.size() % 3) : 243 }; };
+    std::mt19937 generator { 11 };
+    constexpr int runs = 300;
+    for (int index = 0; index < runs; ++index) {
+        RunRequest request = fleet.makeRequest("j" + std::to_string(index * index), Milliseconds { 100 }, Milliseconds { 150 + generator() % 150 });
+        request.latestStart = fleet.now + Milliseconds { 160 + generator() % 200 };
+        fleet.send(request);
+        fleet.advance(Milliseconds { 5 * (generator() % 8) });
+    }
+    fleet.advance(Seconds { 3 });
+    CHECK(fleet.owner.queued() == 0);
+    CHECK(std::none_of(fleet.port.events.begin(), fleet.port.events.end(), [](const OwnerEvent& event) { return event.kind == OwnerEvent::Kind::RequestExpired; }));
+    CHECK(fleet.waits("better-place") + fleet.waits("free-place") > 0);
+}
+
+// Guards against a log line for each wait: hundreds of runs a second may wait.
+TEST_CASE("placement wait: ends of waits are counted and reported at most once a second")
+{
+    WaitCounts counts;
+    CHECK(counts.takeDue(start).empty());
+    counts.add(WaitOutcome::BetterPlace, Milliseconds { 10 });
+    counts.add(WaitOutcome::BetterPlace, Milliseconds { 30 });
+    counts.add(WaitOutcome::FreePlace, Milliseconds { 50 });
+    const std::map<WaitOutcome, WaitCounts::Count> first = counts.takeDue(start);
+    REQUIRE(first.size() == 2);
+    CHECK(first.at(WaitOutcome::BetterPlace).waits == 2);
+    CHECK(first.at(WaitOutcome::BetterPlace).total == Milliseconds { 40 });
+    counts.add(WaitOutcome::FreePlace, Milliseconds { 50 });
+    CHECK(counts.takeDue(start + Milliseconds { 900 }).empty());
+    CHECK(counts.takeDue(start + Milliseconds { 1'000 }).size() == 1);
+}
+
 namespace {
 
 struct HotRackResult {
