Never wait for an upstream that is less than a quarter faster

A run that met its objective only on such an upstream waited for it. With speeds of 1 and 1.2 this showed in the test once it mixed short and long runs; decisions there have to be as before.

--- a/packages/decision/src/placement_wait.cpp
+++ b/packages/decision/src/placement_wait.cpp
@@ -10,9 +10,11 @@
     // Error of the prediction when a busy upstream is free, as a share of the time until then. The runs there differ from
     // their expected duration by 30 to 40%.
     constexpr double availabilityError = 0.35;
-    // Error of the prediction how much longer a run takes on one upstream than on another, as a share of its duration. It
-    // also keeps runs from waiting where speeds differ by less than a quarter.
+    // Error of the prediction how much longer a run takes on one upstream than on another, as a share of its duration.
     constexpr double durationError = 0.25;
+    // Upstreams whose speeds differ by less than this factor count as equally fast: no run waits for one of them rather than
+    // start on the other, even if it expects to meet its objective only there.
+    constexpr double minSpeedRatio = 1.25;
     // How much longer than expected a run may take, as a share of its duration, if it is put on a slow upstream to leave the
     // fast ones to others.
     constexpr double objectiveMargin = 0.25;
@@ -53,11 +55,12 @@
         return best;
     }
 
-    const PlacementOption* bestLater(const PlacementTask& task, const std::vector<PlacementOption>& options, TimePoint now)
+    const PlacementOption* bestLater(const PlacementTask& task, const std::vector<PlacementOption>& options, const PlacementOption& free, TimePoint now)
     {
         const PlacementOption* best = nullptr;
         for (const PlacementOption& option : options) {
-            if (option.availableAt > now && (!best || endOn(task, option, now) < endOn(task, *best, now)))
+            const bool faster = option.relativeDuration * minSpeedRatio <= free.relativeDuration;
+            if (option.availableAt > now && faster && (!best || endOn(task, option, now) < endOn(task, *best, now)))
                 best = &option;
         }
         return best;
@@ -103,7 +106,7 @@
     if (!free)
         return {};
     const PlacementDecision start { PlacementDecision::Kind::Start, static_cast<std::size_t>(free - options.data()), now };
-    const PlacementOption* later = bestLater(task, options, now);
+    const PlacementOption* later = bestLater(task, options, *free, now);
     const bool mayWait = task.dueBy && task.expectedRunTime.count() > 0 && (!state.since || now < state.until);
     if (!mayWait || !later)
         return start;
--- a/tests/unit/unit-placement-wait.cpp
+++ b/tests/unit/unit-placement-wait.cpp
@@ -106,6 +106,13 @@
         CHECK(choose(task, { freeNow(1.2), freeIn(Milliseconds { 1 }, 1) }).kind == Kind::Start);
     }
 
+    SECTION("does not wait there even if it meets its objective only on the busy upstream")
+    {
+        task.dueBy = start + Milliseconds { 210 };
+        CHECK(choose(task, { freeNow(1.2), freeIn(Milliseconds { 1 }, 1) }).kind == Kind::Start);
+        CHECK(choose(task, { freeNow(1.3), freeIn(Milliseconds { 1 }, 1) }).kind == Kind::Wait);
+    }
+
     SECTION("does not wait where the gain is within the error of the prediction")
     {
         CHECK(choose(task, { freeNow(1.5), freeIn(Milliseconds { 60 }, 1) }).kind == Kind::Start);
@@ -398,13 +405,20 @@
     fleet.learn();
     REQUIRE(fleet.owner.runTimeEstimator().slowness("slow") == Approx(1.2).margin(0.03));
     std::mt19937 generator { 3 };
+    std::map<std::string, Milliseconds> work;
+    fleet.duration = [&](const UpstreamId& upstream, const TaskRun& run) { return scaled(work[run.task.job], fleet.kinds[upstream] == "slow" ? 1.2 : 1); };
     for (int index = 0; index < 400; ++index) {
         const std::string job = "j" + std::to_string(index);
         const bool anyFree = fleet.owner.running() < 4 && fleet.owner.queued() == 0;
-        fleet.request(job, Milliseconds { 100 }, Milliseconds { 100 } + Milliseconds { generator() % 200 });
+        // Short runs end soon, so that long ones meet a tight objective only if they wait for them.
+        work[job] = Milliseconds { index % 2 == 0 ? 20 : 200 };
+        RunRequest request = fleet.makeRequest(job, work[job], scaled(work[job], 1.05 + 0.01 * static_cast<double>(generator() % 20)));
+        // Run times are learned by route.
+        request.route = index % 2 == 0 ? "check" : "quote";
+        fleet.send(request);
         if (anyFree)
             CHECK(fleet.isStarted(job));
-        fleet.advance(Milliseconds { 5 * (1 + generator() % 12) });
+        fleet.advance(Milliseconds { 5 * (2 + generator() % 9) });
     }
     fleet.advance(Seconds { 2 });
     CHECK(fleet.waits("better-place") + fleet.waits("free-place") == 0);
