--- a/tests/unit/unit-placement-wait.cpp
+++ b/tests/unit/unit-placement-wait.cpp
@@ -495,7 +495,7 @@
     fleet.add("s1", "slow", "r1-1", 40);
     fleet.learn();
     // The fast upstreams take two to four times as long as predicted.
-    fleet.duration = [&fleet](const UpstreamId& upstream, const TaskRun& run) { return Milliseconds { upstream[0] == 'f' ? 200 + 100 * (run.task.job.size() % 3) : 243 }; };
+    fleet.duration = [](const UpstreamId& upstream, const TaskRun& run) { return Milliseconds { upstream[0] == 'f' ? 200 + 100 * (run.task.job.size() % 3) : 243 }; };
     std::mt19937 generator { 11 };
     constexpr int runs = 300;
     for (int index = 0; index < runs; ++index) {
