Bound what clients can make the event-loop server hold

Beast's limits of header and body include neither chunk sizes and extensions nor trailers, so that memory grew with what a client sent. AsyncHttpServer now reads in steps and checks between them: unparsed input, all bytes of a request against body, header and a framing allowance, and a budget that all servers of a process share. When the budget is exceeded, the request that has held the most memory for the longest time is refused with 503. Discarding input after an error reply is bounded. At the limit of connections a new one replaces the one idle for the longest time.

--- a/packages/base/include/egrettrestle/base/metrics.hpp
+++ b/packages/base/include/egrettrestle/base/metrics.hpp
@@ -31,6 +31,10 @@
     /// Counts a run that was lost with its upstream; `cause` says how the upstream failed.
     void countLostRun(const std::string& route, const std::string& cause);
 
+    /// Counts requests and connections that a server refused or closed because of its limits. `reason` is `connections`,
+    /// `replaced`, `too-large` or `memory`.
+    void countInputRefused(const std::string& port, const std::string& reason, double count);
+
     /// Records the response time of a job.
     void observeResponse(const std::string& urgencyClass, Duration responseTime);
 
--- a/packages/base/src/event.cpp
+++ b/packages/base/src/event.cpp
@@ -33,6 +33,7 @@
         events::connectionsRejected,
         events::processResumed,
         events::startFailed,
+        events::inputRefused,
         events::badRequest,
         events::unknownKind,
         events::jobTooLarge,
--- a/packages/base/src/metrics.cpp
+++ b/packages/base/src/metrics.cpp
@@ -27,6 +27,7 @@
         , messageBytes(counterFamily(registry, "message_bytes_total", "Bytes of message bodies sent and received, by use"))
         , starts(counterFamily(registry, "task_starts_total", "Tasks sent to an upstream"))
         , lostRuns(counterFamily(registry, "lost_runs_total", "Runs lost with their upstream, by route and cause"))
+        , inputRefused(counterFamily(registry, "input_refused_total", "Requests and connections refused or closed because of a server's limits, by port and reason"))
         , responses(prometheus::BuildHistogram().Name("egrettrestle_response_seconds").Help("Response time of jobs").Register(registry))
         , gauges(prometheus::BuildGauge().Name("egrettrestle_state").Help("Current values by name").Register(registry))
     {
@@ -38,6 +39,7 @@
     prometheus::Family<prometheus::Counter>& messageBytes;
     prometheus::Family<prometheus::Counter>& starts;
     prometheus::Family<prometheus::Counter>& lostRuns;
+    prometheus::Family<prometheus::Counter>& inputRefused;
     prometheus::Family<prometheus::Histogram>& responses;
     prometheus::Family<prometheus::Gauge>& gauges;
 };
@@ -73,6 +75,11 @@
     m_families->lostRuns.Add({ { "class", route }, { "cause", cause } }).Increment();
 }
 
+void Metrics::countInputRefused(const std::string& port, const std::string& reason, double count)
+{
+    m_families->inputRefused.Add({ { "port", port }, { "reason", reason } }).Increment(count);
+}
+
 void Metrics::observeResponse(const std::string& urgencyClass, Duration responseTime)
 {
     m_families->responses.Add({ { "class", urgencyClass } }, responseBuckets).Observe(toSeconds(responseTime));
--- a/packages/fleet/include/egrettrestle/fleet/caller_server.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/caller_server.hpp
@@ -4,6 +4,7 @@
 #include <vector>
 
 #include <egrettrestle/fleet/fleet_context.hpp>
+#include <egrettrestle/fleet/server_refusals.hpp>
 #include <egrettrestle/http/async_server.hpp>
 
 namespace egrettrestle {
@@ -34,13 +35,12 @@
     std::vector<AsyncHttpServer*> servers() const;
     HttpResponse handleReadinessProbe(const HttpRequest& request) const;
     bool isReady() const;
-    void reportRejectedConnections();
 
     FleetContext& m_context;
     std::unique_ptr<AsyncHttpServer> m_callerServer;
     std::unique_ptr<AsyncHttpServer> m_readinessServer;
     std::unique_ptr<AsyncHttpServer> m_metricsServer;
-    std::uint64_t m_reportedRejections = 0;
+    std::vector<ServerRefusals> m_refusals;
 };
 
 } // namespace egrettrestle
--- a/packages/fleet/include/egrettrestle/fleet/fleet_context.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/fleet_context.hpp
@@ -2,6 +2,7 @@
 
 #include <atomic>
 #include <cstdint>
+#include <memory>
 
 #include <egrettrestle/base/event_log.hpp>
 #include <egrettrestle/base/metrics.hpp>
@@ -9,6 +10,7 @@
 #include <egrettrestle/fleet/fleet_settings.hpp>
 #include <egrettrestle/fleet/platform_adapters.hpp>
 #include <egrettrestle/http/event_loop.hpp>
+#include <egrettrestle/http/receive_budget.hpp>
 #include <egrettrestle/kernel/kernel.hpp>
 
 namespace egrettrestle {
@@ -27,6 +29,8 @@
     /// Identifies this incarnation of the process: its start in microseconds of Unix time. Later incarnations have higher
     /// numbers unless the system clock steps back.
     std::uint64_t processIncarnation = 0;
+    /// Memory for requests, shared by all servers of the process.
+    std::shared_ptr<ReceiveBudget> receiveBudget = std::make_shared<ReceiveBudget>(settings.receiveBudgetBytes());
     /// Set once the process has been asked to end and drains.
     std::atomic<bool> draining { false };
     /// Time by which the last job must be answered, by the boot clock; set when draining starts.
--- a/packages/fleet/include/egrettrestle/fleet/fleet_settings.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/fleet_settings.hpp
@@ -32,6 +32,18 @@
     Milliseconds gracePeriod { 6'000 };
     /// Factor on the run time of a task that runs on another rack than its data.
     double remoteDataFactor = 1;
+    /// The machine's memory, megabytes.
+    int machineMemoryMb = 120;
+    int maxCallerConnections = 800;
+    std::size_t maxBodyBytes = 1024 * 1024;
+    std::size_t maxHeaderBytes = 18 * 1024;
+    /// The kernel's buffer for unread input of a caller's connection; 0 leaves it to the kernel.
+    int socketReceiveBufferBytes = 64 * 1024;
+    /// Idle connections are not closed in favour of new ones before this time.
+    Milliseconds minIdleTime { 5'000 };
+
+    /// Memory for requests that are being received or handled: an eighth of the machine's.
+    std::size_t receiveBudgetBytes() const { return static_cast<std::size_t>(machineMemoryMb) * 1024 * 1024 / 8; }
 };
 
 /// The result of reading settings: the settings, or the errors if there are any.
--- a/packages/fleet/include/egrettrestle/fleet/peer_links.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/peer_links.hpp
@@ -9,6 +9,7 @@
 #include <egrettrestle/decision/peer_channel.hpp>
 #include <egrettrestle/decision/view.hpp>
 #include <egrettrestle/fleet/fleet_context.hpp>
+#include <egrettrestle/fleet/server_refusals.hpp>
 #include <egrettrestle/http/async_client.hpp>
 #include <egrettrestle/http/async_server.hpp>
 #include <egrettrestle/wire/dispatch_messages.hpp>
@@ -76,6 +77,7 @@
     FleetContext& m_context;
     AsyncHttpClient m_client;
     std::unique_ptr<AsyncHttpServer> m_server;
+    std::unique_ptr<ServerRefusals> m_refusals;
     mutable std::mutex m_mutex;
     std::condition_variable m_batchEnded;
     std::map<VmId, PeerPointer> m_peers;
@@ -83,7 +85,6 @@
     Epoch m_epoch;
     std::set<VmId> m_contacts;
     int m_batchesInFlight = 0;
-    std::uint64_t m_rejectedConnections = 0;
     std::atomic<bool> m_fetchingConfiguration { false };
     std::atomic<bool> m_stopping { false };
 };
--- a/packages/fleet/src/caller_server.cpp
+++ b/packages/fleet/src/caller_server.cpp
@@ -12,10 +12,8 @@
     // A draining VM accepts a job only if this many times its expected run time is left: run times vary by about half, and
     // failed tasks are retried.
     constexpr int drainSafetyFactor = 3;
-    constexpr int maxCallerConnections = 800;
     constexpr int maxProbeConnections = 8;
-    constexpr Milliseconds rejectionReportInterval { 1'000 };
-    constexpr std::size_t maxRequestBodyBytes = 1024 * 1024;
+    constexpr Milliseconds refusalReportInterval { 1'000 };
     constexpr Milliseconds idleTimeout { 600'000 };
 
 }
@@ -33,8 +31,12 @@
 absl::Status CallerServer::prepare()
 {
     AsyncHttpServerLimits limits;
-    limits.maxBodyBytes = maxRequestBodyBytes;
-    limits.maxConnections = maxCallerConnections;
+    limits.maxBodyBytes = m_context.settings.maxBodyBytes;
+    limits.maxHeaderBytes = m_context.settings.maxHeaderBytes;
+    limits.receiveBudget = m_context.receiveBudget;
+    limits.socketReceiveBufferBytes = m_context.settings.socketReceiveBufferBytes;
+    limits.maxConnections = m_context.settings.maxCallerConnections;
+    limits.minIdleTime = m_context.settings.minIdleTime;
     limits.idleTimeout = idleTimeout;
     // Jobs taken while draining end by the reply deadline; the daemon limits the whole time of stopping.
     limits.stopTimeout = m_context.settings.gracePeriod;
@@ -49,6 +51,10 @@
             exchange->reply(std::move(response));
         });
     }
+    m_refusals.emplace_back("caller", *m_callerServer);
+    m_refusals.emplace_back("readiness", *m_readinessServer);
+    if (m_metricsServer)
+        m_refusals.emplace_back("metrics", *m_metricsServer);
     for (AsyncHttpServer* server : servers()) {
         absl::Status status = server->bind();
         if (!status.ok())
@@ -64,7 +70,10 @@
         if (!status.ok())
             return status;
     }
-    m_context.loop.runEvery(rejectionReportInterval, [this] { reportRejectedConnections(); });
+    m_context.loop.runEvery(refusalReportInterval, [this] {
+        for (ServerRefusals& refusals : m_refusals)
+            refusals.report(m_context.log, m_context.metrics);
+    });
     return absl::OkStatus();
 }
 
@@ -100,14 +109,6 @@
     m_callerServer->closeAfterReplies();
 }
 
-void CallerServer::reportRejectedConnections()
-{
-    const std::uint64_t rejected = m_callerServer->rejectedConnections();
-    if (rejected > m_reportedRejections)
-        m_context.log.write(events::connectionsRejected, { { "port", "caller" }, { "count", static_cast<std::int64_t>(rejected - m_reportedRejections) } });
-    m_reportedRejections = rejected;
-}
-
 bool CallerServer::isReady() const
 {
     if (m_context.draining)
--- a/packages/fleet/src/fleet_settings.cpp
+++ b/packages/fleet/src/fleet_settings.cpp
@@ -14,6 +14,7 @@
     constexpr double maxRemoteDataFactor = 100;
     constexpr double minWeight = 0.001;
     constexpr double maxWeight = 1'000;
+    constexpr std::size_t bytesPerKilobyte = 1024;
 
     std::optional<double> parseReal(const std::string& value, double least, double most)
     {
@@ -66,6 +67,12 @@
             { { "bounds", "resubmitMs", "1300", "shortest time after a lost connection or a job that was given up until its caller submits the job again, milliseconds" }, numberSetter<FleetSettings>(0, 60'000, [](FleetSettings& settings, int value) { settings.resubmissionDelay = Milliseconds { value }; }) },
             { { "bounds", "graceS", "6", "time from the termination signal until the process is killed, seconds" }, setStopGrace },
             { { "bounds", "farFactor", "1", "factor by which a task's run time increases outside the rack that holds its data" }, setFarFactor },
+            { { "limits", "memoryMb", "120", "memory of the machine, megabytes; an eighth of it is for requests that are being received or handled" }, numberSetter<FleetSettings>(16, 1'000'000, [](FleetSettings& settings, int value) { settings.machineMemoryMb = value; }) },
+            { { "limits", "maxConnections", "800", "maximum number of open caller connections" }, numberSetter<FleetSettings>(4, 100'000, [](FleetSettings& settings, int value) { settings.maxCallerConnections = value; }) },
+            { { "limits", "maxBodyKb", "1024", "maximum size of a caller's request body, kilobytes" }, numberSetter<FleetSettings>(1, 65'536, [](FleetSettings& settings, int value) { settings.maxBodyBytes = static_cast<std::size_t>(value) * bytesPerKilobyte; }) },
+            { { "limits", "maxHeaderKb", "18", "maximum size of a request line and header together, of a trailer and of a chunk extension, kilobytes" }, numberSetter<FleetSettings>(1, 1'024, [](FleetSettings& settings, int value) { settings.maxHeaderBytes = static_cast<std::size_t>(value) * bytesPerKilobyte; }) },
+            { { "limits", "socketBufferKb", "64", "size of the kernel's buffer for unread input of a caller's connection, kilobytes; 0: as the kernel chooses" }, numberSetter<FleetSettings>(0, 65'536, [](FleetSettings& settings, int value) { settings.socketReceiveBufferBytes = value * static_cast<int>(bytesPerKilobyte); }) },
+            { { "limits", "minIdleMs", "5000", "time for which a caller's connection stays open while idle even if the limit of connections is reached, milliseconds" }, numberSetter<FleetSettings>(0, 600'000, [](FleetSettings& settings, int value) { settings.minIdleTime = Milliseconds { value }; }) },
         };
         return list;
     }
--- a/packages/fleet/src/peer_links.cpp
+++ b/packages/fleet/src/peer_links.cpp
@@ -31,6 +31,7 @@
     // short task.
     constexpr Milliseconds maxMessageDelay { 50 };
     constexpr int maxPeerConnections = 2'000;
+    constexpr Milliseconds refusalReportInterval { 1'000 };
     // Bytes of a batch that cannot be read that are logged; they name the sender.
     constexpr std::size_t rejectedBatchExcerpt = 200;
     // A configuration can be hundreds of kilobytes long.
@@ -69,7 +70,10 @@
 {
     AsyncHttpServerLimits limits;
     limits.maxConnections = maxPeerConnections;
+    limits.maxHeaderBytes = m_context.settings.maxHeaderBytes;
+    limits.receiveBudget = m_context.receiveBudget;
     m_server = std::make_unique<AsyncHttpServer>(m_context.loop, m_context.settings.peerAddress, limits, [this](const std::shared_ptr<HttpExchange>& exchange) { handleRequest(exchange); });
+    m_refusals = std::make_unique<ServerRefusals>("peer", *m_server);
 }
 
 PeerLinks::~PeerLinks() = default;
@@ -81,6 +85,7 @@
 
 absl::Status PeerLinks::start()
 {
+    m_context.loop.runEvery(refusalReportInterval, [this] { m_refusals->report(m_context.log, m_context.metrics); });
     return m_server->start();
 }
 
@@ -245,7 +250,6 @@
 void PeerLinks::sendDueBatches()
 {
     std::vector<PeerPointer> due;
-    std::uint64_t newlyRejected = 0;
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
         const TimePoint now = bootTimeNow();
@@ -254,12 +258,7 @@
             if (isDue(*entry.second, now))
                 due.push_back(entry.second);
         }
-        const std::uint64_t rejected = m_server->rejectedConnections();
-        newlyRejected = rejected - m_rejectedConnections;
-        m_rejectedConnections = rejected;
     }
-    if (newlyRejected > 0)
-        m_context.log.write(events::connectionsRejected, { { "port", "peer" }, { "count", static_cast<std::int64_t>(newlyRejected) } });
     for (const PeerPointer& peer : due)
         sendBatch(peer);
 }
--- /dev/null
+++ b/packages/fleet/src/server_refusals.cpp
@@ -0,0 +1,29 @@
+#include <egrettrestle/fleet/server_refusals.hpp>
+
+namespace egrettrestle {
+
+ServerRefusals::ServerRefusals(std::string port, const AsyncHttpServer& server)
+    : m_port(std::move(port))
+    , m_server(server)
+{
+}
+
+void ServerRefusals::report(EventLog& log, Metrics& metrics)
+{
+    const AsyncHttpServerCounts counts = m_server.counts();
+    const std::uint64_t rejected = counts.rejectedConnections - m_reported.rejectedConnections;
+    const std::uint64_t replaced = counts.replacedConnections - m_reported.replacedConnections;
+    const std::uint64_t tooLarge = counts.tooLarge - m_reported.tooLarge;
+    const std::uint64_t outOfMemory = counts.outOfMemory - m_reported.outOfMemory;
+    m_reported = counts;
+    if (rejected > 0)
+        log.write(events::connectionsRejected, { { "port", m_port }, { "count", static_cast<std::int64_t>(rejected) } });
+    if (replaced + tooLarge + outOfMemory > 0)
+        log.write(events::inputRefused, { { "port", m_port }, { "tooLarge", static_cast<std::int64_t>(tooLarge) }, { "outOfMemory", static_cast<std::int64_t>(outOfMemory) }, { "replaced", static_cast<std::int64_t>(replaced) } });
+    metrics.countInputRefused(m_port, "connections", static_cast<double>(rejected));
+    metrics.countInputRefused(m_port, "replaced", static_cast<double>(replaced));
+    metrics.countInputRefused(m_port, "too-large", static_cast<double>(tooLarge));
+    metrics.countInputRefused(m_port, "memory", static_cast<double>(outOfMemory));
+}
+
+} // namespace egrettrestle
--- a/packages/http/include/egrettrestle/http/async_server.hpp
+++ b/packages/http/include/egrettrestle/http/async_server.hpp
@@ -9,6 +9,7 @@
 
 #include <egrettrestle/http/event_loop.hpp>
 #include <egrettrestle/http/message.hpp>
+#include <egrettrestle/http/receive_budget.hpp>
 #include <egrettrestle/http/server.hpp>
 
 namespace egrettrestle {
@@ -31,8 +32,26 @@
 /// Limits of an AsyncHttpServer's connections and requests.
 struct AsyncHttpServerLimits {
     std::size_t maxBodyBytes = 16 * 1024 * 1024;
-    /// Further connections get a reply with status 503 and are closed.
+    /// Limit of the request line and the header together, and of the trailer or a chunk extension. 16 KB for the header and
+    /// 2 KB for the request line.
+    std::size_t maxHeaderBytes = 18 * 1024;
+    /// Limit of all chunk sizes, chunk extensions and trailers of a request, beside the few bytes that chunks need in any
+    /// case.
+    std::size_t maxFramingBytes = 64 * 1024;
+    /// Memory for requests. Servers of one loop may share a budget; without one, only each connection is limited.
+    std::shared_ptr<ReceiveBudget> receiveBudget;
+    /// Size of the kernel's buffer for unread input of a connection, in bytes; 0 leaves it to the kernel, which lets it grow
+    /// to some megabytes.
+    int socketReceiveBufferBytes = 0;
+    /// When this many connections are open, a new one replaces the one that has been idle for the longest time, or whose
+    /// request has been arriving for the longest time. If there is none that may be closed, the new one gets a reply with
+    /// status 503 and is closed.
     int maxConnections = 256;
+    /// A connection that has served a request is not replaced by a new one before it has been idle for this time: its next
+    /// request may be on its way.
+    Milliseconds minIdleTime { 5'000 };
+    /// The same for a connection on which no request has begun, or whose request has not arrived completely.
+    Milliseconds minReceiveTime { 2'000 };
     /// Time limit for receiving a request that has begun, from its first byte to its last.
     Milliseconds receiveTimeout { 10'000 };
     /// Time limit for a client to read a reply.
@@ -43,6 +62,18 @@
     Milliseconds stopTimeout { 500 };
 };
 
+/// How often a server refused or closed something because of a limit.
+struct AsyncHttpServerCounts {
+    /// Connections that were turned away because of AsyncHttpServerLimits::maxConnections.
+    std::uint64_t rejectedConnections = 0;
+    /// Connections that were closed in favour of new ones.
+    std::uint64_t replacedConnections = 0;
+    /// Requests refused for the size of their header, body, chunk framing or trailer.
+    std::uint64_t tooLarge = 0;
+    /// Requests refused because the memory for requests was used up.
+    std::uint64_t outOfMemory = 0;
+};
+
 /// An HTTP/1.1 server on an event loop: connections cost memory, but no threads. The requests of a connection are handled
 /// one after another; one whose client has closed the connection before it is read is not handled. Every malformed request gets a
 /// reply; nothing that a client sends affects more than its connection.
@@ -80,6 +111,8 @@
     std::uint16_t port() const;
     /// Number of connections that were turned away because of AsyncHttpServerLimits::maxConnections.
     std::uint64_t rejectedConnections() const;
+    /// Thread-safe.
+    AsyncHttpServerCounts counts() const;
 
 private:
     class Connection;
--- a/packages/http/src/async_server.cpp
+++ b/packages/http/src/async_server.cpp
@@ -16,7 +16,6 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http/error.hpp>
 #include <boost/beast/http/parser.hpp>
-#include <boost/beast/http/read.hpp>
 #include <boost/beast/http/string_body.hpp>
 
 #include <egrettrestle/base/validation_error.hpp>
@@ -36,12 +35,19 @@
 
     constexpr int listenBacklog = 512;
     constexpr int cannotListen = 901;
-    constexpr std::uint32_t maxHeaderBytes = 16 * 1024;
     // Pause after a failed accept, for want of descriptors.
     constexpr Milliseconds acceptRetryDelay { 100 };
     // Input is discarded for this long after an error reply, so that the client can read the reply: closing a connection
     // with unread input resets it.
     constexpr Milliseconds lingerTimeout { 1'000 };
+    // A client that goes on sending after an error reply is not worth more processor time.
+    constexpr std::size_t maxLingerBytes = 1024 * 1024;
+    // Connections beyond the limit that get a reply before they are closed; further ones are closed at once.
+    constexpr std::size_t maxTurnedAwayConnections = 64;
+    // A read takes at most this much, so that a large request does not delay the others.
+    constexpr std::size_t maxReadBytes = 64 * 1024;
+    // A chunk of one byte takes five bytes for its size and line ends, or some more with leading zeros.
+    constexpr std::size_t maxFramingPerBodyByte = 8;
     // Time for a new client's first request while the server is ending.
     constexpr Milliseconds endingIdleTimeout { 200 };
     // Interval of the checks for a disconnection while the next request has arrived already.
@@ -58,12 +64,12 @@
         return response;
     }
 
-    HttpResponse replyTo(const ErrorCode& error, std::size_t maxBodyBytes)
+    HttpResponse replyTo(const ErrorCode& error, const AsyncHttpServerLimits& limits)
     {
         if (error == beast::http::error::body_limit)
-            return errorReply(httpStatus::payloadTooLarge, "body", "more than " + std::to_string(maxBodyBytes) + " bytes");
+            return errorReply(httpStatus::payloadTooLarge, "body", "more than " + std::to_string(limits.maxBodyBytes) + " bytes");
         if (error == beast::http::error::header_limit)
-            return errorReply(httpStatus::headerFieldsTooLarge, "header", "more than " + std::to_string(maxHeaderBytes) + " bytes");
+            return errorReply(httpStatus::headerFieldsTooLarge, "header", "more than " + std::to_string(limits.maxHeaderBytes) + " bytes");
         if (error == beast::http::error::partial_message)
             return errorReply(httpStatus::badRequest, "body", "fewer bytes than announced");
         return errorReply(httpStatus::badRequest, "header", error.message());
@@ -97,6 +103,9 @@
     std::atomic<bool> stopping { false };
     std::atomic<bool> closing { false };
     std::atomic<std::uint64_t> rejected { 0 };
+    std::atomic<std::uint64_t> replaced { 0 };
+    std::atomic<std::uint64_t> tooLarge { 0 };
+    std::atomic<std::uint64_t> outOfMemory { 0 };
     std::uint16_t boundPort = 0;
     /// Used on the loop's thread only.
     std::set<std::shared_ptr<Connection>> connections;
@@ -112,6 +121,8 @@
     void onAccepted(const std::shared_ptr<State>& self, tcp::socket socket);
     void add(const std::shared_ptr<Connection>& connection);
     void remove(const std::shared_ptr<Connection>& connection);
+    /// Closes a connection in favour of a new one; false if there is none that may be closed.
+    bool replaceConnection();
     void closeIdleConnections();
     /// Closes the connections of clients that have left while their request is being handled.
     void closeAbandonedConnections();
@@ -120,7 +131,7 @@
 };
 
 /// Serves the requests of one connection, one after another. Used on the loop's thread only.
-class AsyncHttpServer::Connection : public std::enable_shared_from_this<Connection> {
+class AsyncHttpServer::Connection : public std::enable_shared_from_this<Connection>, private ReceiveBudget::Account {
 public:
     Connection(std::shared_ptr<State> server, tcp::socket socket)
         : m_server(std::move(server))
@@ -129,6 +140,10 @@
     {
     }
 
+    ~Connection() override { releaseBudget(); }
+    Connection(const Connection&) = delete;
+    Connection& operator=(const Connection&) = delete;
+
     void serveNext()
     {
         const bool ending = m_server->stopping || m_server->closing;
@@ -138,9 +153,16 @@
             return;
         }
         m_phase = Phase::Idle;
+        m_phaseBegin = SteadyClock::now();
+        releaseBudget();
         m_parser.emplace();
         m_parser->body_limit(m_server->limits.maxBodyBytes);
-        m_parser->header_limit(maxHeaderBytes);
+        m_parser->header_limit(static_cast<std::uint32_t>(m_server->limits.maxHeaderBytes));
+        // Only the header first: it may ask for a reply before the body.
+        m_parser->eager(false);
+        m_receivedBytes = m_buffer.size();
+        if (m_buffer.size() == 0 && m_buffer.capacity() > detail::readBufferBytes)
+            m_buffer.shrink_to_fit();
         m_buffer.reserve(detail::readBufferBytes);
         if (m_buffer.size() > 0) {
             // It came with the previous request.
@@ -178,6 +200,32 @@
     /// Whether the connection can be closed without an effect on a request.
     bool isIdle() { return m_phase == Phase::Idle && !hasInput(); }
 
+    /// How long the connection has been without a complete request, if it may be closed in favour of a new one.
+    std::optional<Duration> replaceableFor(TimePoint now) const
+    {
+        const Duration time = now - m_phaseBegin;
+        const bool receiving = m_phase == Phase::Reading || (m_phase == Phase::Idle && m_requestNumber == 0);
+        if (receiving && time >= m_server->limits.minReceiveTime)
+            return time;
+        if (m_phase == Phase::Idle && m_requestNumber > 0 && time >= m_server->limits.minIdleTime)
+            return time;
+        return std::nullopt;
+    }
+
+    /// Ends the connection in favour of a new one. A request that has arrived in part is refused. False if a request has
+    /// just arrived.
+    bool makeRoom()
+    {
+        if (m_phase == Phase::Reading) {
+            onTimeout();
+            return true;
+        }
+        if (!isIdle())
+            return false;
+        close();
+        return true;
+    }
+
     /// Whether a request has been received and its reply not been sent.
     bool isServing() const { return m_phase == Phase::Handling || m_phase == Phase::Writing; }
 
@@ -209,6 +257,7 @@
             return;
         m_phase = Phase::Closed;
         m_timer.cancel();
+        releaseBudget();
         ErrorCode ignored;
         // A socket that cannot be closed properly is of no further use either.
         m_socket.close(ignored);
@@ -254,50 +303,129 @@
     void readRequest()
     {
         m_phase = Phase::Reading;
+        m_phaseBegin = SteadyClock::now();
         startTimer(m_server->limits.receiveTimeout);
-        beast::http::async_read_header(m_socket, m_buffer, *m_parser, [self = shared_from_this()](const ErrorCode& error, std::size_t) {
+        if (m_buffer.size() > 0)
+            parseInput();
+        else
+            readInput();
+    }
+
+    /// Reads once and parses what has arrived. What the connection holds is checked between any two reads.
+    void readInput()
+    {
+        const std::size_t free = m_buffer.capacity() - m_buffer.size();
+        const beast::flat_buffer::mutable_buffers_type space = m_buffer.prepare(std::min(std::max(free, detail::readBufferBytes / 2), maxReadBytes));
+        m_socket.async_read_some(space, [self = shared_from_this()](const ErrorCode& error, std::size_t count) {
             if (self->m_phase != Phase::Reading)
                 return;
-            if (error)
-                self->onReadError(error);
-            else if (beast::iequals(self->m_parser->get()[beast::http::field::expect], "100-continue"))
-                self->sendContinue();
+            self->m_buffer.commit(count);
+            self->m_receivedBytes += count;
+            if (!error)
+                self->parseInput();
+            else if (error == boost::asio::error::eof && self->m_parser->got_some())
+                self->onReadError(beast::http::error::partial_message);
             else
-                self->readBody();
+                self->close();
         });
     }
 
-    void sendContinue()
+    void parseInput()
     {
-        static const std::string continueReply = "HTTP/1.1 100 Continue\r\n\r\n";
-        boost::asio::async_write(m_socket, boost::asio::buffer(continueReply), [self = shared_from_this()](const ErrorCode& error, std::size_t) {
-            if (self->m_phase != Phase::Reading)
+        while (m_buffer.size() > 0) {
+            const bool inHeader = !m_parser->is_header_done();
+            ErrorCode error;
+            const std::size_t used = m_parser->put(m_buffer.data(), error);
+            m_buffer.consume(used);
+            if (error == beast::http::error::need_more)
+                break;
+            if (error) {
+                onReadError(error);
                 return;
-            if (error)
-                self->close();
-            else
-                self->readBody();
-        });
+            }
+            if (m_parser->is_done()) {
+                handle();
+                return;
+            }
+            if (inHeader && m_parser->is_header_done()) {
+                m_parser->eager(true);
+                if (beast::iequals(m_parser->get()[beast::http::field::expect], "100-continue")) {
+                    sendContinue();
+                    return;
+                }
+            } else if (used == 0) {
+                break;
+            }
+        }
+        if (isWithinLimits())
+            readInput();
+    }
+
+    /// Whether the connection may receive more of the present request; it is refused otherwise. Beast's own limits do not
+    /// include chunk sizes, chunk extensions and trailers.
+    bool isWithinLimits()
+    {
+        const AsyncHttpServerLimits& limits = m_server->limits;
+        const std::string& body = m_parser->get().body();
+        const std::size_t unparsed = m_buffer.size();
+        if (m_parser->is_header_done() && unparsed > limits.maxHeaderBytes) {
+            refuseTooLarge(errorReply(httpStatus::headerFieldsTooLarge, "trailer", "more than " + std::to_string(limits.maxHeaderBytes) + " bytes of a trailer or chunk extension"));
+            return false;
+        }
+        if (m_receivedBytes > limits.maxHeaderBytes + limits.maxFramingBytes + (1 + maxFramingPerBodyByte) * body.size()) {
+            refuseTooLarge(errorReply(httpStatus::payloadTooLarge, "body", "too many bytes of chunk sizes and chunk extensions"));
+            return false;
+        }
+        if (limits.receiveBudget) {
+            // An announced body has its whole capacity from the beginning, but only what is written takes memory.
+            const std::size_t bodyBytes = std::min(body.capacity(), 2 * body.size());
+            limits.receiveBudget->hold(*this, m_buffer.capacity() + bodyBytes, SteadyClock::now());
+        }
+        return m_phase == Phase::Reading;
+    }
+
+    void refuseTooLarge(const HttpResponse& response)
+    {
+        ++m_server->tooLarge;
+        sendError(response);
+    }
+
+    bool isReceiving() const override { return m_phase == Phase::Reading; }
+    TimePoint receivingSince() const override { return m_phaseBegin; }
+    void refuse() override
+    {
+        ++m_server->outOfMemory;
+        sendError(errorReply(httpStatus::unavailable, "memory", "too many bytes of incomplete requests; the request was not handled"));
     }
 
-    void readBody()
+    void releaseBudget()
     {
-        beast::http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](const ErrorCode& error, std::size_t) {
+        if (m_server->limits.receiveBudget)
+            m_server->limits.receiveBudget->release(*this);
+    }
+
+    void sendContinue()
+    {
+        static const std::string continueReply = "HTTP/1.1 100 Continue\r\n\r\n";
+        boost::asio::async_write(m_socket, boost::asio::buffer(continueReply), [self = shared_from_this()](const ErrorCode& error, std::size_t) {
             if (self->m_phase != Phase::Reading)
                 return;
             if (error)
-                self->onReadError(error);
+                self->close();
             else
-                self->handle();
+                self->parseInput();
         });
     }
 
     void onReadError(const ErrorCode& error)
     {
-        if (isMalformed(error))
-            sendError(replyTo(error, m_server->limits.maxBodyBytes));
-        else
+        if (!isMalformed(error)) {
             close();
+            return;
+        }
+        if (error == beast::http::error::body_limit || error == beast::http::error::header_limit)
+            ++m_server->tooLarge;
+        sendError(replyTo(error, m_server->limits));
     }
 
     void handle();
@@ -370,8 +498,13 @@
     {
         m_phase = Phase::Writing;
         ErrorCode cancelError;
-        // Ends a read that is still pending; there may be none.
+        // Ends a read that is still pending; there may be none. What was read is of no further use, and neither a cancelled
+        // read nor the parser touches it again.
         m_socket.cancel(cancelError);
+        releaseBudget();
+        m_parser.reset();
+        m_buffer.clear();
+        m_buffer.shrink_to_fit();
         startTimer(m_server->limits.sendTimeout);
         m_output = detail::serializeResponse(response, false);
         boost::asio::async_write(m_socket, boost::asio::buffer(m_output), [self = shared_from_this()](const ErrorCode& error, std::size_t) {
@@ -393,10 +526,11 @@
     void discardInput()
     {
         m_output.resize(detail::readBufferBytes);
-        m_socket.async_read_some(boost::asio::buffer(&m_output[0], m_output.size()), [self = shared_from_this()](const ErrorCode& error, std::size_t) {
+        m_socket.async_read_some(boost::asio::buffer(&m_output[0], m_output.size()), [self = shared_from_this()](const ErrorCode& error, std::size_t count) {
             if (self->m_phase != Phase::Lingering)
                 return;
-            if (error)
+            self->m_discardedBytes += count;
+            if (error || self->m_discardedBytes > maxLingerBytes)
                 self->close();
             else
                 self->discardInput();
@@ -411,6 +545,11 @@
     std::string m_output;
     std::function<void()> m_onDisconnect;
     Phase m_phase = Phase::Idle;
+    /// When the present phase began; set for Idle and Reading only.
+    TimePoint m_phaseBegin;
+    /// Bytes received of the present request, and of those behind it that came with them.
+    std::size_t m_receivedBytes = 0;
+    std::size_t m_discardedBytes = 0;
     std::uint64_t m_requestNumber = 0;
     /// Lower bound of the arrival of the present request.
     TimePoint m_arrivedAfter;
@@ -527,8 +666,14 @@
 
 void AsyncHttpServer::State::onAccepted(const std::shared_ptr<State>& self, tcp::socket socket)
 {
+    const std::size_t maxConnections = static_cast<std::size_t>(limits.maxConnections);
+    const bool full = connections.size() >= maxConnections && !replaceConnection();
+    if (full && connections.size() >= maxConnections + maxTurnedAwayConnections) {
+        // The socket is closed without a reply.
+        ++rejected;
+        return;
+    }
     detail::setSocketOptions(socket);
-    const bool full = connections.size() >= static_cast<std::size_t>(limits.maxConnections);
     const std::shared_ptr<Connection> connection = std::make_shared<Connection>(self, std::move(socket));
     add(connection);
     if (full) {
@@ -556,6 +701,27 @@
     allClosed.notify_all();
 }
 
+bool AsyncHttpServer::State::replaceConnection()
+{
+    // Refused connections stay open for a while: they do not count for long, but must not add up.
+    if (connections.size() >= static_cast<std::size_t>(limits.maxConnections) + maxTurnedAwayConnections)
+        return false;
+    const TimePoint now = SteadyClock::now();
+    std::shared_ptr<Connection> longest;
+    Duration longestTime { 0 };
+    for (const std::shared_ptr<Connection>& connection : connections) {
+        const std::optional<Duration> time = connection->replaceableFor(now);
+        if (time && (!longest || *time > longestTime)) {
+            longest = connection;
+            longestTime = *time;
+        }
+    }
+    if (!longest || !longest->makeRoom())
+        return false;
+    ++replaced;
+    return true;
+}
+
 void AsyncHttpServer::State::closeIdleConnections()
 {
     const std::set<std::shared_ptr<Connection>> open = connections;
@@ -601,6 +767,11 @@
     m_state->acceptor.open(endpoint->protocol(), error);
     if (!error)
         m_state->acceptor.set_option(tcp::acceptor::reuse_address(true), error);
+    if (!error && m_state->limits.socketReceiveBufferBytes > 0) {
+        ErrorCode ignored;
+        // Accepted connections inherit the size. One that cannot be set is left to the kernel.
+        m_state->acceptor.set_option(tcp::acceptor::receive_buffer_size(m_state->limits.socketReceiveBufferBytes), ignored);
+    }
     if (!error)
         m_state->acceptor.bind(*endpoint, error);
     if (!error)
@@ -680,4 +851,9 @@
     return m_state->rejected;
 }
 
+AsyncHttpServerCounts AsyncHttpServer::counts() const
+{
+    return { m_state->rejected, m_state->replaced, m_state->tooLarge, m_state->outOfMemory };
+}
+
 } // namespace egrettrestle
