Bound the bodies of the POCO server and the replies of both clients

HttpServer refuses a request with 503 when the bodies of all requests of its port exceed [limits] bufferMb. HttpClient bounds replies and lines of a stream (64 MB); AsyncHttpClient bounds replies (16 MB, as batches between VMs) and unparsed input, which includes trailers (128 KB).

--- a/packages/http/include/egrettrestle/http/server.hpp
+++ b/packages/http/include/egrettrestle/http/server.hpp
@@ -15,6 +15,9 @@
 /// Limits of a server's connections and requests.
 struct HttpServerLimits {
     std::size_t maxBodyBytes = 16 * 1024 * 1024;
+    /// Memory for the bodies of all requests that are being received or handled, in bytes; further ones are refused with
+    /// status 503.
+    std::size_t maxBufferedBytes = 64 * 1024 * 1024;
     int maxConnections = 256;
     /// Time limit for receiving a request that has begun.
     Milliseconds receiveTimeout { 10'000 };
--- a/packages/http/src/async_client.cpp
+++ b/packages/http/src/async_client.cpp
@@ -30,7 +30,10 @@
     constexpr std::size_t maxIdlePerAddress = 64;
     constexpr Milliseconds idleLifetime { 15'000 };
     constexpr Milliseconds reapInterval { 5'000 };
-    constexpr std::size_t maxReplyBytes = 64 * 1024 * 1024;
+    // VMs accept batches of this size from each other, so no larger answer gets through.
+    constexpr std::size_t maxReplyBytes = 16 * 1024 * 1024;
+    // Limit of what is received and not parsed: the header, a chunk extension or the trailer, and one read.
+    constexpr std::size_t maxUnparsedBytes = 128 * 1024;
 
     HttpResult failed(HttpFailure failure)
     {
@@ -61,6 +64,7 @@
         , m_address(std::move(address))
         , m_pool(std::move(pool))
     {
+        m_buffer.max_size(maxUnparsedBytes);
     }
 
     const std::string& address() const { return m_address; }
--- a/packages/http/src/client.cpp
+++ b/packages/http/src/client.cpp
@@ -19,6 +19,8 @@
     constexpr std::size_t maxIdlePerAddress = 64;
     constexpr Milliseconds stopPollInterval { 100 };
     constexpr Milliseconds minTimeout { 1 };
+    // Limit of a reply, and of one line of a stream.
+    constexpr std::size_t maxReplyBytes = 64 * 1024 * 1024;
 
     Poco::Timespan timespan(Duration duration)
     {
@@ -127,6 +129,22 @@
             to.headers.push_back({ header.first, header.second });
     }
 
+    /// Reads up to the end of a line. False at the end of the stream, and if the line is longer than a reply may be.
+    bool readLine(std::streambuf& stream, std::string& line)
+    {
+        using Traits = std::streambuf::traits_type;
+        line.clear();
+        while (line.size() < maxReplyBytes) {
+            const Traits::int_type next = stream.sbumpc();
+            if (Traits::eq_int_type(next, Traits::eof()))
+                return !line.empty();
+            if (Traits::to_char_type(next) == '\n')
+                return true;
+            line += Traits::to_char_type(next);
+        }
+        return false;
+    }
+
     HttpResult readReply(Session& session, TimePoint deadline)
     {
         HttpResult result;
@@ -137,6 +155,8 @@
             char buffer[detail::readSize];
             while (stream.read(buffer, sizeof(buffer)) || stream.gcount() > 0) {
                 result.response.body.append(buffer, static_cast<std::size_t>(stream.gcount()));
+                if (result.response.body.size() > maxReplyBytes)
+                    return failed(HttpFailure::ReplyLost);
                 if (SteadyClock::now() > deadline)
                     return failed(HttpFailure::ReplyTimedOut);
             }
@@ -247,7 +267,7 @@
             const bool ready = stream.rdbuf()->in_avail() > 0 || session.hasBufferedChunk() || detail::waitForInput(session.socket(), stopPollInterval);
             if (!ready)
                 continue;
-            if (!std::getline(stream, line))
+            if (!readLine(*stream.rdbuf(), line))
                 return failed(HttpFailure::ReplyLost);
             if (!line.empty() && !onLine(line))
                 return result;
--- a/packages/http/src/server.cpp
+++ b/packages/http/src/server.cpp
@@ -43,6 +43,32 @@
         return response;
     }
 
+    /// The part of a server's memory for bodies that one request holds.
+    class BodyMemory {
+    public:
+        BodyMemory(std::atomic<std::size_t>& used, std::size_t limit)
+            : m_used(used)
+            , m_limit(limit)
+        {
+        }
+        ~BodyMemory() { m_used -= m_held; }
+        BodyMemory(const BodyMemory&) = delete;
+        BodyMemory& operator=(const BodyMemory&) = delete;
+
+        /// Holds this many bytes. False if the server's limit is exceeded.
+        bool hold(std::size_t bytes)
+        {
+            const std::size_t added = bytes - m_held;
+            m_held = bytes;
+            return (m_used += added) <= m_limit;
+        }
+
+    private:
+        std::atomic<std::size_t>& m_used;
+        std::size_t m_limit;
+        std::size_t m_held = 0;
+    };
+
     /// State shared by all connections of a server.
     struct Shared {
         HttpServerLimits limits;
@@ -50,6 +76,7 @@
         HttpErrorHandler errorHandler;
         std::atomic<bool> stopping { false };
         std::atomic<bool> closing { false };
+        std::atomic<std::size_t> bodyBytes { 0 };
     };
 
     /// Serves the requests of one connection, one after another.
@@ -96,7 +123,8 @@
                 Poco::Net::HTTPServerRequestImpl request(response, session, params);
                 response.setVersion(request.getVersion());
                 HttpRequest message;
-                const HttpRequestError error = read(request, message);
+                BodyMemory memory(m_shared->bodyBytes, m_shared->limits.maxBufferedBytes);
+                const HttpRequestError error = read(request, message, memory);
                 if (error.status != 0)
                     return sendError(response, error);
                 // Pending input is the next request; the end of input means that the client has disconnected.
@@ -118,7 +146,7 @@
             }
         }
 
-        HttpRequestError read(Poco::Net::HTTPServerRequestImpl& request, HttpRequest& message)
+        HttpRequestError read(Poco::Net::HTTPServerRequestImpl& request, HttpRequest& message, BodyMemory& memory)
         {
             message.method = request.getMethod();
             const std::string& uri = request.getURI();
@@ -137,6 +165,8 @@
                 message.body.append(buffer, static_cast<std::size_t>(stream.gcount()));
                 if (message.body.size() > m_shared->limits.maxBodyBytes)
                     return tooLarge;
+                if (!memory.hold(message.body.capacity()))
+                    return { httpStatus::unavailable, "memory", "too many bytes of requests in progress; the request was not handled" };
             }
             // A truncated body must not be accepted as complete.
             if (lengthKnown && message.body.size() != static_cast<std::size_t>(request.getContentLength64()))
--- a/packages/services/include/egrettrestle/services/settings.hpp
+++ b/packages/services/include/egrettrestle/services/settings.hpp
@@ -42,6 +42,7 @@
     std::size_t answerMemoryBytes = 0;
     int maxConnections = 0;
     std::size_t maxBodyBytes = 0;
+    std::size_t maxBufferedBytes = 0;
     std::string traceFile;
     std::string logDirectory;
 };
--- a/packages/services/src/port_service.cpp
+++ b/packages/services/src/port_service.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <egrettrestle/services/detail/output/routes.hpp>
 #include <egrettrestle/services/ports.hpp>
 
@@ -8,6 +10,8 @@
     HttpServerLimits limits;
     limits.maxConnections = settings.maxConnections;
     limits.maxBodyBytes = settings.maxBodyBytes;
+    // A body that grows takes up to twice its size.
+    limits.maxBufferedBytes = std::max(settings.maxBufferedBytes, 2 * settings.maxBodyBytes);
     return limits;
 }
 
--- a/packages/services/src/settings.cpp
+++ b/packages/services/src/settings.cpp
@@ -47,6 +47,7 @@
             { { "executor", "answerMemoryMb", "16", "memory for answers retained for resubmissions, megabytes" }, numberSetter<Settings>(1, 4'096, [](Settings& settings, int value) { settings.answerMemoryBytes = static_cast<std::size_t>(value) * bytesPerMegabyte; }) },
             { { "limits", "maxConnections", "256", "maximum number of open caller connections" }, numberSetter<Settings>(4, 10'000, [](Settings& settings, int value) { settings.maxConnections = value; }) },
             { { "limits", "maxBodyMb", "16", "maximum size of a request body, megabytes" }, numberSetter<Settings>(1, 256, [](Settings& settings, int value) { settings.maxBodyBytes = static_cast<std::size_t>(value) * bytesPerMegabyte; }) },
+            { { "limits", "bufferMb", "64", "memory for the bodies of all requests of one port, megabytes; at least one body of the maximum size is accepted" }, numberSetter<Settings>(1, 4'096, [](Settings& settings, int value) { settings.maxBufferedBytes = static_cast<std::size_t>(value) * bytesPerMegabyte; }) },
             { { "tracing", "file", "", "file that spans are written to, in OTLP/JSON lines; empty: tracing disabled" }, textSetter(&Settings::traceFile) },
             { { "log", "directory", "", "directory for log files; empty: log to standard error" }, textSetter(&Settings::logDirectory) },
         };
--- a/tests/integration/misbehaving-clients.cpp
+++ b/tests/integration/misbehaving-clients.cpp
@@ -48,7 +48,7 @@
         ClusterOptions options;
         options.vmsPerDataCentre = 1;
         options.upstreamsPerDataCentre = 1;
-        options.extraSettings = "[limits]\nmaxBodyMb = 1\n";
+        options.extraSettings = "[limits]\nmaxBodyMb = 1\nbufferMb = 8\n";
         Cluster cluster(options);
         cluster.start();
         Process& daemon = *cluster.vm(0).process;
