--- a/packages/http/src/async_server.cpp
+++ b/packages/http/src/async_server.cpp
@@ -86,7 +86,7 @@
     State(EventLoop& eventLoop, AsyncHttpServerLimits serverLimits, Handler requestHandler)
         : loop(eventLoop)
         , context(eventLoop.state().context)
-        , limits(serverLimits)
+        , limits(std::move(serverLimits))
         , handler(std::move(requestHandler))
         , acceptor(context)
         , acceptTimer(context)
@@ -748,7 +748,7 @@
 }
 
 AsyncHttpServer::AsyncHttpServer(EventLoop& loop, std::string address, AsyncHttpServerLimits limits, Handler handler)
-    : m_state(std::make_shared<State>(loop, limits, std::move(handler)))
+    : m_state(std::make_shared<State>(loop, std::move(limits), std::move(handler)))
 {
     m_state->address = std::move(address);
 }
