--- a/packages/base/include/egrettrestle/base/metrics.hpp
+++ b/packages/base/include/egrettrestle/base/metrics.hpp
@@ -35,6 +35,10 @@
     /// Counts runs that waited for a better place; `outcome` is `better-place` or `free-place`.
     void countWaits(const std::string& outcome, std::uint64_t count);
 
+    /// Counts requests and connections that a server refused or closed because of its limits. `reason` is `connections`,
+    /// `replaced`, `too-large` or `memory`.
+    void countInputRefused(const std::string& port, const std::string& reason, double count);
+
     /// Records the response time of a job.
     void observeResponse(const std::string& urgencyClass, Duration responseTime);
 
--- a/packages/base/src/metrics.cpp
+++ b/packages/base/src/metrics.cpp
@@ -28,6 +28,7 @@
         , starts(counterFamily(registry, "task_starts_total", "Tasks sent to an upstream"))
         , lostRuns(counterFamily(registry, "lost_runs_total", "Runs lost with their upstream, by route and cause"))
         , waits(counterFamily(registry, "placement_waits_total", "Runs that waited for a better place, by outcome"))
+        , inputRefused(counterFamily(registry, "input_refused_total", "Requests and connections refused or closed because of a server's limits, by port and reason"))
         , responses(prometheus::BuildHistogram().Name("egrettrestle_response_seconds").Help("Response time of jobs").Register(registry))
         , gauges(prometheus::BuildGauge().Name("egrettrestle_state").Help("Current values by name").Register(registry))
     {
@@ -40,6 +41,7 @@
     prometheus::Family<prometheus::Counter>& starts;
     prometheus::Family<prometheus::Counter>& lostRuns;
     prometheus::Family<prometheus::Counter>& waits;
+    prometheus::Family<prometheus::Counter>& inputRefused;
     prometheus::Family<prometheus::Histogram>& responses;
     prometheus::Family<prometheus::Gauge>& gauges;
 };
@@ -80,6 +82,11 @@
     m_families->waits.Add({ { "outcome", outcome } }).Increment(static_cast<double>(count));
 }
 
+void Metrics::countInputRefused(const std::string& port, const std::string& reason, double count)
+{
+    m_families->inputRefused.Add({ { "port", port }, { "reason", reason } }).Increment(count);
+}
+
 void Metrics::observeResponse(const std::string& urgencyClass, Duration responseTime)
 {
     m_families->responses.Add({ { "class", urgencyClass } }, responseBuckets).Observe(toSeconds(responseTime));
