Free what a refused request has received before its client has read the reply

The memory test of the peer port failed once beside other tests: 27.3 MB growth, bound 24 MB. A request that the budget refuses counted as released while its body was kept until the end of the connection, up to a second later, and on the fleet freed bodies stayed in the heap. The parser is now reset with the refusal, and both daemons set the threshold above which freed blocks go back to the system.

--- a/apps/egrettrestled/main.cpp
+++ b/apps/egrettrestled/main.cpp
@@ -101,12 +101,12 @@
                   << egrettrestle::fleetSettingsTable();
         return Success;
     }
-    if (arguments.count("fleet"))
-        return runFleet(fleetSettingsPath(arguments), arguments.count("check") > 0);
     // Returns large bodies to the system when they are freed. By default the threshold rises with the largest block freed,
     // and each thread's heap keeps what one large body took.
     constexpr int largeBlockBytes = 128 * 1024;
     mallopt(M_MMAP_THRESHOLD, largeBlockBytes);
+    if (arguments.count("fleet"))
+        return runFleet(fleetSettingsPath(arguments), arguments.count("check") > 0);
     if (!arguments.count("settings")) {
         std::cerr << "--settings FILE is missing; see --help\n";
         return InvalidSettings;
--- a/packages/http/src/async_server.cpp
+++ b/packages/http/src/async_server.cpp
@@ -396,6 +396,9 @@
     {
         ++m_server->outOfMemory;
         sendError(errorReply(httpStatus::unavailable, "memory", "too many bytes of incomplete requests; the request was not handled"));
+        // What was received counts no longer, so it must not be kept while the client reads the reply. No operation uses the
+        // parser: input is read into the buffer.
+        m_parser.reset();
     }
 
     void releaseBudget()
