--- a/tests/integration/client_crowd.cpp
+++ b/tests/integration/client_crowd.cpp
@@ -111,11 +111,11 @@
         close(socket);
 }
 
-void ClientCrowd::send(const std::string& begin, const std::string& repeated, std::size_t bytes)
+void ClientCrowd::send(const Crowd& crowd)
 {
-    std::string block = repeated;
+    std::string block = crowd.repeated;
     while (block.size() < blockBytes)
-        block += repeated;
+        block += crowd.repeated;
     std::vector<Client> clients;
     for (const int socket : m_sockets)
         clients.push_back({ socket });
@@ -126,7 +126,7 @@
         std::size_t sent = 0;
         for (Client& client : clients) {
             if (!client.done)
-                sent += sendBlock(client, begin, block, bytes);
+                sent += sendBlock(client, crowd.begin, block, crowd.bytes);
             open = open || !client.done;
         }
         if (sent > 0)
--- a/tests/integration/client_crowd.hpp
+++ b/tests/integration/client_crowd.hpp
@@ -7,6 +7,22 @@
 
 namespace egrettrestle::testing {
 
+inline constexpr std::size_t megabyte = 1024 * 1024;
+/// How much resident memory a crowd may add. The smallest VM has 120 MB, the process itself needs up to 30 MB, and the
+/// kernel's buffers count as well.
+inline constexpr long maxGrowthKb = 24 * 1024;
+/// Connections of the process itself that open meanwhile: to the store and to upstreams.
+inline constexpr int otherDescriptors = 16;
+
+/// A crowd of clients, what each of them sends, and how much.
+struct Crowd {
+    const char* name;
+    int clients;
+    std::string begin;
+    std::string repeated;
+    std::size_t bytes;
+};
+
 /// What a process holds at the moment.
 struct ProcessUse {
     /// Resident memory, kilobytes.
@@ -32,9 +48,9 @@
     ClientCrowd(const ClientCrowd&) = delete;
     ClientCrowd& operator=(const ClientCrowd&) = delete;
 
-    /// Lets each client send `begin` once and then `repeated` until it has sent `bytes`. Ends when all clients have sent
+    /// Lets each client send `crowd.begin` once and then `crowd.repeated` until it has sent `crowd.bytes`. Ends when all clients have sent
     /// that much or were disconnected, or when the server accepts nothing more for a second. The connections stay open.
-    void send(const std::string& begin, const std::string& repeated, std::size_t bytes);
+    void send(const Crowd& crowd);
 
 private:
     std::vector<int> m_sockets;
--- a/tests/integration/misbehaving-clients.cpp
+++ b/tests/integration/misbehaving-clients.cpp
@@ -8,21 +8,8 @@
 
 namespace {
 
-constexpr std::size_t megabyte = 1024 * 1024;
-// The same bound as for a VM of a fleet; see platform/tests/integration/misbehaving-clients.cpp.
-constexpr long maxGrowthKb = 24 * 1024;
-constexpr int otherDescriptors = 16;
 const std::string chunkedRequest = "POST /v1/jobs HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n";
 
-/// A crowd of clients, what each of them sends, and how much.
-struct Crowd {
-    const char* name;
-    int clients;
-    std::string begin;
-    std::string repeated;
-    std::size_t bytes;
-};
-
 std::vector<Crowd> crowds()
 {
     return {
@@ -54,7 +41,7 @@
         Process& daemon = *cluster.vm(0).process;
         const ProcessUse before = processUse(daemon.id());
         ClientCrowd clients(cluster.vm(0).callerAddress, crowd.clients);
-        clients.send(crowd.begin, crowd.repeated, crowd.bytes);
+        clients.send(crowd);
         REQUIRE(daemon.running());
         const ProcessUse after = settledUse(daemon.id());
         UNSCOPED_INFO("resident before " << before.residentKb << " kB, peak " << after.peakResidentKb << " kB; descriptors " << before.descriptors << ", then " << after.descriptors);
--- a/tests/unit/unit-run-queue.cpp
+++ b/tests/unit/unit-run-queue.cpp
@@ -388,7 +388,7 @@
 {
     // Guards against strict priority, under which 7% of the quotes were in time.
     OwnerUnderLoad load(mixedLoad(1.3 / 0.58));
-    auto results = load.run(Seconds { 1 }, Seconds { 6 }, Seconds { 6 });
+    std::map<std::string, RouteResult> results = load.run(Seconds { 1 }, Seconds { 6 }, Seconds { 6 });
     CHECK(results["check"].shareInTime() > 0.8);
     CHECK(results["renewal"].shareInTime() > 0.75);
     CHECK(results["quote"].shareInTime() > 0.6);
@@ -400,7 +400,7 @@
     std::vector<LoadRoute> routes = mixedLoad(1.5);
     routes[1].burst = 1.8;
     OwnerUnderLoad load(routes);
-    auto results = load.run(Seconds { 2 }, Seconds { 5 }, Seconds { 8 });
+    std::map<std::string, RouteResult> results = load.run(Seconds { 2 }, Seconds { 5 }, Seconds { 8 });
     // Renewals give back what they have borrowed when their runs of 200 ms end; checks may take some of it for 60 ms.
     CHECK(results["quote"].longestBelowShare <= Milliseconds { 260 });
     CHECK(results["quote"].shareInTime() > 0.9);
@@ -414,7 +414,7 @@
     std::vector<LoadRoute> routes = mixedLoad(1.6);
     routes[0].burst = 1.9;
     OwnerUnderLoad load(routes);
-    auto results = load.run(Seconds { 2 }, Seconds { 5 }, Seconds { 8 });
+    std::map<std::string, RouteResult> results = load.run(Seconds { 2 }, Seconds { 5 }, Seconds { 8 });
     CHECK(results["check"].shareInTime() > 0.9);
     CHECK(results["renewal"].shareInTime() > 0.95);
     CHECK(results["quote"].shareInTime() > 0.85);
@@ -424,7 +424,7 @@
 TEST_CASE("owner without scarcity starts every run at once")
 {
     // Guards against an order that holds runs back while capacity is free.
-    auto results = OwnerUnderLoad(mixedLoad(0.3)).run(Seconds { 1 }, Seconds { 6 }, Seconds { 6 });
+    std::map<std::string, RouteResult> results = OwnerUnderLoad(mixedLoad(0.3)).run(Seconds { 1 }, Seconds { 6 }, Seconds { 6 });
     for (const auto& result : results)
         CHECK(result.second.longestWait.count() == 0);
 }
