--- a/review/second/harness.cpp
+++ b/review/second/harness.cpp
@@ -106,10 +106,11 @@
     return text.str();
 }
 
-Deployment::Deployment(Record& record, int daemons)
+Deployment::Deployment(Record& record, int daemons, std::vector<std::string> zones)
     : m_record(record)
     , m_directory(temporaryDirectory())
     , m_daemons(daemons)
+    , m_zones(std::move(zones))
 {
     if (!std::filesystem::exists(daemonProgram))
         throw std::runtime_error(std::string(daemonProgram) + " is missing: run the build of deploy/system.toml first");
@@ -145,7 +146,7 @@
     std::string text = readFile(settingsTemplate);
     const std::map<std::string, std::string> values {
         { "{{Node}}", "front-" + std::to_string(daemon) },
-        { "{{Zone}}", "almaty-a" },
+        { "{{Zone}}", m_zones.at(std::min(static_cast<std::size_t>(daemon), m_zones.size() - 1)) },
         { "{{Limits.CpuShare}}", "0.25" },
         { "{{Listen.Front}}", address(daemon, Port::Front) },
         { "{{Listen.Ready}}", address(daemon, Port::Ready) },
--- a/review/second/harness.hpp
+++ b/review/second/harness.hpp
@@ -73,7 +73,8 @@
         Metrics,
     };
 
-    Deployment(Record& record, int daemons);
+    /// Daemon `i` is in the zone `zones[i]`, the last one in all that are missing.
+    Deployment(Record& record, int daemons, std::vector<std::string> zones = { "almaty-a" });
     ~Deployment();
     Deployment(const Deployment&) = delete;
     Deployment& operator=(const Deployment&) = delete;
@@ -114,6 +115,7 @@
     std::map<int, std::unique_ptr<testing::Process>> m_processes;
     std::map<std::pair<int, Port>, std::string> m_addresses;
     int m_daemons = 0;
+    std::vector<std::string> m_zones;
 };
 
 /// Whether the case runs with its disruption.
