--- a/review/second/harness.cpp
+++ b/review/second/harness.cpp
@@ -132,6 +132,15 @@
     m_record.write("operator wrote op/config version " + std::to_string(version));
 }
 
+void Deployment::publishEmptyConfiguration(std::uint64_t version)
+{
+    json configuration = json::parse(m_store.value("op/config"));
+    configuration["Version"] = version;
+    configuration["Routes"] = json::array();
+    m_store.put("op/config", configuration.dump());
+    m_record.write("operator wrote op/config version " + std::to_string(version) + ", without the queue");
+}
+
 const std::string& Deployment::address(int daemon, Port port)
 {
     std::string& address = m_addresses[{ daemon, port }];
--- a/review/second/harness.hpp
+++ b/review/second/harness.hpp
@@ -85,6 +85,9 @@
     /// Writes a configuration with one queue, on the service `print-hub`, as the operator does.
     void publishConfiguration(std::uint64_t version, bool enforcesCapacity = true, std::int64_t targetLatencyMs = 1'000);
 
+    /// Writes a configuration without a queue.
+    void publishEmptyConfiguration(std::uint64_t version);
+
     void start(int daemon);
     testing::Process& process(int daemon) { return *m_processes.at(daemon); }
     bool isReady(int daemon) { return probe(daemon) == 200; }
