--- a/review/second/minion.cpp
+++ b/review/second/minion.cpp
@@ -187,7 +187,7 @@
     return response;
 }
 
-HttpResponse Minion::refuse(const char* reason) const { return reply(409, { { "Reason", reason } }); }
+HttpResponse Minion::refuse(const char* reason) const { return reply(409, json::object({ { "Reason", reason } })); }
 
 HttpResponse Minion::handle(const HttpRequest& request)
 {
@@ -305,7 +305,7 @@
         if (ended.size() < page)
             ended.push_back({ entry.number, entry.task, entry.run, entry.how, "" });
     }
-    return reply(200, { { "Running", running }, { "Ended", ended } });
+    return reply(200, json::object({ { "Running", running }, { "Ended", ended } }));
 }
 
 void Minion::end(std::size_t index, const std::string& how)
