Check orders that have waited when they are sent

Cause: at most four orders to an upstream are in flight, and the others wait in UpstreamLinks. They were decided when queued and sent as they were, also after UpstreamOwner had given their runs up. An upstream refuses outdated orders by its fencing token and by the end of the lease, and a new process under the same id by neither: it has seen no token, and its clock has begun anew.

Fix: the owner is asked immediately before an order is sent whether it still stands, and under which token. One that does not is discarded, and a run that is still wanted is queued again. This also covers orders to an upstream that the VM no longer owns, orders under an earlier token, and waiting starts that would grant a lease beyond the time by which a withdrawn run has to end. UpstreamOwner ignores replies to an earlier decision about the same run.

"owner that releases an upstream reports the location of unconfirmed starts" now says that the order has been sent: an order that was not sent has not started anything.

--- a/packages/base/include/egrettrestle/base/metrics.hpp
+++ b/packages/base/include/egrettrestle/base/metrics.hpp
@@ -29,6 +29,9 @@
     /// Counts a task sent to an upstream.
     void countStart(const std::string& kind);
 
+    /// Counts a start order that was discarded because it no longer stood when it was to be sent.
+    void countWithheldStart();
+
     /// Counts a run that was lost with its upstream; `cause` says how the upstream failed.
     void countLostRun(const std::string& route, const std::string& cause);
 
--- a/packages/decision/include/egrettrestle/decision/dispatcher.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatcher.hpp
@@ -49,9 +49,9 @@
 public:
     virtual ~DispatcherPort() = default;
 
-    /// Sends a start order; its result is passed to Dispatcher::onStartReply().
+    /// Queues a start order, to be sent as Dispatcher::startToSend() says; its result is passed to Dispatcher::onStartReply().
     virtual void start(const StartOrder& order) = 0;
-    /// Sends a stop order; its result is passed to Dispatcher::onStopReply().
+    /// Queues a stop order, to be sent as Dispatcher::stopToSend() says; its result is passed to Dispatcher::onStopReply().
     virtual void stop(const StopOrder& order) = 0;
     /// Polls an upstream at once, in addition to the regular polls.
     virtual void pollNow(const UpstreamId& upstream) = 0;
@@ -171,6 +171,8 @@
     void onPollReply(const PollOrder& order, const PollReply& reply, TimePoint sentAt, TimePoint now);
     void onStartReply(const StartOrder& order, const OrderReply& reply, TimePoint now);
     void onStopReply(const StopOrder& order, const OrderReply& reply, TimePoint now);
+    std::optional<StartOrder> startToSend(const StartOrder& order, TimePoint now);
+    std::optional<StopOrder> stopToSend(const StopOrder& order) const { return m_owner.stopToSend(order); }
     /// @}
 
     /// Handles everything that depends on time alone. To be called at short, regular intervals.
--- a/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
+++ b/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
@@ -85,8 +85,12 @@
     /// Empty for a run that was found at the upstream and is not claimed, or whose executor has restarted.
     VmId executor;
     RunState state = RunState::Starting;
+    /// Number of the decision to start it; 0 for a run that was found at the upstream.
+    std::uint64_t placement = 0;
+    /// Whether the start order has left this VM. Until then the run is certainly not running.
+    bool startSent = false;
     StopCause stopCause = StopCause::Withdrawn;
-    /// When the start order was sent, or the run was found at the upstream.
+    /// When the start order was decided or last sent, or the run was found at the upstream.
     TimePoint startSentAt;
     /// When the upstream confirmed the start.
     TimePoint confirmedAt;
@@ -174,7 +178,10 @@
 /// Whether an upstream can be used at all for a request, whatever its state and its load at present.
 bool isUsableFor(const OwnedUpstream& upstream, const RunRequest& request);
 
-/// Whether runs may be started on an upstream now, apart from its free capacity.
+/// Whether a run that has been placed on an upstream may be started there now.
+bool acceptsPlacedRuns(const OwnedUpstream& upstream, const OwnerLimits& limits, TimePoint now);
+
+/// Whether more runs may be placed on an upstream now, apart from its free capacity.
 bool acceptsRuns(const OwnedUpstream& upstream, const OwnerLimits& limits, TimePoint now);
 
 /// A run that was at an upstream when it became unreachable or lost its runs, for the log and the metrics.
--- a/packages/decision/include/egrettrestle/decision/upstream_orders.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_orders.hpp
@@ -17,6 +17,8 @@
     std::string spec;
     FencingToken token;
     UpstreamClock leaseEnd { 0 };
+    /// Number of the decision to start the run, which may be made again for the same run.
+    std::uint64_t placement = 0;
 };
 
 /// Orders an upstream to stop a run, and not to start it if a start order arrives later.
--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -24,9 +24,11 @@
 public:
     virtual ~OwnerPort() = default;
 
-    /// Sends a start order; its result is passed to UpstreamOwner::onStartReply().
+    /// Queues a start order, to be sent as UpstreamOwner::startToSend() says; its result is passed to
+    /// UpstreamOwner::onStartReply().
     virtual void start(const StartOrder& order) = 0;
-    /// Sends a stop order; its result is passed to UpstreamOwner::onStopReply().
+    /// Queues a stop order, to be sent as UpstreamOwner::stopToSend() says; its result is passed to
+    /// UpstreamOwner::onStopReply().
     virtual void stop(const StopOrder& order) = 0;
     /// Polls an upstream at once, in addition to the regular polls.
     virtual void pollNow(const UpstreamId& upstream) = 0;
@@ -147,6 +149,16 @@
     /// next successful poll. After a refusal, the run is queued again or returned to its executor.
     void onStartReply(const StartOrder& order, const OrderReply& reply, TimePoint now);
 
+    /// A queued start order as it has to be sent now, under the present fencing token; to be called immediately before it is
+    /// sent. Empty if it no longer stands and must not be sent: the upstream has another owner or has been replaced, the run
+    /// was withdrawn or given up, or nothing may be started there at present. A run that is still wanted is queued again. An
+    /// upstream cannot refuse an outdated order by itself if it has restarted under its id: it knows no fencing token then, and
+    /// its clock has begun anew.
+    std::optional<StartOrder> startToSend(const StartOrder& order, TimePoint now);
+
+    /// The same for a stop order, which stands as long as the upstream has not accepted the stop of the run.
+    std::optional<StopOrder> stopToSend(const StopOrder& order) const;
+
     /// Processes the result of a stop order. Unaccepted stops are repeated by tick().
     void onStopReply(const StopOrder& order, const OrderReply& reply, TimePoint now);
 
@@ -264,6 +276,10 @@
     void startRun(OwnedUpstream& upstream, const QueuedRun& queuedRun, TimePoint now);
     void stopRun(OwnedUpstream& upstream, OwnedRun& run, StopCause cause, TimePoint now);
     void requeueRun(OwnedRun& run, TimePoint now);
+    /// Takes back a run whose start order has not been sent: it is queued again, or returned if it was to be stopped.
+    void takeBackRun(OwnedUpstream& upstream, const TaskRun& run, TimePoint now);
+    /// The same for all such runs at an upstream.
+    void takeBackUnsentRuns(OwnedUpstream& upstream, TimePoint now);
     /// Removes a run from an upstream and frees its resources, without a message to its executor.
     void eraseRun(OwnedUpstream& upstream, const TaskRun& run);
     /// Tells the executor, if there is one, that the run is not running and never will be.
@@ -375,6 +391,7 @@
     RecentRuns<RunStarted> m_released;
     std::vector<EarlyClaim> m_earlyClaims;
     VmId m_self;
+    std::uint64_t m_lastPlacement = 0;
     std::map<VmId, TimePoint> m_lastContact;
     /// Moving average of the needs of requested tasks, without accelerators; all zero until one has been seen.
     Resources m_typicalNeed;
--- a/packages/decision/src/dispatcher.cpp
+++ b/packages/decision/src/dispatcher.cpp
@@ -341,6 +341,14 @@
     deliverLocalMessages(now);
 }
 
+std::optional<StartOrder> Dispatcher::startToSend(const StartOrder& order, TimePoint now)
+{
+    std::optional<StartOrder> current = m_owner.startToSend(order, now);
+    if (!current)
+        deliverLocalMessages(now);
+    return current;
+}
+
 void Dispatcher::onStartReply(const StartOrder& order, const OrderReply& reply, TimePoint now)
 {
     m_owner.onStartReply(order, reply, now);
--- a/packages/decision/src/owned_upstream.cpp
+++ b/packages/decision/src/owned_upstream.cpp
@@ -30,11 +30,16 @@
     return lasting && matches && std::find(request.avoid.begin(), request.avoid.end(), upstream.info.id) == request.avoid.end();
 }
 
-bool acceptsRuns(const OwnedUpstream& upstream, const OwnerLimits& limits, TimePoint now)
+bool acceptsPlacedRuns(const OwnedUpstream& upstream, const OwnerLimits& limits, TimePoint now)
 {
     const bool reachable = upstream.synced && upstream.claimsResolved && upstream.failedPolls == 0 && now - upstream.lastSuccessfulPoll < limits.upstreamTimeout;
     const bool accepting = !upstream.info.draining && !upstream.unlisted && !upstream.replaced && !upstream.fenced && !upstream.startsBlocked && !upstream.evacuated;
-    return reachable && accepting && now >= upstream.pausedUntil && !(upstream.probing && !upstream.runs.empty());
+    return reachable && accepting && now >= upstream.pausedUntil;
+}
+
+bool acceptsRuns(const OwnedUpstream& upstream, const OwnerLimits& limits, TimePoint now)
+{
+    return acceptsPlacedRuns(upstream, limits, now) && !(upstream.probing && !upstream.runs.empty());
 }
 
 } // namespace egrettrestle
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -137,6 +137,7 @@
         OwnedUpstream& upstream = found->second;
         const bool restarted = upstream.info.startedAt.count() > 0 && info.startedAt.count() > 0 && info.startedAt > upstream.info.startedAt;
         if (restarted) {
+            takeBackUnsentRuns(upstream, now);
             m_port.recordEvent({ EventKind::Restarted, info.id, {}, "discovery", {}, upstream.runs.size(), runsAt(upstream) });
             onCrashConfirmed(upstream);
             m_speeds.forget(info.id);
@@ -198,6 +199,7 @@
     OwnedUpstream* owned = findUpstream(upstream);
     if (!owned)
         return;
+    takeBackUnsentRuns(*owned, now);
     m_port.recordEvent({ EventKind::Released, upstream, {}, {}, toMilliseconds(now - owned->ownedSince), owned->runs.size() });
     for (const auto& entry : owned->runs) {
         const RunStarted started { entry.first, upstream, owned->token };
@@ -426,6 +428,7 @@
     owned->pollReplyDueAt.reset();
     const bool restarted = reply.startedAt && owned->info.startedAt.count() > 0 && *reply.startedAt > owned->info.startedAt;
     if (restarted) {
+        takeBackUnsentRuns(*owned, now);
         m_port.recordEvent({ EventKind::Restarted, upstream, {}, "look", {}, owned->runs.size(), runsAt(*owned) });
         onCrashConfirmed(*owned);
         m_speeds.forget(upstream);
@@ -629,9 +632,11 @@
         return;
     updateClockOffset(*upstream, reply.clock, now);
     const auto found = upstream->runs.find(order.run);
-    if (found == upstream->runs.end() || found->second.state == RunState::Running)
+    // The run may have been placed here again since, or be one that was found here.
+    if (found == upstream->runs.end() || found->second.state == RunState::Running || found->second.placement != order.placement)
         return;
     OwnedRun& run = found->second;
+    run.startSent = true;
     if (reply.outcome == OrderOutcome::Accepted) {
         run.confirmedAt = now;
         if (run.state == RunState::Stopping)
@@ -677,6 +682,59 @@
     startQueuedRuns(now);
 }
 
+std::optional<StartOrder> UpstreamOwner::startToSend(const StartOrder& order, TimePoint now)
+{
+    OwnedUpstream* upstream = findUpstream(order.upstream);
+    if (!upstream)
+        return std::nullopt;
+    const auto found = upstream->runs.find(order.run);
+    if (found == upstream->runs.end() || found->second.placement != order.placement || found->second.startSent)
+        return std::nullopt;
+    OwnedRun& run = found->second;
+    const bool wanted = run.state == RunState::Starting && run.request.latestStart >= now && (m_ownStartsEnabled || run.executor != m_self);
+    const bool leaseStands = order.leaseEnd > upstreamTimeAt(*upstream, now) && mayExtendLease(*upstream, now);
+    if (!wanted || !leaseStands || !acceptsPlacedRuns(*upstream, m_limits, now)) {
+        takeBackRun(*upstream, order.run, now);
+        return std::nullopt;
+    }
+    run.startSent = true;
+    run.startSentAt = now;
+    StartOrder current = order;
+    current.token = upstream->token;
+    return current;
+}
+
+void UpstreamOwner::takeBackRun(OwnedUpstream& upstream, const TaskRun& run, TimePoint now)
+{
+    OwnedRun unsent = upstream.runs.at(run);
+    eraseRun(upstream, run);
+    if (unsent.state == RunState::Stopping)
+        returnRun(unsent.executor, run, ReturnReason::Withdrawn);
+    else
+        requeueRun(unsent, now);
+}
+
+void UpstreamOwner::takeBackUnsentRuns(OwnedUpstream& upstream, TimePoint now)
+{
+    std::vector<TaskRun> unsent;
+    for (const auto& entry : upstream.runs) {
+        if (entry.second.placement != 0 && !entry.second.startSent)
+            unsent.push_back(entry.first);
+    }
+    for (const TaskRun& run : unsent)
+        takeBackRun(upstream, run, now);
+}
+
+std::optional<StopOrder> UpstreamOwner::stopToSend(const StopOrder& order) const
+{
+    const auto upstream = m_upstreams.find(order.upstream);
+    if (upstream == m_upstreams.end())
+        return std::nullopt;
+    const auto run = upstream->second.runs.find(order.run);
+    const bool stands = run != upstream->second.runs.end() && run->second.state == RunState::Stopping && !run->second.stopAcceptedAt;
+    return stands ? std::optional<StopOrder>({ order.upstream, order.run, upstream->second.token }) : std::nullopt;
+}
+
 void UpstreamOwner::onStopReply(const StopOrder& order, const OrderReply& reply, TimePoint now)
 {
     OwnedUpstream* upstream = findUpstream(order.upstream);
@@ -706,6 +764,7 @@
         // Before the first successful poll, which carries the new token, the previous owner can still extend the lease.
         const bool unreachable = (upstream.synced && upstream.failedPolls >= failedPollsBeforeUnreachable) || upstream.unlisted;
         if (unreachable && now > upstream.leasesExpiredBy && !upstream.runs.empty()) {
+            takeBackUnsentRuns(upstream, now);
             m_port.recordEvent({ EventKind::RunsLost, entry.first, {}, upstream.unlisted ? "unlisted" : upstream.unreachableCause, toMilliseconds(now - upstream.lastSuccessfulPoll), upstream.runs.size(), runsAt(upstream) });
             reportSuspectedCrash(upstream);
             returnLostRuns(upstream);
@@ -840,11 +899,12 @@
     OwnedRun run;
     run.request = queuedRun.request;
     run.executor = queuedRun.executor;
+    run.placement = ++m_lastPlacement;
     run.startSentAt = now;
     upstream.used = upstream.used + run.request.need;
     upstream.runs.emplace(queuedRun.request.run, run);
     recordLease(upstream, m_limits, now);
-    m_port.start({ upstream.info.id, queuedRun.request.run, queuedRun.request.spec, upstream.token, upstreamTimeAt(upstream, now) + m_limits.leaseDuration });
+    m_port.start({ upstream.info.id, queuedRun.request.run, queuedRun.request.spec, upstream.token, upstreamTimeAt(upstream, now) + m_limits.leaseDuration, run.placement });
 }
 
 void UpstreamOwner::stopRun(OwnedUpstream& upstream, OwnedRun& run, StopCause cause, TimePoint now)
--- a/packages/fleet/include/egrettrestle/fleet/upstream_links.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/upstream_links.hpp
@@ -1,12 +1,12 @@
 #pragma once
 
 #include <condition_variable>
-#include <deque>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
 
+#include <egrettrestle/decision/order_queue.hpp>
 #include <egrettrestle/decision/upstream_orders.hpp>
 #include <egrettrestle/fleet/fleet_context.hpp>
 
@@ -22,13 +22,14 @@
     std::string name() const override { return fleetServices::upstreamLinks; }
     absl::Status start() override { return absl::OkStatus(); }
     void prepareStop() override { setOwned({}); }
-    /// Waits until all calls have ended; orders that are queued are still sent.
+    /// Waits until all calls have ended; orders that are queued are still sent if they stand.
     void stop() override;
 
     /// Sets the upstreams to poll; polling of all others stops.
     void setOwned(const std::vector<UpstreamInfo>& owned);
 
-    /// Queue a call for an upstream; it is discarded if this VM does not own the upstream.
+    /// Queue a call for an upstream; it is discarded if this VM does not own the upstream, or if the order no longer stands by
+    /// the time at which it would be sent.
     /// @{
     void start(const StartOrder& order);
     void stop(const StopOrder& order);
@@ -39,10 +40,14 @@
 private:
     struct Link;
     using LinkPointer = std::shared_ptr<Link>;
-    /// Sends an order; called with m_mutex held.
-    using Order = std::function<void(const LinkPointer&)>;
+    /// Sends an order; false if it was discarded instead.
+    using Order = std::function<bool(const LinkPointer&)>;
 
     void enqueue(const UpstreamId& upstream, Order order);
+    /// Sends queued orders until as many as allowed are in flight. Called on the loop's thread.
+    void sendQueued(const LinkPointer& link);
+    std::optional<Order> takeOrder(const LinkPointer& link);
+    UpstreamInfo infoOf(const LinkPointer& link);
     void onOrderDone(const LinkPointer& link);
     void pollAgain(const LinkPointer& link);
     void pollAfter(const LinkPointer& link, Milliseconds delay);
--- a/packages/fleet/src/dispatch_service.cpp
+++ b/packages/fleet/src/dispatch_service.cpp
@@ -193,7 +193,6 @@
 
 void DispatchService::start(const StartOrder& order)
 {
-    m_context.metrics.countStart("run");
     m_context.kernel.find<UpstreamLinks>(fleetServices::upstreamLinks).start(order);
 }
 
--- a/packages/fleet/src/upstream_links.cpp
+++ b/packages/fleet/src/upstream_links.cpp
@@ -20,8 +20,11 @@
 /// Queued orders of one upstream. Guarded by UpstreamLinks::m_mutex.
 struct UpstreamLinks::Link {
     UpstreamInfo info;
-    std::deque<Order> orders;
-    int ordersInFlight = 0;
+    OrderQueue<Order> orders { maxOrdersInFlight };
+    /// A call that sends queued orders is posted to the event loop.
+    bool sendPosted = false;
+    /// Queued orders are being sent. Used on the loop's thread only.
+    bool sending = false;
     bool stopping = false;
 };
 
@@ -74,26 +77,45 @@
         return;
     const LinkPointer link = found->second;
     ++m_calls;
-    if (link->ordersInFlight == maxOrdersInFlight) {
-        link->orders.push_back(std::move(order));
+    link->orders.add(std::move(order));
+    // The caller holds the dispatcher's lock, which is needed to check the order.
+    if (!link->sendPosted)
+        m_context.loop.post([this, link] { sendQueued(link); });
+    link->sendPosted = true;
+}
+
+void UpstreamLinks::sendQueued(const LinkPointer& link)
+{
+    if (link->sending)
         return;
+    link->sending = true;
+    while (const std::optional<Order> order = takeOrder(link)) {
+        if (!(*order)(link))
+            onOrderDone(link);
     }
-    ++link->ordersInFlight;
-    order(link);
+    link->sending = false;
+}
+
+std::optional<UpstreamLinks::Order> UpstreamLinks::takeOrder(const LinkPointer& link)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    link->sendPosted = false;
+    return link->orders.take();
+}
+
+UpstreamInfo UpstreamLinks::infoOf(const LinkPointer& link)
+{
+    const std::lock_guard<std::mutex> lock(m_mutex);
+    return link->info;
 }
 
 void UpstreamLinks::onOrderDone(const LinkPointer& link)
 {
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
-        --link->ordersInFlight;
-        if (!link->orders.empty()) {
-            const Order order = std::move(link->orders.front());
-            link->orders.pop_front();
-            ++link->ordersInFlight;
-            order(link);
-        }
+        link->orders.onDone();
     }
+    sendQueued(link);
     endCall();
 }
 
@@ -107,28 +129,41 @@
 void UpstreamLinks::start(const StartOrder& order)
 {
     enqueue(order.upstream, [this, order](const LinkPointer& link) {
-        m_context.platform.upstreams->start(link->info, order, [this, link, order](const OrderReply& reply) {
-            m_context.kernel.find<DispatchService>(fleetServices::dispatch).withDispatcher([&](Dispatcher& dispatcher, TimePoint now) { dispatcher.onStartReply(order, reply, now); });
+        DispatchService& dispatch = m_context.kernel.find<DispatchService>(fleetServices::dispatch);
+        const std::optional<StartOrder> current = dispatch.withDispatcher([&order](Dispatcher& dispatcher, TimePoint now) { return dispatcher.startToSend(order, now); });
+        if (!current) {
+            m_context.metrics.countWithheldStart();
+            return false;
+        }
+        m_context.metrics.countStart("run");
+        m_context.platform.upstreams->start(infoOf(link), *current, [this, link, current = *current, &dispatch](const OrderReply& reply) {
+            dispatch.withDispatcher([&](Dispatcher& dispatcher, TimePoint now) { dispatcher.onStartReply(current, reply, now); });
             onOrderDone(link);
         });
+        return true;
     });
 }
 
 void UpstreamLinks::stop(const StopOrder& order)
 {
     enqueue(order.upstream, [this, order](const LinkPointer& link) {
-        m_context.platform.upstreams->stop(link->info, order, [this, link, order](const OrderReply& reply) {
-            m_context.kernel.find<DispatchService>(fleetServices::dispatch).withDispatcher([&](Dispatcher& dispatcher, TimePoint now) { dispatcher.onStopReply(order, reply, now); });
+        DispatchService& dispatch = m_context.kernel.find<DispatchService>(fleetServices::dispatch);
+        const std::optional<StopOrder> current = dispatch.withDispatcher([&order](Dispatcher& dispatcher, TimePoint) { return dispatcher.stopToSend(order); });
+        if (!current)
+            return false;
+        m_context.platform.upstreams->stop(infoOf(link), *current, [this, link, current = *current, &dispatch](const OrderReply& reply) {
+            dispatch.withDispatcher([&](Dispatcher& dispatcher, TimePoint now) { dispatcher.onStopReply(current, reply, now); });
             onOrderDone(link);
         });
+        return true;
     });
 }
 
 void UpstreamLinks::pollNow(const UpstreamId& upstream)
 {
-    // The dispatcher's lock is needed, which the caller holds.
     enqueue(upstream, [this](const LinkPointer& link) {
-        m_context.loop.post([this, link] { poll(link, true, [this, link](Milliseconds) { onOrderDone(link); }); });
+        poll(link, true, [this, link](Milliseconds) { onOrderDone(link); });
+        return true;
     });
 }
 
@@ -155,11 +190,7 @@
 
 void UpstreamLinks::poll(const LinkPointer& link, bool immediate, std::function<void(Milliseconds)> onDone)
 {
-    UpstreamInfo info;
-    {
-        const std::lock_guard<std::mutex> lock(m_mutex);
-        info = link->info;
-    }
+    const UpstreamInfo info = infoOf(link);
     DispatchService& dispatch = m_context.kernel.find<DispatchService>(fleetServices::dispatch);
     std::optional<PollOrder> order = dispatch.withDispatcher([&info](Dispatcher& dispatcher, TimePoint now) { return dispatcher.nextPoll(info.id, now); });
     if (!order) {
--- a/tests/model/dispatch_simulation.cpp
+++ b/tests/model/dispatch_simulation.cpp
@@ -37,6 +37,13 @@
     constexpr double lingeringCallerShare = 0.5;
     constexpr int maxSubmissionsOfJob = 3;
     constexpr int hotRackFactor = 3;
+    constexpr int maxOrdersInFlight = 4;
+    // Of the jobs with many small tasks.
+    constexpr std::size_t slotsForSmallTasks = 40;
+    constexpr int taskFactorOfLargeJobs = 12;
+    constexpr int largeJobCount = 15;
+    // Tasks whose upstream may have crashed under them each need another one for themselves.
+    constexpr int upstreamCountForLargeJobs = 12;
     const std::string hotRack = "r1";
 
     VmId vmId(int number) { return "vm" + std::to_string(number); }
@@ -70,6 +77,10 @@
     std::uint64_t endedCount = 0;
     TimePoint silentUntil;
     TimePoint lateStopsUntil;
+    /// Set while it is cut off before it restarts.
+    bool restarting = false;
+    /// When its clock began.
+    TimePoint clockBegin;
     /// Set while the upstream is down after a crash: it rejects connections.
     bool down = false;
     std::vector<UpstreamId> formerIds;
@@ -105,10 +116,32 @@
     }
 
     void start(const StartOrder& order) override
+    {
+        if (simulation.m_faults.restartsBehindCuts == 0) {
+            if (const std::optional<StartOrder> current = dispatcher.startToSend(order, simulation.m_now))
+                sendStart(*current);
+            return;
+        }
+        // Without the check an order counts as sent from its decision on.
+        const bool checked = simulation.m_rules.orderCheck;
+        if (!checked)
+            dispatcher.startToSend(order, simulation.m_now);
+        simulation.queueOrder(number, order.upstream, [this, order, checked] {
+            const std::optional<StartOrder> current = checked ? dispatcher.startToSend(order, simulation.m_now) : order;
+            if (current)
+                sendStart(*current);
+            return current.has_value();
+        });
+    }
+
+    void sendStart(const StartOrder& order)
     {
         simulation.sendOrder(
             number, order.upstream, [this, order](Upstream& upstream) { return simulation.executeStart(upstream, order); },
-            [this, order](const OrderReply& reply) { dispatcher.onStartReply(order, reply, simulation.m_now); });
+            [this, order](const OrderReply& reply) {
+                dispatcher.onStartReply(order, reply, simulation.m_now);
+                simulation.onOrderDone(number, order.upstream);
+            });
     }
 
     void stop(const StopOrder& order) override
@@ -122,9 +155,26 @@
             });
             return;
         }
+        if (simulation.m_faults.restartsBehindCuts == 0) {
+            sendStop(order);
+            return;
+        }
+        simulation.queueOrder(number, order.upstream, [this, order, checked = simulation.m_rules.orderCheck] {
+            const std::optional<StopOrder> current = checked ? dispatcher.stopToSend(order) : order;
+            if (current)
+                sendStop(*current);
+            return current.has_value();
+        });
+    }
+
+    void sendStop(const StopOrder& order)
+    {
         simulation.sendOrder(
             number, order.upstream, [this, order](Upstream& upstream) { return simulation.executeStop(upstream, order); },
-            [this, order](const OrderReply& reply) { dispatcher.onStopReply(order, reply, simulation.m_now); });
+            [this, order](const OrderReply& reply) {
+                dispatcher.onStopReply(order, reply, simulation.m_now);
+                simulation.onOrderDone(number, order.upstream);
+            });
     }
 
     void pollNow(const UpstreamId& upstream) override
@@ -180,6 +230,7 @@
     /// VMs to which a batch has been sent whose reply is outstanding.
     std::set<VmId> batchesInFlight;
     std::set<UpstreamId> polled;
+    std::map<UpstreamId, OrderQueue<std::function<bool()>>> orders;
     std::map<CallerTicket, std::string> tickets;
     CallerTicket lastTicket = 0;
 };
@@ -556,6 +607,35 @@
     });
 }
 
+void DispatchSimulation::queueOrder(int number, const UpstreamId& id, std::function<bool()> send)
+{
+    Vm& vm = *m_vms[static_cast<std::size_t>(number)];
+    vm.orders.try_emplace(id, maxOrdersInFlight).first->second.add(std::move(send));
+    afterOn(number, Milliseconds { 0 }, [this, number, id, processIncarnation = vm.processIncarnation] {
+        if (aliveProcess(number, processIncarnation))
+            sendQueuedOrders(number, id);
+    });
+}
+
+void DispatchSimulation::sendQueuedOrders(int number, const UpstreamId& id)
+{
+    OrderQueue<std::function<bool()>>& orders = m_vms[static_cast<std::size_t>(number)]->orders.at(id);
+    while (const std::optional<std::function<bool()>> send = orders.take()) {
+        if (!(*send)())
+            orders.onDone();
+    }
+}
+
+void DispatchSimulation::onOrderDone(int number, const UpstreamId& id)
+{
+    Vm& vm = *m_vms[static_cast<std::size_t>(number)];
+    const auto orders = vm.orders.find(id);
+    if (orders == vm.orders.end())
+        return;
+    orders->second.onDone();
+    sendQueuedOrders(number, id);
+}
+
 void DispatchSimulation::sendOrder(int number, const UpstreamId& id, const std::function<OrderReply(Upstream&)>& execute, const std::function<void(const OrderReply&)>& onOrderReply)
 {
     const std::uint64_t processIncarnation = m_vms[static_cast<std::size_t>(number)]->processIncarnation;
@@ -600,6 +680,15 @@
         return;
     }
     const bool lost = chance(m_faults.lostReplyProbability);
+    const TimePoint clockBegin = upstream(order.upstream).clockBegin;
+    // A cut loses the polls that wait at the upstream.
+    const auto loseInCut = [this, number, order, respond, clockBegin] {
+        const Upstream& target = upstream(order.upstream);
+        if (!target.restarting && target.clockBegin == clockBegin)
+            return false;
+        afterOn(number, pollReplyTimeout, [respond] { respond(PollReply {}); });
+        return true;
+    };
     const auto respondIfDown = [this, order, respond] {
         const std::optional<OrderReply> failure = connectionFailure(order.upstream);
         if (!failure)
@@ -610,8 +699,8 @@
         respond(reply);
         return true;
     };
-    after(randomDuration(1, 5), [this, number, order, respond, respondIfDown, lost] {
-        if (respondIfDown())
+    after(randomDuration(1, 5), [this, number, order, respond, respondIfDown, loseInCut, lost] {
+        if (respondIfDown() || loseInCut())
             return;
         const PollReply firstReply = executePoll(upstream(order.upstream), order);
         const bool waits = order.wait.count() > 0 && firstReply.outcome == OrderOutcome::Accepted && firstReply.ended.empty();
@@ -626,8 +715,8 @@
         // The upstream replies when a run ends, or after the requested wait.
         const TimePoint end = m_now + order.wait;
         const std::shared_ptr<std::function<void()>> repeat = std::make_shared<std::function<void()>>();
-        *repeat = [this, number, order, respond, respondIfDown, end, repeat] {
-            if (respondIfDown())
+        *repeat = [this, number, order, respond, respondIfDown, loseInCut, end, repeat] {
+            if (respondIfDown() || loseInCut())
                 return;
             PollOrder again = order;
             again.leaseEnd.reset();
@@ -653,7 +742,7 @@
 
 void DispatchSimulation::endDueRuns(Upstream& upstream)
 {
-    const UpstreamClock clock = toMilliseconds(m_now.time_since_epoch());
+    const UpstreamClock clock = clockOf(upstream);
     for (std::size_t index = upstream.running.size(); index > 0; --index) {
         if (upstream.running[index - 1].endsAt <= m_now)
             endRun(upstream, index - 1, RunOutcome::Done);
@@ -712,6 +801,55 @@
     });
 }
 
+/// The upstream is cut off, crashes and starts again under its id, without its runs and with a new clock.
+void DispatchSimulation::restartBehindCut(Upstream& restarted)
+{
+    if (restarted.restarting || restarted.down)
+        return;
+    const Milliseconds cut = randomDuration(50, 2'000);
+    restarted.restarting = true;
+    restarted.silentUntil = m_now + cut;
+    after(cut, [this, &restarted] {
+        restarted.restarting = false;
+        for (const Upstream::ActiveRun& running : restarted.running) {
+            if (++m_accidents[running.run.task] == 2)
+                m_unluckyJobs.insert(running.run.task.job);
+        }
+        restarted.running.clear();
+        restarted.ended.clear();
+        restarted.highestEnded.clear();
+        restarted.endedCount = 0;
+        restarted.token = {};
+        restarted.leaseEnd = UpstreamClock { 0 };
+        restarted.clockBegin = m_now;
+        restarted.info.startedAt = toMilliseconds(m_now.time_since_epoch());
+        for (int number = 0; number < vmCount; ++number) {
+            after(randomDuration(10, 500), [this, number, info = restarted.info] {
+                if (m_vms[static_cast<std::size_t>(number)]->up)
+                    m_vms[static_cast<std::size_t>(number)]->dispatcher.setUpstream(info, m_now);
+            });
+        }
+    });
+}
+
+/// Cuts off the upstream that a VM fills first, and submits a job to that VM before it can have noticed.
+void DispatchSimulation::cutOffBeforeJob(int number)
+{
+    const int vm = number % vmCount;
+    if (!m_vms[static_cast<std::size_t>(vm)]->up)
+        return;
+    const std::vector<UpstreamInfo> owned = m_vms[static_cast<std::size_t>(vm)]->dispatcher.ownedUpstreams();
+    if (owned.empty())
+        return;
+    restartBehindCut(upstream(owned.front().id));
+    after(randomDuration(1, 30), [this, number, vm] { submitJob(number, vm); });
+}
+
+UpstreamClock DispatchSimulation::clockOf(const Upstream& target) const
+{
+    return toMilliseconds(m_now - target.clockBegin);
+}
+
 /// Discovery lists a new incarnation at once, and stops listing the former one after some time.
 void DispatchSimulation::announceUpstream(const UpstreamInfo& info, const UpstreamId& formerId)
 {
@@ -729,7 +867,7 @@
 
 OrderReply DispatchSimulation::executeStart(Upstream& target, const StartOrder& order)
 {
-    const UpstreamClock clock = toMilliseconds(m_now.time_since_epoch());
+    const UpstreamClock clock = clockOf(target);
     endDueRuns(target);
     if (m_rules.fencing && order.token < target.token)
         return { OrderOutcome::Fenced, clock };
@@ -743,7 +881,7 @@
     const bool alreadyRunning = std::any_of(target.running.begin(), target.running.end(), [&order](const Upstream::ActiveRun& running) { return running.run == order.run; });
     if (alreadyRunning)
         return { OrderOutcome::Accepted, clock };
-    if (target.running.size() >= slotsPerUpstream)
+    if (target.running.size() >= (m_faults.restartsBehindCuts > 0 ? slotsForSmallTasks : slotsPerUpstream))
         return { OrderOutcome::InsufficientCapacity, clock };
     for (const auto& entry : m_upstreams) {
         endDueRuns(*entry);
@@ -770,7 +908,7 @@
 
 OrderReply DispatchSimulation::executeStop(Upstream& target, const StopOrder& order)
 {
-    const UpstreamClock clock = toMilliseconds(m_now.time_since_epoch());
+    const UpstreamClock clock = clockOf(target);
     endDueRuns(target);
     if (m_rules.fencing && order.token < target.token)
         return { OrderOutcome::Fenced, clock };
@@ -788,10 +926,11 @@
 
 PollReply DispatchSimulation::executePoll(Upstream& target, const PollOrder& order)
 {
-    const UpstreamClock clock = toMilliseconds(m_now.time_since_epoch());
+    const UpstreamClock clock = clockOf(target);
     endDueRuns(target);
     PollReply reply;
     reply.clock = clock;
+    reply.startedAt = target.info.startedAt;
     if (m_rules.fencing && order.token < target.token) {
         reply.outcome = OrderOutcome::Fenced;
         return reply;
@@ -852,6 +991,10 @@
     JobStep step;
     step.count = static_cast<std::uint32_t>(1 + std::stoi(id) % 4);
     step.need = { 27'000, 64, 0 };
+    if (m_faults.restartsBehindCuts > 0) {
+        step.count *= taskFactorOfLargeJobs;
+        step.need.milliCores = 1'600;
+    }
     step.estimate = Milliseconds { 200 };
     if (m_faults.hotRack)
         step.dataRack = hotRack;
@@ -952,7 +1095,10 @@
 
 DispatchResult DispatchSimulation::run()
 {
-    for (int number = 0; number < upstreamCount; ++number) {
+    const bool largeJobs = m_faults.restartsBehindCuts > 0;
+    const int upstreams = largeJobs ? upstreamCountForLargeJobs : upstreamCount;
+    const int jobs = largeJobs ? largeJobCount : jobCount;
+    for (int number = 0; number < upstreams; ++number) {
         m_upstreams.push_back(std::make_unique<Upstream>());
         UpstreamInfo& info = m_upstreams.back()->info;
         info.id = "u" + std::to_string(number);
@@ -967,7 +1113,7 @@
     m_vms.resize(vmCount);
     for (int number = 0; number < vmCount; ++number)
         startVm(number);
-    for (int number = 0; number < jobCount; ++number)
+    for (int number = 0; number < jobs; ++number)
         after(randomDuration(1'000, 10'000), [this, number] { submitJob(number, number % vmCount); });
     for (int crash = 0; crash < m_faults.crashes; ++crash)
         after(randomDuration(1'500, 10'000), [this] { crashVm(static_cast<int>(randomDuration(0, vmCount - 1).count())); });
@@ -984,8 +1130,8 @@
         });
     }
     for (int period = 0; period < m_faults.lateStopPeriods; ++period) {
-        after(randomDuration(1'500, 10'000), [this] {
-            Upstream& late = *m_upstreams[static_cast<std::size_t>(randomDuration(0, upstreamCount - 1).count())];
+        after(randomDuration(1'500, 10'000), [this, upstreams] {
+            Upstream& late = *m_upstreams[static_cast<std::size_t>(randomDuration(0, upstreams - 1).count())];
             late.lateStopsUntil = m_now + lateStopPeriod;
         });
     }
@@ -996,10 +1142,12 @@
         });
     }
     for (int crash = 0; crash < m_faults.upstreamCrashes; ++crash)
-        after(randomDuration(1'500, 10'000), [this] { crashUpstream(*m_upstreams[static_cast<std::size_t>(randomDuration(0, upstreamCount - 1).count())]); });
+        after(randomDuration(1'500, 10'000), [this, upstreams] { crashUpstream(*m_upstreams[static_cast<std::size_t>(randomDuration(0, upstreams - 1).count())]); });
+    for (int restart = 0; restart < m_faults.restartsBehindCuts; ++restart)
+        after(randomDuration(1'500, 10'000), [this, number = jobs + restart] { cutOffBeforeJob(number); });
     for (int period = 0; period < m_faults.silentPeriods; ++period) {
-        after(randomDuration(1'500, 10'000), [this] {
-            Upstream& silent = *m_upstreams[static_cast<std::size_t>(randomDuration(0, upstreamCount - 1).count())];
+        after(randomDuration(1'500, 10'000), [this, upstreams] {
+            Upstream& silent = *m_upstreams[static_cast<std::size_t>(randomDuration(0, upstreams - 1).count())];
             silent.silentUntil = m_now + randomDuration(200, 2'000);
         });
     }
--- a/tests/model/dispatch_simulation.hpp
+++ b/tests/model/dispatch_simulation.hpp
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include <egrettrestle/decision/dispatcher.hpp>
+#include <egrettrestle/decision/order_queue.hpp>
 #include <egrettrestle/decision/peer_channel.hpp>
 
 namespace egrettrestle::model {
@@ -58,6 +59,9 @@
     /// Whether all jobs name one rack, which has every second upstream, and tasks take three times as long elsewhere. Runs
     /// then wait for a better place.
     bool hotRack = false;
+    /// Number of times that an upstream is cut off for up to 2 s, crashes behind the cut and starts again under its id. Jobs
+    /// then have many small tasks, and the orders to an upstream wait until fewer than four are in flight.
+    int restartsBehindCuts = 0;
 
     bool vmsStandStill() const { return freezes > 0 || stallSeries > 0; }
     bool callersLeave() const { return vmsStandStill() || lateStopPeriods > 0 || longTaskProbability > 0; }
@@ -80,6 +84,8 @@
     /// After a pause, callers' connections are checked before anything is started, and requests of callers that have left are
     /// not handled.
     bool pauseCheck = true;
+    /// An order that has waited is sent only if it still stands.
+    bool orderCheck = true;
 };
 
 /// Result of one schedule.
@@ -157,6 +163,9 @@
     void deliverReply(const Batch& batch, const BatchReply& reply);
     void pollLoop(int vm, std::uint64_t processIncarnation, const UpstreamId& upstream);
     void updatePolledUpstreams(int vm);
+    void queueOrder(int vm, const UpstreamId& upstream, std::function<bool()> send);
+    void sendQueuedOrders(int vm, const UpstreamId& upstream);
+    void onOrderDone(int vm, const UpstreamId& upstream);
     void sendOrder(int vm, const UpstreamId& upstream, const std::function<OrderReply(Upstream&)>& execute, const std::function<void(const OrderReply&)>& onReply);
     void sendPoll(int vm, const PollOrder& order, const std::function<void(bool)>& done);
     OrderReply executeStart(Upstream& upstream, const StartOrder& order);
@@ -167,6 +176,9 @@
     bool isCrashing(const TaskRef& task) const;
     void countStartOfCrashingTask(const TaskRef& task);
     void crashUpstream(Upstream& upstream);
+    void restartBehindCut(Upstream& upstream);
+    void cutOffBeforeJob(int job);
+    UpstreamClock clockOf(const Upstream& upstream) const;
     void announceUpstream(const UpstreamInfo& info, const UpstreamId& formerId);
     /// The outcome of an order to an upstream that is down or has been replaced by a new incarnation.
     std::optional<OrderReply> connectionFailure(const UpstreamId& id);
--- a/tests/model/explore_dispatch.cpp
+++ b/tests/model/explore_dispatch.cpp
@@ -24,6 +24,7 @@
     { "withdrawn-limit", &DispatchRules::withdrawnRunLimit },
     { "pause-check", &DispatchRules::pauseCheck },
     { "request-age", &DispatchRules::requestAge },
+    { "order-check", &DispatchRules::orderCheck },
 };
 
 DispatchRules rulesWithout(const std::string& name)
@@ -31,7 +32,7 @@
     DispatchRules rules;
     const auto found = ruleNames.find(name);
     if (found == ruleNames.end() && !name.empty())
-        throw cxxopts::exceptions::exception("unknown rule " + name + "; expected fencing, message-age, lease-wait, orphan-wait, withdrawn-limit, pause-check or request-age");
+        throw cxxopts::exceptions::exception("unknown rule " + name + "; expected fencing, message-age, lease-wait, orphan-wait, withdrawn-limit, pause-check, request-age or order-check");
     if (found != ruleNames.end())
         rules.*found->second = false;
     return rules;
@@ -44,7 +45,7 @@
         "orders", "probability that an order is lost, that its reply is lost, and that it is late", cxxopts::value<double>()->default_value("0.03"))("slow", "probability that a message is slow", cxxopts::value<double>()->default_value("0.05"))(
         "kills", "number of VM crashes", cxxopts::value<int>()->default_value("3"))("power-offs", "number of times that all VMs crash", cxxopts::value<int>()->default_value("1"))(
         "cuts", "number of network partitions of a VM", cxxopts::value<int>()->default_value("2"))("strains", "number of times that a VM is starved of CPU", cxxopts::value<int>()->default_value("2"))(
-        "silences", "number of times that an upstream does not reply", cxxopts::value<int>()->default_value("3"))("crashing-jobs", "number of jobs whose first task crashes its upstream", cxxopts::value<int>()->default_value("0"))("upstream-crashes", "number of times that an upstream crashes by itself", cxxopts::value<int>()->default_value("0"))("freezes", "number of times that a VM stands still", cxxopts::value<int>()->default_value("0"))("stalls", "number of series of short stalls of a VM", cxxopts::value<int>()->default_value("0"))("broken-connections", "probability that the connection of a caller that may leave breaks", cxxopts::value<double>()->default_value("0"))("late-stops", "number of times that an upstream executes stops late", cxxopts::value<int>()->default_value("0"))("long-tasks", "probability that a task runs for 2 to 5 s", cxxopts::value<double>()->default_value("0"))("hot-rack", "whether all jobs name one rack, outside of which tasks take longer", cxxopts::value<bool>()->default_value("false"))("neighbours", "regular contacts of a VM on each side; all other VMs if not given", cxxopts::value<std::size_t>())("without", "name of the rule to disable", cxxopts::value<std::string>()->default_value(""));
+        "silences", "number of times that an upstream does not reply", cxxopts::value<int>()->default_value("3"))("crashing-jobs", "number of jobs whose first task crashes its upstream", cxxopts::value<int>()->default_value("0"))("upstream-crashes", "number of times that an upstream crashes by itself", cxxopts::value<int>()->default_value("0"))("freezes", "number of times that a VM stands still", cxxopts::value<int>()->default_value("0"))("stalls", "number of series of short stalls of a VM", cxxopts::value<int>()->default_value("0"))("broken-connections", "probability that the connection of a caller that may leave breaks", cxxopts::value<double>()->default_value("0"))("late-stops", "number of times that an upstream executes stops late", cxxopts::value<int>()->default_value("0"))("long-tasks", "probability that a task runs for 2 to 5 s", cxxopts::value<double>()->default_value("0"))("hot-rack", "whether all jobs name one rack, outside of which tasks take longer", cxxopts::value<bool>()->default_value("false"))("restarts-behind-cuts", "number of times that an upstream is cut off and starts again under its id", cxxopts::value<int>()->default_value("0"))("neighbours", "regular contacts of a VM on each side; all other VMs if not given", cxxopts::value<std::size_t>())("without", "name of the rule to disable", cxxopts::value<std::string>()->default_value(""));
     const cxxopts::ParseResult arguments = options.parse(argc, argv);
     const double orders = arguments["orders"].as<double>();
     DispatchFaults faults { orders, orders, orders, arguments["kills"].as<int>(), arguments["cuts"].as<int>(), arguments["silences"].as<int>(), arguments["strains"].as<int>(),
@@ -57,6 +58,7 @@
     faults.lateStopPeriods = arguments["late-stops"].as<int>();
     faults.longTaskProbability = arguments["long-tasks"].as<double>();
     faults.hotRack = arguments["hot-rack"].as<bool>();
+    faults.restartsBehindCuts = arguments["restarts-behind-cuts"].as<int>();
     const DispatchRules rules = rulesWithout(arguments["without"].as<std::string>());
     ContactLimits contacts;
     if (arguments.count("neighbours") > 0)
--- a/tests/model/unit-dispatch-rules.cpp
+++ b/tests/model/unit-dispatch-rules.cpp
@@ -167,6 +167,28 @@
 
 namespace {
 
+DispatchFaults withRestartsBehindCuts(DispatchFaults faults, int restarts)
+{
+    faults.restartsBehindCuts = restarts;
+    return faults;
+}
+
+}
+
+// Shows that the simulation can fail: orders that wait reach the process that has replaced their upstream.
+TEST_CASE("sending orders without a check after they have waited produces a schedule in which a task runs twice at the same time")
+{
+    constexpr std::uint64_t maxSchedules = 400;
+    DispatchRules rules;
+    rules.orderCheck = false;
+    bool found = false;
+    for (std::uint64_t seed = 850'060; !found && seed < 850'060 + maxSchedules; ++seed)
+        found = !DispatchSimulation(seed, withRestartsBehindCuts({}, 12), rules).run().concurrentRuns.empty();
+    CHECK(found);
+}
+
+namespace {
+
 struct CrashCase {
     const char* name;
     DispatchFaults faults;
--- a/tests/unit/unit-upstream-owner.cpp
+++ b/tests/unit/unit-upstream-owner.cpp
@@ -322,6 +322,7 @@
     OwnerFixture fixture;
     fixture.poll(fixture.reply());
     fixture.owner.request("x", requestFor("j", 0, fixture.now + Seconds { 1 }), fixture.now);
+    REQUIRE(fixture.owner.startToSend(fixture.port.starts.back(), fixture.now));
     fixture.owner.release("u1", fixture.now);
     REQUIRE(fixture.port.notifications.size() == 1);
     REQUIRE(fixture.lastMessage().started);
@@ -979,3 +980,145 @@
     CHECK(report.kinds[0].kind == "a");
     CHECK(report.kinds[0].totalTasks == 2);
 }
+
+// Guards against orders that wait behind unanswered ones and are sent although their runs have been given up. An upstream that
+// has restarted under its id carries them out: it knows no fencing token, and their leases end far in the future by its clock.
+TEST_CASE("owner decides anew whether a start order stands when it is sent")
+{
+    OwnerFixture fixture;
+    fixture.poll(fixture.reply());
+    fixture.owner.request("x", requestFor("j", 0, fixture.now + Seconds { 10 }), fixture.now);
+    const StartOrder order = fixture.port.starts.back();
+
+    SECTION("it is sent once, and may then have been carried out")
+    {
+        CHECK(fixture.owner.startToSend(order, fixture.now));
+        CHECK_FALSE(fixture.owner.startToSend(order, fixture.now));
+        fixture.owner.release("u1", fixture.now);
+        REQUIRE(fixture.port.notifications.size() == 1);
+        CHECK(fixture.lastMessage().started);
+    }
+
+    SECTION("it is sent under the present fencing token")
+    {
+        const FencingToken next { token.value + 1 };
+        fixture.owner.acquire(upstreamNamed("u1"), next, fixture.now);
+        REQUIRE(fixture.owner.startToSend(order, fixture.now));
+        fixture.owner.request("x", requestFor("k", 0, fixture.now + Seconds { 10 }), fixture.now);
+        CHECK(fixture.owner.startToSend(fixture.port.starts.back(), fixture.now)->token == next);
+    }
+
+    SECTION("not while another order to the upstream has no reply; the run is started elsewhere")
+    {
+        fixture.owner.request("x", requestFor("k", 0, fixture.now + Seconds { 10 }), fixture.now);
+        const StartOrder unanswered = fixture.port.starts.back();
+        REQUIRE(fixture.owner.startToSend(unanswered, fixture.now));
+        fixture.advance(Milliseconds { 120 });
+        fixture.owner.onStartReply(unanswered, {}, fixture.now);
+        CHECK_FALSE(fixture.owner.startToSend(order, fixture.now));
+        fixture.owner.acquire(upstreamNamed("u2"), token, fixture.now);
+        fixture.owner.onPollReply("u2", *fixture.owner.nextPoll("u2", fixture.now), fixture.reply(), fixture.now, fixture.now);
+        REQUIRE(fixture.port.starts.size() == 3);
+        CHECK(fixture.port.starts.back().upstream == "u2");
+        CHECK(fixture.port.starts.back().run == order.run);
+    }
+
+    SECTION("not for an earlier decision to start the run at the same upstream")
+    {
+        fixture.failPoll();
+        CHECK_FALSE(fixture.owner.startToSend(order, fixture.now));
+        fixture.poll(fixture.reply());
+        REQUIRE(fixture.port.starts.size() == 2);
+        CHECK_FALSE(fixture.owner.startToSend(order, fixture.now));
+        CHECK(fixture.owner.startToSend(fixture.port.starts.back(), fixture.now));
+    }
+
+    SECTION("not at a new incarnation of the upstream, which gets an order of its own")
+    {
+        PollReply restarted = fixture.reply();
+        restarted.startedAt = Milliseconds { 2'000 };
+        restarted.clock = Milliseconds { 10 };
+        fixture.poll(restarted);
+        CHECK_FALSE(fixture.owner.startToSend(order, fixture.now));
+        REQUIRE(fixture.port.starts.size() == 2);
+        CHECK(fixture.port.starts.back().leaseEnd < order.leaseEnd);
+        CHECK(fixture.port.notifications.empty());
+    }
+
+    SECTION("not once its lease is over")
+    {
+        fixture.advance(fixture.limits.leaseDuration);
+        CHECK_FALSE(fixture.owner.startToSend(order, fixture.now));
+    }
+
+    SECTION("not once the upstream has another owner; the run was certainly not started")
+    {
+        fixture.owner.release("u1", fixture.now);
+        CHECK_FALSE(fixture.owner.startToSend(order, fixture.now));
+        CHECK(fixture.port.notifications.empty());
+        CHECK(fixture.owner.queued() == 1);
+    }
+
+    SECTION("not once the upstream drains")
+    {
+        UpstreamInfo draining = upstreamNamed("u1");
+        draining.draining = true;
+        fixture.owner.acquire(draining, token, fixture.now);
+        CHECK_FALSE(fixture.owner.startToSend(order, fixture.now));
+    }
+
+    SECTION("not once the run was withdrawn; its executor learns that it was never started")
+    {
+        fixture.owner.withdraw("x", { order.run, false, {} }, fixture.now);
+        CHECK_FALSE(fixture.owner.startToSend(order, fixture.now));
+        REQUIRE(fixture.lastMessage().returned);
+        CHECK(fixture.lastMessage().returned->reason == ReturnReason::Withdrawn);
+        CHECK_FALSE(fixture.owner.stopToSend(fixture.port.stops.back()));
+    }
+
+    SECTION("not while a lease would keep another run there longer than it may be")
+    {
+        fixture.owner.request("x", requestFor("k", 0, fixture.now + Seconds { 10 }), fixture.now);
+        const StartOrder other = fixture.port.starts.back();
+        REQUIRE(fixture.owner.startToSend(other, fixture.now));
+        fixture.owner.onStartReply(other, { OrderOutcome::Accepted, std::nullopt }, fixture.now);
+        fixture.owner.withdraw("x", { other.run, false, "u1", fixture.now + Milliseconds { 300 } }, fixture.now);
+        CHECK_FALSE(fixture.owner.startToSend(order, fixture.now));
+    }
+}
+
+// Guards against stops that reach a later incarnation of the upstream, where they end or prevent a run of the same number.
+TEST_CASE("owner sends a stop order only while the run is to be stopped")
+{
+    OwnerFixture fixture;
+    fixture.poll(fixture.reply());
+    const TaskRun run = fixture.startOne("j");
+    fixture.owner.withdraw("x", { run, false, "u1" }, fixture.now);
+    const StopOrder order = fixture.port.stops.back();
+
+    SECTION("under the present fencing token")
+    {
+        const FencingToken next { token.value + 1 };
+        fixture.owner.acquire(upstreamNamed("u1"), next, fixture.now);
+        REQUIRE(fixture.owner.stopToSend(order));
+        CHECK(fixture.owner.stopToSend(order)->token == next);
+    }
+
+    SECTION("not once the upstream has accepted a stop")
+    {
+        fixture.owner.onStopReply(order, { OrderOutcome::Accepted, std::nullopt }, fixture.now);
+        CHECK_FALSE(fixture.owner.stopToSend(order));
+    }
+
+    SECTION("not once the run has ended")
+    {
+        fixture.poll(fixture.reply({}, { fixture.end(run, RunOutcome::Stopped) }));
+        CHECK_FALSE(fixture.owner.stopToSend(order));
+    }
+
+    SECTION("not once the upstream has another owner")
+    {
+        fixture.owner.release("u1", fixture.now);
+        CHECK_FALSE(fixture.owner.stopToSend(order));
+    }
+}
