Keep a run whose start has no reply when its upstream restarts

Found by reading; the unit test reproduces it.

Now the first poll of the new process decides: runs that it lists go on, runs that were confirmed before the poll was sent are lost, and a run whose start has no reply is kept until the new process lists it or has accepted a stop, after which it refuses the order. That the order's lease is over proves nothing there, since the clock has begun anew. News of a restart from discovery no longer discards the runs by itself; it has the upstream polled and keeps new runs from it until then.

Before: an upstream that restarted returned such a run at once.

--- a/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
+++ b/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
@@ -106,6 +106,8 @@
     std::optional<TimePoint> endBy;
     /// Whether the outcome of the start order is unknown.
     bool unconfirmed = false;
+    /// Whether the upstream has restarted since the order was sent, so that the order's lease does not end by its clock.
+    bool sentToFormerIncarnation = false;
 };
 
 /// An upstream that this VM owns.
--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -64,7 +64,7 @@
     /// Takes ownership of an upstream under a fencing token, or updates the description and token of one that is owned
     /// already. Nothing is started there before the first successful poll has listed what is running. Runs found there
     /// that no executor claims within the claim grace period are stopped. A newer start time in `info` means that the
-    /// upstream has restarted: its runs are returned as lost.
+    /// upstream has restarted: nothing is started there until a poll has shown which runs the new incarnation has.
     void acquire(const UpstreamInfo& info, FencingToken token, TimePoint now);
 
     /// Gives up ownership of an upstream. Its runs pass to the next owner; executors of runs whose start is unconfirmed
@@ -296,8 +296,14 @@
     /// Reports an unreachable upstream as possibly crashed, with the tasks that may have caused it.
     void reportSuspectedCrash(OwnedUpstream& upstream);
     void reportCrash(const OwnedUpstream& upstream, CrashEvidence evidence);
-    /// Handles the proof that the upstream's process has ended: all its runs are lost.
+    /// Handles the proof that the upstream's process has ended.
     void onCrashConfirmed(OwnedUpstream& upstream);
+    /// Reports the restart of an upstream under its id, once.
+    void confirmRestart(OwnedUpstream& upstream, const char* cause);
+    /// Returns the runs that ended with the former incarnation of an upstream, by the first poll of the new one. A start order
+    /// without a reply may have reached the new incarnation, or may still do so: its run is kept until the new incarnation
+    /// lists it, or has accepted a stop of it.
+    void returnRunsOfFormerIncarnation(OwnedUpstream& upstream, const PollReply& reply, TimePoint sentAt);
     /// The runs at an upstream, for the log.
     std::vector<LostRun> runsAt(const OwnedUpstream& upstream) const;
     /// Keeps the suspects and their executors for later reports, since the runs are given up before the crash is proved.
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -136,31 +136,31 @@
     if (found != m_upstreams.end()) {
         OwnedUpstream& upstream = found->second;
         const bool restarted = upstream.info.startedAt.count() > 0 && info.startedAt.count() > 0 && info.startedAt > upstream.info.startedAt;
-        if (restarted) {
-            takeBackUnsentRuns(upstream, now);
-            m_port.recordEvent({ EventKind::Restarted, info.id, {}, "discovery", {}, upstream.runs.size(), runsAt(upstream) });
-            onCrashConfirmed(upstream);
-            m_speeds.forget(info.id);
-            m_upstreams.erase(found);
-        } else {
-            if (info.startedAt >= upstream.info.startedAt) {
-                const bool shrunk = !fits(upstream.info.capacity, info.capacity);
-                upstream.info = info;
-                if (shrunk)
-                    removeImpossibleNeeds();
-            }
-            upstream.unlisted = false;
-            upstream.evacuated = isEvacuated(upstream.info);
-            if (token > upstream.token) {
-                // In a view that was skipped another VM may have owned the upstream.
-                if (token.value > upstream.token.value + 1)
-                    requireSync(upstream, now);
-                upstream.token = token;
-                upstream.fenced = false;
-                processEarlyClaims(info.id, now);
+        if (info.startedAt >= upstream.info.startedAt) {
+            const bool shrunk = !fits(upstream.info.capacity, info.capacity);
+            const Milliseconds knownStart = upstream.info.startedAt;
+            upstream.info = info;
+            // The first poll of the new incarnation shows that it has restarted, and which runs it has.
+            if (restarted) {
+                takeBackUnsentRuns(upstream, now);
+                upstream.info.startedAt = knownStart;
+                confirmRestart(upstream, "discovery");
+                m_port.pollNow(info.id);
             }
-            return;
+            if (shrunk)
+                removeImpossibleNeeds();
         }
+        upstream.unlisted = false;
+        upstream.evacuated = isEvacuated(upstream.info);
+        if (token > upstream.token) {
+            // In a view that was skipped another VM may have owned the upstream.
+            if (token.value > upstream.token.value + 1)
+                requireSync(upstream, now);
+            upstream.token = token;
+            upstream.fenced = false;
+            processEarlyClaims(info.id, now);
+        }
+        return;
     }
     OwnedUpstream upstream;
     upstream.info = info;
@@ -429,9 +429,8 @@
     const bool restarted = reply.startedAt && owned->info.startedAt.count() > 0 && *reply.startedAt > owned->info.startedAt;
     if (restarted) {
         takeBackUnsentRuns(*owned, now);
-        m_port.recordEvent({ EventKind::Restarted, upstream, {}, "look", {}, owned->runs.size(), runsAt(*owned) });
-        onCrashConfirmed(*owned);
-        m_speeds.forget(upstream);
+        confirmRestart(*owned, "look");
+        returnRunsOfFormerIncarnation(*owned, reply, sentAt);
         owned->acknowledgedEnd = 0;
         owned->clockOffset.reset();
     } else {
@@ -455,6 +454,41 @@
     startQueuedRuns(now);
 }
 
+void UpstreamOwner::confirmRestart(OwnedUpstream& upstream, const char* cause)
+{
+    m_speeds.forget(upstream.info.id);
+    // Discovery may have told of it before a poll does.
+    if (upstream.replaced)
+        return;
+    m_port.recordEvent({ EventKind::Restarted, upstream.info.id, {}, cause, {}, upstream.runs.size(), runsAt(upstream) });
+    onCrashConfirmed(upstream);
+}
+
+void UpstreamOwner::returnRunsOfFormerIncarnation(OwnedUpstream& upstream, const PollReply& reply, TimePoint sentAt)
+{
+    std::set<TaskRun> known(reply.running.begin(), reply.running.end());
+    for (const RunEndRecord& end : reply.ended)
+        known.insert(end.run);
+    std::vector<TaskRun> lostRuns;
+    for (auto& entry : upstream.runs) {
+        OwnedRun& run = entry.second;
+        if (known.count(entry.first) > 0)
+            continue;
+        // A start that was confirmed before the poll was sent would be listed if the new incarnation had carried it out.
+        if (run.confirmedAt != TimePoint {} && run.confirmedAt <= sentAt) {
+            lostRuns.push_back(entry.first);
+            continue;
+        }
+        run.sentToFormerIncarnation = true;
+        run.stopAcceptedAt.reset();
+    }
+    for (const TaskRun& run : lostRuns) {
+        const VmId executor = upstream.runs.at(run).executor;
+        eraseRun(upstream, run);
+        returnRun(executor, run, ReturnReason::Lost);
+    }
+}
+
 void UpstreamOwner::recordFailedPoll(OwnedUpstream& upstream, const PollReply& reply, TimePoint now)
 {
     ++upstream.failedPolls;
@@ -465,9 +499,10 @@
         return;
     upstream.unreachableCause = cause;
     m_port.recordEvent({ EventKind::Unreachable, upstream.info.id, {}, cause, toMilliseconds(now - upstream.lastSuccessfulPoll), upstream.runs.size(), runsAt(upstream) });
-    if (reply.outcome == OrderOutcome::WrongUpstream)
+    if (reply.outcome == OrderOutcome::WrongUpstream) {
         onCrashConfirmed(upstream);
-    else if (reply.failure == ConnectionFailure::Refused || reply.failure == ConnectionFailure::Closed)
+        returnLostRuns(upstream);
+    } else if (reply.failure == ConnectionFailure::Refused || reply.failure == ConnectionFailure::Closed)
         reportSuspectedCrash(upstream);
 }
 
@@ -567,7 +602,7 @@
         const bool confirmedBeforePoll = run.state == RunState::Running && run.confirmedAt < sentAt;
         const bool stoppedBeforePoll = run.state == RunState::Stopping && run.stopAcceptedAt && *run.stopAcceptedAt < sentAt;
         // Its start order is refused from now on.
-        const bool neverStarted = run.unconfirmed && leaseExpiredBy(upstream, m_limits, run.startSentAt) < sentAt;
+        const bool neverStarted = run.unconfirmed && !run.sentToFormerIncarnation && leaseExpiredBy(upstream, m_limits, run.startSentAt) < sentAt;
         if (confirmedBeforePoll || stoppedBeforePoll || neverStarted)
             lostRuns.push_back(entry.first);
     }
--- a/packages/decision/src/upstream_owner_crashes.cpp
+++ b/packages/decision/src/upstream_owner_crashes.cpp
@@ -57,7 +57,6 @@
     upstream.crashReported = true;
     upstream.replaced = true;
     reportCrash(upstream, CrashEvidence::Confirmed);
-    returnLostRuns(upstream);
 }
 
 void UpstreamOwner::onSameIncarnation(OwnedUpstream& upstream, TimePoint now)
--- a/tests/model/unit-dispatch-rules.cpp
+++ b/tests/model/unit-dispatch-rules.cpp
@@ -175,7 +175,26 @@
 
 }
 
-// Shows that the simulation can fail: orders that wait reach the process that has replaced their upstream.
+// Guards against orders that wait behind unanswered ones and are carried out by the process that has replaced their upstream,
+// after their runs were given up: the cuts are shorter and longer than a lease.
+TEST_CASE("orders that wait for an upstream that restarts behind a cut never run a task twice at the same time")
+{
+    const FaultCase cases[] = {
+        { "upstreams restart behind cuts", withRestartsBehindCuts({}, 12), 850'000 },
+        { "beside VM crashes and partitions", withRestartsBehindCuts({ 0, 0, 0, 3, 2, 0 }, 6), 860'000 },
+        { "beside slow messages and silent upstreams", withRestartsBehindCuts({ 0, 0, 0, 0, 0, 3, 0, 0.05 }, 6), 870'000 },
+    };
+    for (const FaultCase& example : cases) {
+        for (std::uint64_t seed = example.firstSeed; seed < example.firstSeed + schedulesPerCase; ++seed) {
+            const DispatchResult result = DispatchSimulation(seed, example.faults).run();
+            CAPTURE(example.name, seed, result.concurrentRuns, result.falseRefusals);
+            CHECK(result.started > 0);
+            CHECK(result.concurrentRuns.empty());
+            CHECK(result.falseRefusals.empty());
+        }
+    }
+}
+
 TEST_CASE("sending orders without a check after they have waited produces a schedule in which a task runs twice at the same time")
 {
     constexpr std::uint64_t maxSchedules = 400;
--- a/tests/unit/unit-upstream-owner.cpp
+++ b/tests/unit/unit-upstream-owner.cpp
@@ -1122,3 +1122,53 @@
         CHECK_FALSE(fixture.owner.stopToSend(order));
     }
 }
+
+// Guards against a task that is started elsewhere while a start order for it, sent to the former incarnation of an upstream, is
+// carried out by the new one.
+TEST_CASE("owner keeps a run whose start order has no reply when its upstream restarts")
+{
+    OwnerFixture fixture;
+    fixture.poll(fixture.reply());
+    fixture.owner.request("x", requestFor("j", 0, fixture.now + Seconds { 10 }), fixture.now);
+    const StartOrder order = fixture.port.starts.back();
+    REQUIRE(fixture.owner.startToSend(order, fixture.now));
+    fixture.advance(Milliseconds { 20 });
+    PollReply restarted = fixture.reply();
+    restarted.startedAt = Milliseconds { 2'000 };
+    restarted.clock = Milliseconds { 10 };
+
+    SECTION("until the new incarnation lists it")
+    {
+        restarted.running = { order.run };
+        fixture.poll(restarted);
+        REQUIRE(fixture.port.notifications.size() == 1);
+        CHECK(fixture.lastMessage().started);
+    }
+
+    SECTION("until the new incarnation has accepted a stop and does not list it, however long that takes")
+    {
+        fixture.poll(restarted);
+        fixture.owner.onStartReply(order, {}, fixture.now);
+        fixture.advance(fixture.limits.leaseDuration * 2);
+        fixture.poll(restarted);
+        CHECK(fixture.port.notifications.empty());
+        REQUIRE(fixture.port.stops.size() == 1);
+        fixture.owner.onStopReply(fixture.port.stops[0], { OrderOutcome::Accepted, std::nullopt }, fixture.now);
+        fixture.advance(Milliseconds { 100 });
+        fixture.poll(restarted);
+        REQUIRE(fixture.lastMessage().returned);
+        CHECK(fixture.lastMessage().returned->reason == ReturnReason::Lost);
+    }
+
+    SECTION("also if discovery tells of the restart first, until a poll has shown what is running")
+    {
+        UpstreamInfo info = upstreamNamed("u1");
+        info.startedAt = Milliseconds { 2'000 };
+        fixture.owner.acquire(info, token, fixture.now);
+        CHECK(fixture.port.notifications.empty());
+        restarted.running = { order.run };
+        fixture.poll(restarted);
+        REQUIRE(fixture.port.notifications.size() == 1);
+        CHECK(fixture.lastMessage().started);
+    }
+}
