Say that a run never started only if its owner knows that

Cause: an owner answered a withdrawal of a run that it does not know with Withdrawn, which the executor takes for "never started". An owner forgets ended runs after 5 s, and those that passed to another owner; in the case its reports of the start and the end had been lost before. The longer a caller waits, the likelier that is, whatever lost the reports.

Fix: such a run is returned as Lost, which means that it may have run, so the job is answered 504. Withdrawn is left for runs that were taken from the queue or whose start order was never sent. An executor ignores any return of a run whose owner has restarted, as it did for Withdrawn: the new process does not know whether that run is still running.

--- a/packages/decision/include/egrettrestle/decision/dispatch_types.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatch_types.hpp
@@ -205,9 +205,9 @@
 enum class ReturnReason {
     /// It could not be started by its latest start.
     Expired,
-    /// The executor withdrew it, or the owner considered the executor lost.
+    /// The executor withdrew it, or the owner considered the executor lost. It was never started.
     Withdrawn,
-    /// It is no longer known at its upstream or its owner.
+    /// It is no longer known at its upstream or its owner, and may have run.
     Lost,
     /// The upstream has seen a higher run number of the task.
     Superseded,
--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -111,8 +111,8 @@
     void request(const VmId& executor, const RunRequest& request, TimePoint now);
 
     /// Removes a run from the queue or, unless the withdrawal is for queued runs only, stops it. The executor is told
-    /// the result; for a run that is not known here that is its recent end, the upstream it was released with, or a
-    /// RunReturned message.
+    /// the result; for a run that is not known here that is its recent end, the upstream it was released with, or that the
+    /// run is lost: only a run that was still queued is known never to have started.
     void withdraw(const VmId& executor, const RunWithdrawal& withdrawal, TimePoint now);
 
     /// Assigns a run found at a newly owned upstream to the executor that it belongs to. The executor receives
--- a/packages/decision/src/job_executor.cpp
+++ b/packages/decision/src/job_executor.cpp
@@ -463,8 +463,8 @@
     Task* task = findTask(returned.run, owner, job);
     if (!task || task->state == TaskState::Done)
         return;
-    // The restarted owner does not know whether its previous incarnation has started the run.
-    if (task->orphanedUntil && returned.reason == ReturnReason::Withdrawn)
+    // The restarted owner does not know whether its previous incarnation has started the run, which may still be running.
+    if (task->orphanedUntil)
         return;
     if (returned.reason == ReturnReason::Expired)
         recordWait(*job, *task, toMilliseconds(now - task->sentAt), now);
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -310,7 +310,8 @@
     else if (released)
         m_port.notify(executor, { {}, *released, {}, {}, {}, {} });
     else
-        returnRun(executor, run, ReturnReason::Withdrawn);
+        // It may have run: ends are forgotten after a time, and a report of the end may not have reached the executor.
+        returnRun(executor, run, ReturnReason::Lost);
 }
 
 void UpstreamOwner::claim(const VmId& executor, const RunClaim& claim, TimePoint now)
--- a/tests/unit/unit-job-executor.cpp
+++ b/tests/unit/unit-job-executor.cpp
@@ -448,7 +448,8 @@
 
     SECTION("ignores a return by the new incarnation, which does not know what the previous one has started")
     {
-        fixture.executor.onReturned("x", { fixture.request(0).run, ReturnReason::Withdrawn }, fixture.now);
+        for (const ReturnReason reason : { ReturnReason::Withdrawn, ReturnReason::Lost })
+            fixture.executor.onReturned("x", { fixture.request(0).run, reason }, fixture.now);
         CHECK(fixture.port.sent.size() == 1);
     }
 
@@ -784,3 +785,17 @@
     REQUIRE(fixture.port.sent[1].message.withdrawal);
     CHECK(fixture.port.sent[1].message.withdrawal->endBy == callersTimeEnds + fixture.limits.withdrawnRunLimit);
 }
+
+// Guards against a refusal as not run of a job whose owner has forgotten that the run ended.
+TEST_CASE("executor gives up a job at its deadline if an owner no longer knows one of its runs")
+{
+    ExecutorFixture fixture;
+    fixture.submit(jobOf("j", 1));
+    fixture.now += Milliseconds { 1'480 };
+    fixture.executor.tick(fixture.now);
+    REQUIRE(fixture.port.sent.back().message.withdrawal);
+    CHECK(fixture.port.replies.empty());
+    fixture.executor.onReturned("x", { fixture.request(0).run, ReturnReason::Lost }, fixture.now);
+    REQUIRE(fixture.port.replies.size() == 1);
+    CHECK(fixture.port.replies[0].reply.outcome == JobOutcome::GaveUp);
+}
--- a/tests/unit/unit-upstream-owner.cpp
+++ b/tests/unit/unit-upstream-owner.cpp
@@ -1123,6 +1123,50 @@
     }
 }
 
+// Guards against a job that is refused as not run although it has run: reports of the end may be lost with the connection to
+// the executor, and the owner forgets the end after a time.
+TEST_CASE("owner says that a run never started only if it knows that")
+{
+    OwnerFixture fixture;
+    fixture.poll(fixture.reply());
+    const auto reasonOfWithdrawal = [&fixture](const TaskRun& run) {
+        fixture.owner.withdraw("x", { run, false, {} }, fixture.now);
+        REQUIRE(fixture.lastMessage().returned);
+        return fixture.lastMessage().returned->reason;
+    };
+
+    SECTION("of a queued run")
+    {
+        for (std::uint32_t index = 0; index < 3; ++index)
+            fixture.owner.request("x", requestFor("j", index, fixture.now + Seconds { 1 }), fixture.now);
+        CHECK(reasonOfWithdrawal({ { "j", 0, 2 }, 1 }) == ReturnReason::Withdrawn);
+    }
+
+    SECTION("not of one whose end it has forgotten")
+    {
+        const TaskRun run = fixture.startOne("j");
+        fixture.advance(Milliseconds { 100 });
+        fixture.poll(fixture.reply({}, { fixture.end(run, RunOutcome::Done) }));
+        fixture.advance(fixture.limits.endedRunRetention + Milliseconds { 1 });
+        fixture.owner.tick(fixture.now);
+        CHECK(reasonOfWithdrawal(run) == ReturnReason::Lost);
+    }
+
+    SECTION("not of one that passed to another owner, and that it has forgotten")
+    {
+        const TaskRun run = fixture.startOne("j");
+        fixture.owner.release("u1", fixture.now);
+        fixture.advance(fixture.limits.endedRunRetention + Milliseconds { 1 });
+        fixture.owner.tick(fixture.now);
+        CHECK(reasonOfWithdrawal(run) == ReturnReason::Lost);
+    }
+
+    SECTION("not of one that it has never known")
+    {
+        CHECK(reasonOfWithdrawal({ { "j", 0, 0 }, 1 }) == ReturnReason::Lost);
+    }
+}
+
 // Guards against a task that is started elsewhere while a start order for it, sent to the former incarnation of an upstream, is
 // carried out by the new one.
 TEST_CASE("owner keeps a run whose start order has no reply when its upstream restarts")
