Limit the numbers of jobs and of messages between VMs

Cause: needs were converted from 64 bits without a sign to 64 bits with one, so a huge need became negative, fitted every upstream and entered the typical need. Times above 10^12 ms could be written as well: by a learned factor on an estimate, or by the sum of a queue's work.

What a VM writes for another can be read.

--- a/packages/decision/src/run_time_estimator.cpp
+++ b/packages/decision/src/run_time_estimator.cpp
@@ -17,6 +17,9 @@
     // A run that takes this many times longer than expected reflects a problem of the upstream, not of the route.
     constexpr double outlierFactor = 4;
 
+    // Estimates may be wrong by any factor. A longer time would exceed 64 bits in nanoseconds once it is multiplied.
+    constexpr double maxRunTimeMs = 1e9;
+
     // Runs whose errors are kept for shortestRunTime(), and the number of them that is needed. One job in 33 has seven times
     // the usual work, and the tasks of a job have the same error, so that some tens of jobs have to be among them.
     constexpr std::size_t maxErrors = 256;
@@ -64,7 +67,7 @@
     if (estimate.count() <= 0)
         return Milliseconds { static_cast<std::int64_t>(times.meanMs) };
     const double corrected = static_cast<double>(estimate.count()) * times.errorFactor;
-    return Milliseconds { static_cast<std::int64_t>(estimateWeight * corrected + (1 - estimateWeight) * times.meanMs) };
+    return Milliseconds { static_cast<std::int64_t>(std::min(maxRunTimeMs, estimateWeight * corrected + (1 - estimateWeight) * times.meanMs)) };
 }
 
 Milliseconds RunTimeEstimator::shortestRunTime(const std::string& route, Milliseconds estimate) const
@@ -73,7 +76,7 @@
     if (known == m_routes.end() || known->second.latestErrors.size() < minErrors || estimate.count() <= 0)
         return Milliseconds { 0 };
     const std::vector<double>& errors = known->second.latestErrors;
-    return Milliseconds { static_cast<std::int64_t>(static_cast<double>(estimate.count()) * *std::min_element(errors.begin(), errors.end())) };
+    return Milliseconds { static_cast<std::int64_t>(std::min(maxRunTimeMs, static_cast<double>(estimate.count()) * *std::min_element(errors.begin(), errors.end()))) };
 }
 
 double RunTimeEstimator::slowness(const std::string& kind) const
--- a/packages/wire/include/egrettrestle/wire/detail/input/object_reader.hpp
+++ b/packages/wire/include/egrettrestle/wire/detail/input/object_reader.hpp
@@ -25,6 +25,9 @@
     int outOfRange() const { return base + 5; }
 };
 
+/// The longest time that milliseconds() reads.
+inline constexpr std::uint64_t maxMilliseconds = 1'000'000'000'000;
+
 /// The beginning of a text, for messages; a character of several bytes is not cut.
 std::string excerptOf(const std::string& text);
 
@@ -50,6 +53,8 @@
     std::uint64_t numberOr(const char* key, std::uint64_t defaultValue);
     /// Adds an error for a number above `maximum`, which reads as 0.
     std::uint64_t numberOr(const char* key, std::uint64_t defaultValue, std::uint64_t maximum);
+    /// A non-negative integer that fits into 64 bits with a sign. Adds an error for a larger one, which reads as 0.
+    std::int64_t integer(const char* key);
     double real(const char* key);
     double realOr(const char* key, double defaultValue);
     bool boolean(const char* key);
--- a/packages/wire/src/dispatch_messages.cpp
+++ b/packages/wire/src/dispatch_messages.cpp
@@ -1,5 +1,8 @@
 #include <egrettrestle/wire/dispatch_messages.hpp>
 
+#include <algorithm>
+#include <cmath>
+
 #include <egrettrestle/wire/detail/conversions/parse_message.hpp>
 
 namespace egrettrestle {
@@ -21,6 +24,13 @@
         return last;
     }
 
+    /// A number as the receiver can read it. An unreadable number would make the receiver reject the whole batch.
+    std::int64_t readableNumber(std::int64_t value) { return std::max<std::int64_t>(0, value); }
+
+    std::int64_t readableMilliseconds(Milliseconds time) { return std::clamp<std::int64_t>(time.count(), 0, static_cast<std::int64_t>(detail::maxMilliseconds)); }
+
+    double readableReal(double value, double defaultValue) { return std::isfinite(value) ? value : defaultValue; }
+
     json runJson(const char* kind, const TaskRun& run)
     {
         return { { "is", kind }, { "job", run.task.job }, { "step", run.task.step }, { "index", run.task.index }, { "run", run.number } };
@@ -42,15 +52,15 @@
         value["spec"] = request.spec;
         value["service"] = request.service;
         value["route"] = request.route;
-        value["cpu"] = request.need.milliCores;
-        value["memory"] = request.need.memoryMb;
-        value["accelerators"] = request.need.accelerators;
-        value["priority"] = request.priority;
-        value["estimateMs"] = request.estimate.count();
-        value["expectedMs"] = request.expectedRunTime.count();
-        value["startWithinMs"] = std::max<std::int64_t>(0, toMilliseconds(request.latestStart - now).count());
+        value["cpu"] = readableNumber(request.need.milliCores);
+        value["memory"] = readableNumber(request.need.memoryMb);
+        value["accelerators"] = readableNumber(request.need.accelerators);
+        value["priority"] = readableNumber(request.priority);
+        value["estimateMs"] = readableMilliseconds(request.estimate);
+        value["expectedMs"] = readableMilliseconds(request.expectedRunTime);
+        value["startWithinMs"] = readableMilliseconds(toMilliseconds(request.latestStart - now));
         if (request.dueBy)
-            value["dueWithinMs"] = std::max<std::int64_t>(0, toMilliseconds(*request.dueBy - now).count());
+            value["dueWithinMs"] = readableMilliseconds(toMilliseconds(*request.dueBy - now));
         if (!request.requiredLabel.empty())
             value["label"] = request.requiredLabel;
         if (!request.dataRack.empty())
@@ -68,13 +78,14 @@
 
     Resources readResources(ObjectReader& reader)
     {
-        return { static_cast<std::int64_t>(reader.number("cpu")), static_cast<std::int64_t>(reader.number("memory")), static_cast<std::int64_t>(reader.number("accelerators")) };
+        return { reader.integer("cpu"), reader.integer("memory"), reader.integer("accelerators") };
     }
 
     /// Batches of earlier builds lack them in some messages.
     Resources readResourcesOrNone(ObjectReader& reader)
     {
-        return { static_cast<std::int64_t>(reader.numberOr("cpu", 0)), static_cast<std::int64_t>(reader.numberOr("memory", 0)), static_cast<std::int64_t>(reader.numberOr("accelerators", 0)) };
+        const auto integerOrNone = [&reader](const char* key) { return reader.has(key) ? reader.integer(key) : 0; };
+        return { integerOrNone("cpu"), integerOrNone("memory"), integerOrNone("accelerators") };
     }
 
     RunRequest readRequest(ObjectReader& reader, TimePoint now)
@@ -107,14 +118,14 @@
             suspects.push_back({ { "job", task.job }, { "step", task.step }, { "index", task.index } });
         json exposures = json::array();
         for (const RouteExposure& exposure : crash.exposures)
-            exposures.push_back({ { "route", exposure.route }, { "present", exposure.present }, { "share", exposure.share } });
-        return { { "is", "crash" }, { "upstream", crash.incarnation.upstream }, { "startedAt", crash.incarnation.startedAt.count() }, { "evidence", static_cast<int>(crash.evidence) }, { "suspects", std::move(suspects) }, { "alone", crash.alone }, { "exposures", std::move(exposures) } };
+            exposures.push_back({ { "route", exposure.route }, { "present", exposure.present }, { "share", readableReal(exposure.share, 0) } });
+        return { { "is", "crash" }, { "upstream", crash.incarnation.upstream }, { "startedAt", readableNumber(crash.incarnation.startedAt.count()) }, { "evidence", static_cast<int>(crash.evidence) }, { "suspects", std::move(suspects) }, { "alone", crash.alone }, { "exposures", std::move(exposures) } };
     }
 
     UpstreamCrash readCrash(ObjectReader& reader, std::vector<ValidationError>& errors)
     {
         UpstreamCrash crash;
-        crash.incarnation = { reader.text("upstream"), Milliseconds { static_cast<std::int64_t>(reader.number("startedAt")) } };
+        crash.incarnation = { reader.text("upstream"), Milliseconds { reader.integer("startedAt") } };
         crash.evidence = readEnum(reader, "evidence", CrashEvidence::Refuted, errors);
         crash.alone = reader.boolean("alone");
         for (const json& element : reader.array("suspects")) {
@@ -144,7 +155,7 @@
             json value = runJson("ended", message.ended->run);
             value["upstream"] = message.ended->upstream;
             value["how"] = static_cast<int>(message.ended->outcome);
-            value["tookMs"] = message.ended->duration.count();
+            value["tookMs"] = readableMilliseconds(message.ended->duration);
             value["kind"] = message.ended->kind;
             return value;
         }
@@ -157,9 +168,9 @@
             json value = runJson("claim", message.claim->run);
             value["upstream"] = message.claim->upstream;
             value["epoch"] = message.claim->epoch.value;
-            value["cpu"] = message.claim->need.milliCores;
-            value["memory"] = message.claim->need.memoryMb;
-            value["accelerators"] = message.claim->need.accelerators;
+            value["cpu"] = readableNumber(message.claim->need.milliCores);
+            value["memory"] = readableNumber(message.claim->need.memoryMb);
+            value["accelerators"] = readableNumber(message.claim->need.accelerators);
             return value;
         }
         json value = runJson("withdrawn", message.withdrawal->run);
@@ -167,7 +178,7 @@
         if (!message.withdrawal->upstream.empty())
             value["upstream"] = message.withdrawal->upstream;
         if (message.withdrawal->endBy)
-            value["endWithinMs"] = std::max<std::int64_t>(0, toMilliseconds(*message.withdrawal->endBy - now).count());
+            value["endWithinMs"] = readableMilliseconds(toMilliseconds(*message.withdrawal->endBy - now));
         return value;
     }
 
@@ -204,11 +215,11 @@
 
     json kindJson(const KindCapacity& kind)
     {
-        json value { { "service", kind.service }, { "kind", kind.kind }, { "free", kind.freeTasks }, { "total", kind.totalTasks }, { "slowness", kind.slowness } };
+        json value { { "service", kind.service }, { "kind", kind.kind }, { "free", kind.freeTasks }, { "total", kind.totalTasks }, { "slowness", readableReal(kind.slowness, 1) } };
         if (!kind.places.empty()) {
             json& places = value["places"] = json::array();
             for (const SizedCapacity& place : kind.places)
-                places.push_back(json::array({ place.milliCores, place.freeTasks }));
+                places.push_back(json::array({ readableNumber(place.milliCores), place.freeTasks }));
         }
         return value;
     }
@@ -233,11 +244,11 @@
             kinds.push_back(kindJson(kind));
         json queues = json::array();
         for (const QueueBacklog& queue : capacity.queues)
-            queues.push_back({ { "service", queue.service }, { "priority", queue.priority }, { "tasks", queue.tasks }, { "workMs", queue.work.count() } });
+            queues.push_back({ { "service", queue.service }, { "priority", readableNumber(queue.priority) }, { "tasks", queue.tasks }, { "workMs", readableMilliseconds(queue.work) } });
         json routes = json::array();
         for (const RouteCapacity& route : capacity.confinedRoutes)
-            routes.push_back({ { "route", route.route }, { "free", route.freeTasks }, { "total", route.totalTasks }, { "tasks", route.queuedTasks }, { "workMs", route.queuedWork.count() } });
-        const json need { { "cpu", capacity.typicalNeed.milliCores }, { "memory", capacity.typicalNeed.memoryMb }, { "accelerators", capacity.typicalNeed.accelerators } };
+            routes.push_back({ { "route", route.route }, { "free", route.freeTasks }, { "total", route.totalTasks }, { "tasks", route.queuedTasks }, { "workMs", readableMilliseconds(route.queuedWork) } });
+        const json need { { "cpu", readableNumber(capacity.typicalNeed.milliCores) }, { "memory", readableNumber(capacity.typicalNeed.memoryMb) }, { "accelerators", readableNumber(capacity.typicalNeed.accelerators) } };
         json value { { "need", need }, { "kinds", std::move(kinds) }, { "queues", std::move(queues) }, { "seen", capacity.requestsReceived }, { "completeUnder", capacity.completeAtEpoch.value } };
         if (!routes.empty())
             value["confined"] = std::move(routes);
--- a/packages/wire/src/object_reader.cpp
+++ b/packages/wire/src/object_reader.cpp
@@ -1,13 +1,13 @@
 #include <egrettrestle/wire/detail/input/object_reader.hpp>
 
 #include <algorithm>
+#include <limits>
 
 namespace egrettrestle::detail {
 
 namespace {
 
     constexpr int maxDepth = 64;
-    constexpr std::uint64_t maxMilliseconds = 1'000'000'000'000;
     constexpr std::size_t maxExcerptLength = 60;
 
     struct TooDeep {
@@ -124,6 +124,16 @@
     return 0;
 }
 
+std::int64_t ObjectReader::integer(const char* key)
+{
+    constexpr std::uint64_t maximum = std::numeric_limits<std::int64_t>::max();
+    const std::uint64_t value = number(key);
+    if (value <= maximum)
+        return static_cast<std::int64_t>(value);
+    m_errors.push_back({ m_codes.outOfRange(), pointer(key), std::to_string(value), "at most " + std::to_string(maximum) });
+    return 0;
+}
+
 double ObjectReader::real(const char* key)
 {
     const nlohmann::json* found = find(key, true);
--- a/tests/unit/unit-wire.cpp
+++ b/tests/unit/unit-wire.cpp
@@ -1,5 +1,7 @@
 #include <catch2/catch.hpp>
 
+#include <limits>
+
 #include <egrettrestle/base/span.hpp>
 #include <egrettrestle/wire/dispatch_messages.hpp>
 #include <egrettrestle/wire/job.hpp>
@@ -212,6 +214,44 @@
         CHECK_FALSE(parseDispatchBatch(text, now));
     }
 
+    // Guards against VMs that lose contact with all others because of one number in a batch, which they reject as a whole.
+    SECTION("a batch can be read whatever numbers it contains")
+    {
+        constexpr std::int64_t least = std::numeric_limits<std::int64_t>::min();
+        constexpr std::int64_t most = std::numeric_limits<std::int64_t>::max();
+        const double reals[] = { 0, std::numeric_limits<double>::infinity(), std::numeric_limits<double>::quiet_NaN(), std::numeric_limits<double>::max() };
+        for (const std::int64_t value : { least, std::int64_t { -2'000'000 }, std::int64_t { -1 }, std::int64_t { 0 }, std::int64_t { 1'000'000'000'001 }, most }) {
+            const Milliseconds time { value };
+            // Points in time are limited by their resolution.
+            const TimePoint point = now + std::chrono::duration_cast<Duration>(Milliseconds { value / 4'000'000 });
+            for (const double real : reals) {
+                const Resources need { value, value, value };
+                RunRequest extreme = request;
+                extreme.need = need;
+                extreme.priority = static_cast<int>(value);
+                extreme.estimate = time;
+                extreme.expectedRunTime = time;
+                extreme.latestStart = point;
+                extreme.dueBy = point;
+                extreme.maxPerUpstream = std::numeric_limits<std::uint32_t>::max();
+                batch.messages = {
+                    { extreme, {}, {}, {}, {}, {} },
+                    { {}, {}, RunEnded { run, "u", RunOutcome::Done, time, "a" }, {}, {}, {} },
+                    { {}, {}, {}, {}, RunWithdrawal { run, false, "u", point }, {} },
+                    { {}, {}, {}, {}, {}, RunClaim { run, "u", { 6 }, need } },
+                    { {}, {}, {}, {}, {}, {}, false, UpstreamCrash { { "u", time }, CrashEvidence::Confirmed, { run.task }, true, { { "proof", true, real } } } },
+                };
+                batch.capacity = {};
+                batch.capacity.typicalNeed = need;
+                batch.capacity.kinds.push_back({ "print", "a", 2, 8, real, { { value, 3 } } });
+                batch.capacity.confinedRoutes.push_back({ "proof", 1, 4, 3, time });
+                batch.capacity.queues.push_back({ "print", static_cast<int>(value), 4, time });
+                CAPTURE(value, real);
+                CHECK(parseDispatchBatch(toText(batch, now), now));
+            }
+        }
+    }
+
     SECTION("batches are unchanged by a round trip; times are relative to the receiver's clock")
     {
         const TimePoint later = now + Seconds { 100 };
