Keep reports for a VM that does not reply

Fix: only requests and claims are withdrawn, since their tasks are started elsewhere; they become withdrawals of the same runs, so that the messages keep their numbers. Reports stay queued for 5 s without a reply. That is shorter than the 10 s for which an executor goes on numbering the runs of a job, so no old report can be mistaken for one on a new run.

Found by reading the trace of the case; unit-peer-channel "channel to a VM that does not reply keeps what that VM has to know about its runs" uses the new function and so did not build before.

--- a/packages/decision/include/egrettrestle/decision/dispatcher.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatcher.hpp
@@ -65,7 +65,8 @@
     virtual void recordEvent(const EvacuationEvent& event) = 0;
     /// Reports that the set of owned upstreams, or the description of one of them, has changed.
     virtual void onOwnedUpstreamsChanged() = 0;
-    /// Reports the loss of a VM, whose runs are now started elsewhere. Messages pending for it must not be delivered.
+    /// Reports the loss of a VM, whose runs are now started elsewhere. Requests and claims pending for it must not be delivered;
+    /// see PeerChannel::withdrawPendingRequests().
     virtual void onPeerLost(const VmId& vm) = 0;
 };
 
--- a/packages/decision/include/egrettrestle/decision/peer_channel.hpp
+++ b/packages/decision/include/egrettrestle/decision/peer_channel.hpp
@@ -56,6 +56,10 @@
     bool isEmpty() const { return m_pending.empty(); }
     /// Discards the pending messages. Those that were already sent may still be processed, until they are too old.
     void discardPending();
+    /// Replaces the pending requests and claims by withdrawals of the same runs, because the peer does not reply and the tasks are
+    /// started elsewhere. The numbers of the messages stay. All other messages are kept, since the peer cannot learn otherwise
+    /// what has become of its runs here: that it does not reply does not mean that it has lost them.
+    void withdrawPendingRequests();
     /// The header for a batch of all pending messages.
     BatchHeader batchHeader() const;
     /// The messages that have not been confirmed by a reply.
--- a/packages/decision/src/peer_channel.cpp
+++ b/packages/decision/src/peer_channel.cpp
@@ -10,6 +10,19 @@
     m_pending.clear();
 }
 
+void PeerChannel::withdrawPendingRequests()
+{
+    for (PeerMessage& message : m_pending) {
+        if (!message.request && !message.claim)
+            continue;
+        RunWithdrawal withdrawal;
+        withdrawal.run = message.request ? message.request->run : message.claim->run;
+        if (message.claim)
+            withdrawal.upstream = message.claim->upstream;
+        message = { {}, {}, {}, {}, std::move(withdrawal), {} };
+    }
+}
+
 BatchHeader PeerChannel::batchHeader() const
 {
     return { m_processIncarnation, m_peerProcessIncarnation, m_peerTimestamp, m_firstPending };
--- a/packages/fleet/include/egrettrestle/fleet/peer_links.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/peer_links.hpp
@@ -46,8 +46,8 @@
     void setView(const View& view);
     /// Queues a message for a VM; it is discarded if there is no link to that VM.
     void send(const VmId& vm, PeerMessage message);
-    /// Discards the messages that are queued for a VM.
-    void dropMessages(const VmId& vm);
+    /// See PeerChannel::withdrawPendingRequests().
+    void withdrawPendingRequests(const VmId& vm);
     /// Sends the batches that are due by time alone. To be called on the event loop at short, regular intervals.
     void sendDueBatches();
 
--- a/packages/fleet/src/dispatch_service.cpp
+++ b/packages/fleet/src/dispatch_service.cpp
@@ -259,7 +259,7 @@
 void DispatchService::onPeerLost(const VmId& vm)
 {
     m_context.log.write(events::vmLost, { { "peer", vm } });
-    m_context.kernel.find<PeerLinks>(fleetServices::peerLinks).dropMessages(vm);
+    m_context.kernel.find<PeerLinks>(fleetServices::peerLinks).withdrawPendingRequests(vm);
 }
 
 } // namespace egrettrestle
--- a/packages/fleet/src/peer_links.cpp
+++ b/packages/fleet/src/peer_links.cpp
@@ -27,6 +27,9 @@
     constexpr Milliseconds retryInterval { 40 };
     // Links to former members are kept for this long after their last reply.
     constexpr Milliseconds formerMemberTimeout { 3'000 };
+    // Messages to a VM that has not replied for this long are discarded. Executors number the runs of a job anew 10 s after it
+    // has ended, and would mistake an older report for one on a run of the same number.
+    constexpr Milliseconds maxUndeliveredTime { 5'000 };
     // Messages that need no immediate action are held back this long to be batched with others: about the run time of a
     // short task.
     constexpr Milliseconds maxMessageDelay { 50 };
@@ -160,10 +163,10 @@
     });
 }
 
-void PeerLinks::dropMessages(const VmId& vm)
+void PeerLinks::withdrawPendingRequests(const VmId& vm)
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
-    channel(vm).discardPending();
+    channel(vm).withdrawPendingRequests();
 }
 
 /// Called with m_mutex held. A channel outlives its link: the message numbers continue if the VM becomes a member again.
@@ -256,6 +259,9 @@
         const TimePoint now = bootTimeNow();
         removeFormerMembers(now);
         for (const auto& entry : m_peers) {
+            // The last reply of a VM that is not in regular contact may be older.
+            if (entry.second->unansweredSince && now - *entry.second->unansweredSince > maxUndeliveredTime)
+                entry.second->channel->discardPending();
             if (isDue(*entry.second, now))
                 due.push_back(entry.second);
         }
--- a/tests/model/dispatch_simulation.cpp
+++ b/tests/model/dispatch_simulation.cpp
@@ -216,7 +216,7 @@
                 simulation.updatePolledUpstreams(number);
         });
     }
-    void onPeerLost(const VmId& vm) override { channel(vm).discardPending(); }
+    void onPeerLost(const VmId& vm) override { channel(vm).withdrawPendingRequests(); }
 
     DispatchSimulation& simulation;
     int number;
--- a/tests/unit/unit-peer-channel.cpp
+++ b/tests/unit/unit-peer-channel.cpp
@@ -206,3 +206,47 @@
     CHECK(result.accepted);
     CHECK(result.maxAge == sinceReply);
 }
+
+// Guards against a VM that waits for the ends of its runs until its callers give up, because the owner has taken it for lost and
+// discarded them: it may only be unable to read or confirm what the owner sends.
+TEST_CASE("channel to a VM that does not reply keeps what that VM has to know about its runs")
+{
+    const TimePoint now { std::chrono::hours { 1 } };
+    const auto runOf = [](const std::string& job) { return TaskRun { { job, 0, 0 }, 1 }; };
+    RunRequest request;
+    request.run = runOf("requested");
+    PeerChannel sender(senderIncarnation, {});
+    sender.send({ request, {}, {}, {}, {}, {} });
+    sender.send({ {}, {}, RunEnded { runOf("ended"), "u", RunOutcome::Done }, {}, {}, {} });
+    sender.send({ {}, {}, {}, {}, {}, RunClaim { runOf("claimed"), "u", { 6 } } });
+    sender.send({ {}, {}, {}, RunReturned { runOf("returned"), ReturnReason::Expired }, {}, {} });
+    const std::uint64_t firstMessage = sender.batchHeader().firstMessage;
+    sender.withdrawPendingRequests();
+    CHECK(sender.batchHeader().firstMessage == firstMessage);
+    const std::vector<PeerMessage> pending = sender.pendingMessages();
+    REQUIRE(pending.size() == 4);
+
+    SECTION("its requests and claims are withdrawn, since the tasks are started elsewhere")
+    {
+        for (const std::size_t index : { std::size_t { 0 }, std::size_t { 2 } }) {
+            CHECK_FALSE(pending[index].request);
+            CHECK_FALSE(pending[index].claim);
+            REQUIRE(pending[index].withdrawal);
+            CHECK_FALSE(pending[index].withdrawal->onlyIfWaiting);
+        }
+        CHECK(pending[0].withdrawal->run == runOf("requested"));
+        CHECK(pending[2].withdrawal->run == runOf("claimed"));
+        CHECK(pending[2].withdrawal->upstream == "u");
+    }
+
+    SECTION("reports are delivered once it replies again")
+    {
+        PeerChannel receiver(receiverIncarnation, {});
+        sender.onReply(sender.batchHeader(), 0, { receiverIncarnation, PeerChannel::timestampAt(now), false });
+        const PeerChannel::BatchResult result = receiver.onBatch(sender.batchHeader(), pending.size(), now);
+        CHECK(result.accepted);
+        CHECK(result.duplicates == 0);
+        CHECK(pending[1].ended->run == runOf("ended"));
+        CHECK(pending[3].returned->run == runOf("returned"));
+    }
+}
