Tell why a batch of messages cannot be read, on both sides

The receiver logged that a batch was rejected, not why; no metric counted it, and the sender logged nothing.

batch-rejected (4107) names the first field that cannot be read, egrettrestle_rejected_batches_total counts such batches, and the sender logs batch-refused (4108) when a VM that it reaches begins to refuse its batches.

--- a/packages/base/include/egrettrestle/base/event.hpp
+++ b/packages/base/include/egrettrestle/base/event.hpp
@@ -73,6 +73,7 @@
     inline constexpr Event vmLost { 4105, Severity::Warning, "vm-lost", "A VM has been silent for so long that none of the runs it made for this VM is left." };
     inline constexpr Event staleBatch { 4106, Severity::Warning, "stale-batch", "Messages from a VM were delayed in transit and were discarded." };
     inline constexpr Event batchRejected { 4107, Severity::Error, "batch-rejected", "A VM sent a batch of messages that this build cannot read." };
+    inline constexpr Event batchRefused { 4108, Severity::Error, "batch-refused", "A VM that can be reached refuses this VM's messages, and learns nothing from it." };
     inline constexpr Event manifestInForce { 5001, Severity::Info, "manifest-in-force", "A manifest revision is in force on this VM." };
     inline constexpr Event manifestRejected { 5002, Severity::Error, "manifest-rejected", "The store holds an invalid manifest; the previous one stays in force." };
     inline constexpr Event manifestOlder { 5003, Severity::Warning, "manifest-older", "A manifest revision lower than the current one was read and ignored." };
--- a/packages/base/include/egrettrestle/base/metrics.hpp
+++ b/packages/base/include/egrettrestle/base/metrics.hpp
@@ -29,6 +29,9 @@
     /// Counts a task sent to an upstream.
     void countStart(const std::string& kind);
 
+    /// Counts a batch of messages from another VM that could not be read.
+    void countRejectedBatch();
+
     /// Counts a start order that was discarded because it no longer stood when it was to be sent.
     void countWithheldStart();
 
--- a/packages/base/src/event.cpp
+++ b/packages/base/src/event.cpp
@@ -72,6 +72,7 @@
         events::vmLost,
         events::staleBatch,
         events::batchRejected,
+        events::batchRefused,
         events::manifestInForce,
         events::manifestRejected,
         events::manifestOlder,
--- a/packages/base/src/metrics.cpp
+++ b/packages/base/src/metrics.cpp
@@ -26,6 +26,7 @@
         , wasted(counterFamily(registry, "wasted_messages_total", "Messages that contributed nothing to an answer, by use"))
         , messageBytes(counterFamily(registry, "message_bytes_total", "Bytes of message bodies sent and received, by use"))
         , starts(counterFamily(registry, "task_starts_total", "Tasks sent to an upstream"))
+        , rejectedBatches(counterFamily(registry, "rejected_batches_total", "Batches of messages from other VMs that could not be read"))
         , withheldStarts(counterFamily(registry, "withheld_starts_total", "Start orders that no longer stood when they were to be sent"))
         , lostRuns(counterFamily(registry, "lost_runs_total", "Runs lost with their upstream, by route and cause"))
         , waits(counterFamily(registry, "placement_waits_total", "Runs that waited for a better place, by outcome"))
@@ -40,6 +41,7 @@
     prometheus::Family<prometheus::Counter>& wasted;
     prometheus::Family<prometheus::Counter>& messageBytes;
     prometheus::Family<prometheus::Counter>& starts;
+    prometheus::Family<prometheus::Counter>& rejectedBatches;
     prometheus::Family<prometheus::Counter>& withheldStarts;
     prometheus::Family<prometheus::Counter>& lostRuns;
     prometheus::Family<prometheus::Counter>& waits;
@@ -74,6 +76,11 @@
     m_families->starts.Add({ { "kind", kind } }).Increment();
 }
 
+void Metrics::countRejectedBatch()
+{
+    m_families->rejectedBatches.Add({}).Increment();
+}
+
 void Metrics::countWithheldStart()
 {
     m_families->withheldStarts.Add({}).Increment();
--- a/packages/fleet/src/peer_links.cpp
+++ b/packages/fleet/src/peer_links.cpp
@@ -59,6 +59,8 @@
     bool sendPosted = false;
     /// The last batch got no reply.
     bool repeat = false;
+    /// The VM has refused the last batch, although it was reached.
+    bool refusesBatches = false;
     TimePoint lastSent;
     TimePoint lastReplyAt;
     /// When the first batch without a reply was sent since the last reply.
@@ -293,8 +295,12 @@
 {
     const std::optional<DispatchReply> reply = result.ok() && result.response.status == httpStatus::ok ? parseDispatchReply(result.response.body) : std::nullopt;
     bool sendNext = false;
+    bool refusalBegins = false;
     {
         const std::lock_guard<std::mutex> lock(m_mutex);
+        const bool refused = result.ok() && result.response.status != httpStatus::ok;
+        refusalBegins = refused && !peer->refusesBatches;
+        peer->refusesBatches = refused;
         peer->batchInFlight = false;
         peer->repeat = !reply;
         if (!reply) {
@@ -303,6 +309,8 @@
             peer->refusedConnections = result.failure == HttpFailure::ConnectFailed ? peer->refusedConnections + 1 : 0;
         }
     }
+    if (refusalBegins)
+        m_context.log.write(events::batchRefused, { { "peer", peer->id }, { "status", result.response.status }, { "messages", static_cast<std::int64_t>(batch.messages.size()) } });
     if (reply)
         onReply(*peer, *reply, batch);
     {
@@ -374,11 +382,15 @@
         response.body = m_context.kernel.find<DispatchService>(fleetServices::dispatch).configurationText();
     } else if (request.method != "POST" || request.path != dispatchPath) {
         response.status = httpStatus::notFound;
-    } else if (std::optional<DispatchBatch> batch = parseDispatchBatch(request.body, bootTimeNow())) {
-        response.body = toText(handleBatch(std::move(*batch)));
     } else {
-        response.status = httpStatus::badRequest;
-        m_context.log.write(events::batchRejected, { { "bytes", static_cast<std::int64_t>(request.body.size()) }, { "start", request.body.substr(0, rejectedBatchExcerpt) } });
+        std::vector<ValidationError> errors;
+        if (std::optional<DispatchBatch> batch = parseDispatchBatch(request.body, bootTimeNow(), errors)) {
+            response.body = toText(handleBatch(std::move(*batch)));
+        } else {
+            response.status = httpStatus::badRequest;
+            m_context.metrics.countRejectedBatch();
+            m_context.log.write(events::batchRejected, { { "bytes", static_cast<std::int64_t>(request.body.size()) }, { "error", errors.empty() ? std::string() : toString(errors.front()) }, { "start", request.body.substr(0, rejectedBatchExcerpt) } });
+        }
     }
     exchange->reply(std::move(response));
 }
--- a/packages/wire/include/egrettrestle/wire/dispatch_messages.hpp
+++ b/packages/wire/include/egrettrestle/wire/dispatch_messages.hpp
@@ -5,6 +5,7 @@
 #include <string_view>
 #include <vector>
 
+#include <egrettrestle/base/validation_error.hpp>
 #include <egrettrestle/decision/dispatch_types.hpp>
 #include <egrettrestle/decision/evacuations.hpp>
 #include <egrettrestle/decision/peer_channel.hpp>
@@ -37,6 +38,8 @@
 /// @{
 std::string toText(const DispatchBatch& batch, TimePoint now);
 std::optional<DispatchBatch> parseDispatchBatch(std::string_view text, TimePoint now);
+/// The same, and adds what is wrong to `errors`, which must be empty.
+std::optional<DispatchBatch> parseDispatchBatch(std::string_view text, TimePoint now, std::vector<ValidationError>& errors);
 
 std::string toText(const DispatchReply& reply);
 std::optional<DispatchReply> parseDispatchReply(std::string_view text);
--- a/packages/wire/src/dispatch_messages.cpp
+++ b/packages/wire/src/dispatch_messages.cpp
@@ -317,7 +317,13 @@
 
 std::optional<DispatchBatch> parseDispatchBatch(std::string_view text, TimePoint now)
 {
-    return detail::parseMessage<DispatchBatch>(text, dispatchErrorCodes, [now](ObjectReader& reader, std::vector<ValidationError>& errors) {
+    std::vector<ValidationError> errors;
+    return parseDispatchBatch(text, now, errors);
+}
+
+std::optional<DispatchBatch> parseDispatchBatch(std::string_view text, TimePoint now, std::vector<ValidationError>& parseErrors)
+{
+    return detail::parseMessage<DispatchBatch>(text, dispatchErrorCodes, parseErrors, [now](ObjectReader& reader, std::vector<ValidationError>& errors) {
         DispatchBatch batch;
         batch.sender = reader.text("from");
         batch.stamp.processIncarnation = reader.number("life");
