Answer requests that arrive while a VM stops at once

Callers whose request reached a VM in the last steps of its stop got no answer before their deadline; then they were told 504, although nothing had run.

Cause: the services end their work in order, and the links to other VMs stop sending before the server for callers has stopped accepting. A VM that has left the view owns no upstream, so all tasks of a job accepted in between wait for messages that are never sent. Ruled out as the cause of these answers: late noticing of the signal (the log shows the draining state on time), and time-outs of the server.

--- a/packages/decision/include/egrettrestle/decision/job_executor.hpp
+++ b/packages/decision/include/egrettrestle/decision/job_executor.hpp
@@ -164,7 +164,8 @@
     bool cancel(const std::string& job, TimePoint now);
 
     /// Ends every job because this VM is shutting down. Jobs of which a task has started are replied to at once as
-    /// given up; the others are refused once the owners have confirmed that nothing has run.
+    /// given up; the others are refused once the owners have confirmed that nothing has run. Jobs that are submitted later
+    /// are replied to at once: the messages to the owners may not be sent any more.
     void endAll(TimePoint now);
 
     /// Replies to all callers still waiting that their job was given up. For use at the end of the shutdown, when the
@@ -402,6 +403,8 @@
     std::map<UpstreamId, VmId> m_owners;
     FencingToken m_epoch;
     bool m_warmingUp = false;
+    /// endAll() has been called.
+    bool m_ended = false;
     bool m_evacuating = false;
     std::optional<TimePoint> m_callersUncheckedSince;
 };
--- a/packages/decision/src/job_executor.cpp
+++ b/packages/decision/src/job_executor.cpp
@@ -13,6 +13,8 @@
 
     // Reason of the failure of a job that has crashed too many upstreams.
     constexpr const char* crashesReason = "crashed-upstreams";
+    // Reason of the end of a job whose executor shuts down.
+    constexpr const char* endReason = "vm-ending";
 
     /// When each step of a job ends without waits, given the run time by step.
     template <typename RunTimeOf>
@@ -55,6 +57,14 @@
 void JobExecutor::submit(CallerTicket ticket, const DispatchJob& request, const Route& route, TimePoint now)
 {
     const auto existing = m_jobs.find(request.id);
+    if (m_ended) {
+        // The job may have run if it was here before.
+        if (existing == m_jobs.end())
+            refuse(ticket, request, route, endReason, now);
+        else
+            m_port.reply(ticket, { JobOutcome::GaveUp, Milliseconds { 0 }, endReason });
+        return;
+    }
     if (existing != m_jobs.end()) {
         m_jobByTicket[ticket] = request.id;
         if (existing->second.ending)
@@ -368,17 +378,18 @@
 
 void JobExecutor::endAll(TimePoint now)
 {
+    m_ended = true;
     std::vector<std::string> ids;
     for (auto& entry : m_jobs) {
         Job& job = entry.second;
         ids.push_back(entry.first);
         for (const Resubmission& resubmission : job.resubmissions) {
             m_jobByTicket.erase(resubmission.ticket);
-            m_port.reply(resubmission.ticket, { JobOutcome::GaveUp, Milliseconds { 0 }, "vm-ending" });
+            m_port.reply(resubmission.ticket, { JobOutcome::GaveUp, Milliseconds { 0 }, endReason });
         }
         job.resubmissions.clear();
         if (!job.ending)
-            end(job, job.anyStarted ? JobOutcome::GaveUp : JobOutcome::Refused, "vm-ending", now);
+            end(job, job.anyStarted ? JobOutcome::GaveUp : JobOutcome::Refused, endReason, now);
     }
     for (const std::string& id : ids)
         finishIfComplete(id, now);
@@ -387,7 +398,7 @@
 void JobExecutor::abandonAll(TimePoint now)
 {
     for (auto& entry : m_jobs)
-        reply(entry.second, { JobOutcome::GaveUp, Milliseconds { 0 }, "vm-ending" }, now);
+        reply(entry.second, { JobOutcome::GaveUp, Milliseconds { 0 }, endReason }, now);
 }
 
 JobExecutor::Task* JobExecutor::findTask(const TaskRun& run, const VmId& owner, Job*& job)
--- a/tests/unit/unit-job-executor.cpp
+++ b/tests/unit/unit-job-executor.cpp
@@ -515,6 +515,29 @@
         REQUIRE(fixture.port.replies.size() == 2);
         CHECK(fixture.port.replies[1].ticket == 2);
     }
+
+    // Guards against jobs that are accepted although no message about them is sent any more.
+    SECTION("at once to those that submit another job later, with a refusal")
+    {
+        fixture.executor.endAll(fixture.now);
+        const std::size_t sentBefore = fixture.port.sent.size();
+        fixture.submit(jobOf("k", 1), 2);
+        REQUIRE(fixture.port.replies.size() == 1);
+        CHECK(fixture.port.replies[0].ticket == 2);
+        CHECK(fixture.port.replies[0].reply.outcome == JobOutcome::Refused);
+        CHECK(fixture.port.sent.size() == sentBefore);
+        CHECK(fixture.executor.jobs() == 1);
+    }
+
+    // A refusal would say that the job has not run.
+    SECTION("at once to those that submit the same job later, which is given up")
+    {
+        fixture.executor.endAll(fixture.now);
+        fixture.submit(jobOf("j", 1), 2);
+        REQUIRE(fixture.port.replies.size() == 1);
+        CHECK(fixture.port.replies[0].ticket == 2);
+        CHECK(fixture.port.replies[0].reply.outcome == JobOutcome::GaveUp);
+    }
 }
 
 TEST_CASE("executor sends the tasks of a step that run faster together to one rack")
