Report connections that end without an answer, and the steps of a drain

- AsyncHttpServer counts connections that end without a complete reply by cause.
They are written as requests-unanswered (1011) and counted in egrettrestle_unanswered_requests_total{port,cause}.
- StopRequest notes when the signal arrived. draining (1002) and drain-step (1012) say how long after it they were written, with the jobs and the requests that are left; stop-cut-short (1005) has the requests that are cut.

No change of behaviour. Test: unit-async-http, "AsyncHttpServer counts the connections that end without a complete reply".

--- a/apps/egrettrestled/main.cpp
+++ b/apps/egrettrestled/main.cpp
@@ -1,4 +1,3 @@
-#include <atomic>
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -9,6 +8,7 @@
 #include <glog/logging.h>
 
 #include <egrettrestle/base/event.hpp>
+#include <egrettrestle/base/stop_request.hpp>
 #include <egrettrestle/fleet/fleet_daemon.hpp>
 #include <egrettrestle/platform/platform_adapters.hpp>
 #include <egrettrestle/services/daemon.hpp>
@@ -22,11 +22,11 @@
     InvalidSettings = 2,
 };
 
-std::atomic<bool> stopRequested { false };
+egrettrestle::StopRequest stopRequest;
 
 void requestStop(int)
 {
-    stopRequested = true;
+    stopRequest.request();
 }
 
 void handleSignals()
@@ -63,7 +63,7 @@
         return Success;
     }
     handleSignals();
-    return exitCode(egrettrestle::runFleetDaemon(*parse.settings, egrettrestle::platform::makePlatformAdapters, stopRequested));
+    return exitCode(egrettrestle::runFleetDaemon(*parse.settings, egrettrestle::platform::makePlatformAdapters, stopRequest));
 }
 
 /// The settings file with --fleet: as given on the command line, otherwise from the platform's environment variable.
@@ -121,7 +121,7 @@
     }
     startLogging(argv[0], *parse.settings);
     handleSignals();
-    return exitCode(egrettrestle::runDaemon(*parse.settings, stopRequested));
+    return exitCode(egrettrestle::runDaemon(*parse.settings, stopRequest));
 }
 
 }
--- a/packages/base/include/egrettrestle/base/event.hpp
+++ b/packages/base/include/egrettrestle/base/event.hpp
@@ -35,6 +35,8 @@
     inline constexpr Event processResumed { 1008, Severity::Warning, "process-resumed", "The process stood still for longer than it should; starts wait until it is known which callers have left meanwhile." };
     inline constexpr Event startFailed { 1009, Severity::Error, "start-failed", "The process cannot start, for the cause named, and exits." };
     inline constexpr Event inputRefused { 1010, Severity::Warning, "input-refused", "Requests were refused because of their size or because the memory for requests was used up, or connections were closed in favour of new ones." };
+    inline constexpr Event requestsUnanswered { 1011, Severity::Warning, "requests-unanswered", "Connections ended without a complete reply to a request: the handler dropped it, its reply could not be sent, the server stopped before the reply was sent or before the request had arrived completely, or the next request had begun to arrive and was not read." };
+    inline constexpr Event drainStep { 1012, Severity::Info, "drain-step", "A step of the drain begins; the line says how long after the signal, and how many jobs and requests are left." };
     inline constexpr Event badRequest { 2001, Severity::Info, "bad-request", "A request is malformed; the reply names the invalid field." };
     inline constexpr Event unknownKind { 2002, Severity::Info, "unknown-kind", "A job names a service or kind that the manifest does not define." };
     inline constexpr Event jobTooLarge { 2003, Severity::Info, "job-too-large", "A job has too many tasks, or a task exceeds the size limit of its kind." };
--- a/packages/base/include/egrettrestle/base/metrics.hpp
+++ b/packages/base/include/egrettrestle/base/metrics.hpp
@@ -45,6 +45,10 @@
     /// `replaced`, `too-large` or `memory`.
     void countInputRefused(const std::string& port, const std::string& reason, double count);
 
+    /// Counts connections that ended without a complete reply to a request. `cause` is `not-replied`, `not-sent`, `stopped`,
+    /// `incomplete` or `not-read`.
+    void countUnanswered(const std::string& port, const std::string& cause, double count);
+
     /// Records the response time of a job.
     void observeResponse(const std::string& urgencyClass, Duration responseTime);
 
--- a/packages/base/src/event.cpp
+++ b/packages/base/src/event.cpp
@@ -34,6 +34,8 @@
         events::processResumed,
         events::startFailed,
         events::inputRefused,
+        events::requestsUnanswered,
+        events::drainStep,
         events::badRequest,
         events::unknownKind,
         events::jobTooLarge,
--- a/packages/base/src/metrics.cpp
+++ b/packages/base/src/metrics.cpp
@@ -31,6 +31,7 @@
         , lostRuns(counterFamily(registry, "lost_runs_total", "Runs lost with their upstream, by route and cause"))
         , waits(counterFamily(registry, "placement_waits_total", "Runs that waited for a better place, by outcome"))
         , inputRefused(counterFamily(registry, "input_refused_total", "Requests and connections refused or closed because of a server's limits, by port and reason"))
+        , unansweredRequests(counterFamily(registry, "unanswered_requests_total", "Connections that ended without a complete reply to a request, by port and cause"))
         , responses(prometheus::BuildHistogram().Name("egrettrestle_response_seconds").Help("Response time of jobs").Register(registry))
         , gauges(prometheus::BuildGauge().Name("egrettrestle_state").Help("Current values by name").Register(registry))
     {
@@ -46,6 +47,7 @@
     prometheus::Family<prometheus::Counter>& lostRuns;
     prometheus::Family<prometheus::Counter>& waits;
     prometheus::Family<prometheus::Counter>& inputRefused;
+    prometheus::Family<prometheus::Counter>& unansweredRequests;
     prometheus::Family<prometheus::Histogram>& responses;
     prometheus::Family<prometheus::Gauge>& gauges;
 };
@@ -101,6 +103,11 @@
     m_families->inputRefused.Add({ { "port", port }, { "reason", reason } }).Increment(count);
 }
 
+void Metrics::countUnanswered(const std::string& port, const std::string& cause, double count)
+{
+    m_families->unansweredRequests.Add({ { "port", port }, { "cause", cause } }).Increment(count);
+}
+
 void Metrics::observeResponse(const std::string& urgencyClass, Duration responseTime)
 {
     m_families->responses.Add({ { "class", urgencyClass } }, responseBuckets).Observe(toSeconds(responseTime));
--- a/packages/fleet/include/egrettrestle/fleet/caller_server.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/caller_server.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <memory>
+#include <mutex>
 #include <vector>
 
 #include <egrettrestle/fleet/fleet_context.hpp>
@@ -26,6 +27,10 @@
     void closeAbandonedConnections();
     /// Closes idle connections, and every other one after its next reply, so that callers connect to other VMs.
     void closeConnectionsAfterReply();
+    /// Number of callers' requests that have been received and whose reply has not been sent.
+    std::size_t requestsInProgress() const;
+    /// Writes what the servers have refused or not answered since the last report.
+    void reportRefusals();
 
 private:
     void handleRequest(const std::shared_ptr<HttpExchange>& exchange);
@@ -43,6 +48,7 @@
     std::unique_ptr<AsyncHttpServer> m_callerServer;
     std::unique_ptr<AsyncHttpServer> m_readinessServer;
     std::unique_ptr<AsyncHttpServer> m_metricsServer;
+    std::mutex m_refusalsMutex;
     std::vector<ServerRefusals> m_refusals;
 };
 
--- a/packages/fleet/include/egrettrestle/fleet/server_refusals.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/server_refusals.hpp
@@ -8,7 +8,8 @@
 
 namespace egrettrestle {
 
-/// Reports what a server refused or closed because of its limits, in the log and in the metrics.
+/// Reports what a server refused or closed because of its limits, and the requests that it did not answer, in the log and in
+/// the metrics.
 class ServerRefusals {
 public:
     /// `port` is the name of the server's port in the reports. The server must outlive this object.
@@ -18,6 +19,8 @@
     void report(EventLog& log, Metrics& metrics);
 
 private:
+    void reportUnanswered(const AsyncHttpServerCounts& counts, EventLog& log, Metrics& metrics);
+
     std::string m_port;
     const AsyncHttpServer& m_server;
     AsyncHttpServerCounts m_reported;
--- a/packages/fleet/src/caller_server.cpp
+++ b/packages/fleet/src/caller_server.cpp
@@ -88,13 +88,17 @@
         if (!status.ok())
             return status;
     }
-    m_context.loop.runEvery(refusalReportInterval, [this] {
-        for (ServerRefusals& refusals : m_refusals)
-            refusals.report(m_context.log, m_context.metrics);
-    });
+    m_context.loop.runEvery(refusalReportInterval, [this] { reportRefusals(); });
     return absl::OkStatus();
 }
 
+void CallerServer::reportRefusals()
+{
+    const std::lock_guard<std::mutex> lock(m_refusalsMutex);
+    for (ServerRefusals& refusals : m_refusals)
+        refusals.report(m_context.log, m_context.metrics);
+}
+
 std::vector<AsyncHttpServer*> CallerServer::servers() const
 {
     std::vector<AsyncHttpServer*> servers;
@@ -117,6 +121,11 @@
         server->stop();
 }
 
+std::size_t CallerServer::requestsInProgress() const
+{
+    return m_callerServer ? m_callerServer->requestsInProgress() : 0;
+}
+
 void CallerServer::closeAbandonedConnections()
 {
     m_callerServer->closeAbandonedConnections();
--- a/packages/fleet/src/fleet_daemon.cpp
+++ b/packages/fleet/src/fleet_daemon.cpp
@@ -51,8 +51,8 @@
     /// unless it is destroyed before.
     class ExitWatchdog {
     public:
-        ExitWatchdog(TimePoint end, int exitCode, const Kernel& kernel, EventLog& log)
-            : m_thread([this, end, exitCode, &kernel, &log] { wait(end, exitCode, kernel, log); })
+        ExitWatchdog(TimePoint end, int exitCode, FleetContext& context)
+            : m_thread([this, end, exitCode, &context] { wait(end, exitCode, context); })
         {
         }
 
@@ -67,12 +67,13 @@
         }
 
     private:
-        void wait(TimePoint end, int exitCode, const Kernel& kernel, EventLog& log)
+        void wait(TimePoint end, int exitCode, FleetContext& context)
         {
             std::unique_lock<std::mutex> lock(m_mutex);
             if (m_wake.wait_for(lock, end - logFlushTime - bootTimeNow(), [this] { return m_stopped; }))
                 return;
-            log.write(events::stopCutShort, { { "service", kernel.stoppingService() } });
+            CallerServer& callerServer = context.kernel.find<CallerServer>(fleetServices::callerServer);
+            context.log.write(events::stopCutShort, { { "service", context.kernel.stoppingService() }, { "requests", static_cast<std::int64_t>(callerServer.requestsInProgress()) } });
             std::this_thread::sleep_for(logFlushTime);
             std::_Exit(exitCode);
         }
@@ -99,18 +100,27 @@
         EventLoop& m_loop;
     };
 
-    void drainJobs(FleetContext& context)
+    void logDrainStep(FleetContext& context, TimePoint signalledAt, const std::string& step)
+    {
+        const std::size_t requests = context.kernel.find<CallerServer>(fleetServices::callerServer).requestsInProgress();
+        context.log.write(events::drainStep, { { "step", step }, { "sinceSignalMs", toMilliseconds(bootTimeNow() - signalledAt).count() }, { "jobs", static_cast<std::int64_t>(jobsInFlight(context.kernel)) }, { "requests", static_cast<std::int64_t>(requests) } });
+    }
+
+    void drainJobs(FleetContext& context, TimePoint signalledAt)
     {
         const TimePoint requestedAt = bootTimeNow();
         context.replyDeadline = requestedAt + context.settings.gracePeriod - shutdownMargin;
         context.draining = true;
-        context.log.write(events::draining, { { "jobs", static_cast<std::int64_t>(jobsInFlight(context.kernel)) } });
+        context.log.write(events::draining, { { "jobs", static_cast<std::int64_t>(jobsInFlight(context.kernel)) }, { "sinceSignalMs", toMilliseconds(requestedAt - signalledAt).count() } });
         context.kernel.find<FleetMembership>(fleetServices::membership).leave();
+        logDrainStep(context, signalledAt, "left-view");
         const TimePoint balancerDetectedAt = requestedAt + std::min(balancerDetectionTime, context.settings.gracePeriod / 2);
         while (bootTimeNow() < balancerDetectedAt)
             context.background.runFor(stopPollInterval);
+        logDrainStep(context, signalledAt, "close-after-replies");
         context.kernel.find<CallerServer>(fleetServices::callerServer).closeConnectionsAfterReply();
         waitForJobs(context, context.replyDeadline);
+        logDrainStep(context, signalledAt, "end-jobs");
         context.kernel.find<DispatchService>(fleetServices::dispatch).withDispatcher([](Dispatcher& dispatcher, TimePoint now) { dispatcher.endJobs(now); });
         waitForJobs(context, bootTimeNow() + ownerReplyTime);
         context.kernel.find<DispatchService>(fleetServices::dispatch).withDispatcher([](Dispatcher& dispatcher, TimePoint now) { dispatcher.abandonJobs(now); });
@@ -118,7 +128,7 @@
 
 }
 
-absl::Status runFleetDaemon(const FleetSettings& settings, const PlatformAdapterFactory& makeAdapters, const std::atomic<bool>& stop)
+absl::Status runFleetDaemon(const FleetSettings& settings, const PlatformAdapterFactory& makeAdapters, const StopRequest& stop)
 {
     EventLog log(settings.id);
     EventLoop loop([&log](const std::string& message) { log.write(events::unexpectedError, { { "cause", message } }); });
@@ -139,7 +149,7 @@
     const absl::Status started = kernel.start();
     if (!started.ok()) {
         log.write(events::startFailed, { { "cause", std::string(started.message()) } });
-        const ExitWatchdog exitWatchdog(bootTimeNow() + failedStartTimeout, EXIT_FAILURE, kernel, log);
+        const ExitWatchdog exitWatchdog(bootTimeNow() + failedStartTimeout, EXIT_FAILURE, context);
         // Ends the watches of the store.
         context.draining = true;
         kernel.find<FleetMembership>(fleetServices::membership).leave();
@@ -147,11 +157,13 @@
         return started;
     }
     log.write(events::started, { { "dataCentre", settings.dataCentre }, { "caller", settings.callerAddress }, { "peer", settings.peerAddress }, { "life", static_cast<std::int64_t>(context.processIncarnation) } });
-    while (!stop)
+    while (!stop.isRequested())
         background.runFor(stopPollInterval);
-    const ExitWatchdog exitWatchdog(bootTimeNow() + settings.gracePeriod - exitMargin, EXIT_SUCCESS, kernel, log);
-    drainJobs(context);
+    const ExitWatchdog exitWatchdog(bootTimeNow() + settings.gracePeriod - exitMargin, EXIT_SUCCESS, context);
+    drainJobs(context, stop.requestedAt());
+    logDrainStep(context, stop.requestedAt(), "stop-services");
     kernel.stop();
+    kernel.find<CallerServer>(fleetServices::callerServer).reportRefusals();
     log.write(events::stopped, {});
     return absl::OkStatus();
 }
--- a/packages/fleet/src/server_refusals.cpp
+++ b/packages/fleet/src/server_refusals.cpp
@@ -2,6 +2,23 @@
 
 namespace egrettrestle {
 
+namespace {
+
+    struct UnansweredCause {
+        const char* name;
+        std::uint64_t AsyncHttpServerCounts::*count;
+    };
+
+    constexpr UnansweredCause unansweredCauses[] = {
+        { "not-replied", &AsyncHttpServerCounts::notReplied },
+        { "not-sent", &AsyncHttpServerCounts::notSent },
+        { "stopped", &AsyncHttpServerCounts::stopped },
+        { "incomplete", &AsyncHttpServerCounts::incomplete },
+        { "not-read", &AsyncHttpServerCounts::notRead },
+    };
+
+}
+
 ServerRefusals::ServerRefusals(std::string port, const AsyncHttpServer& server)
     : m_port(std::move(port))
     , m_server(server)
@@ -11,6 +28,7 @@
 void ServerRefusals::report(EventLog& log, Metrics& metrics)
 {
     const AsyncHttpServerCounts counts = m_server.counts();
+    reportUnanswered(counts, log, metrics);
     const std::uint64_t rejected = counts.rejectedConnections - m_reported.rejectedConnections;
     const std::uint64_t replaced = counts.replacedConnections - m_reported.replacedConnections;
     const std::uint64_t tooLarge = counts.tooLarge - m_reported.tooLarge;
@@ -26,4 +44,18 @@
     metrics.countInputRefused(m_port, "memory", static_cast<double>(outOfMemory));
 }
 
+void ServerRefusals::reportUnanswered(const AsyncHttpServerCounts& counts, EventLog& log, Metrics& metrics)
+{
+    std::string causes;
+    for (const UnansweredCause& cause : unansweredCauses) {
+        const std::uint64_t added = counts.*cause.count - m_reported.*cause.count;
+        if (added == 0)
+            continue;
+        metrics.countUnanswered(m_port, cause.name, static_cast<double>(added));
+        causes += (causes.empty() ? "" : " ") + std::string(cause.name) + '=' + std::to_string(added);
+    }
+    if (!causes.empty())
+        log.write(events::requestsUnanswered, { { "port", m_port }, { "causes", causes } });
+}
+
 } // namespace egrettrestle
--- a/packages/http/include/egrettrestle/http/async_server.hpp
+++ b/packages/http/include/egrettrestle/http/async_server.hpp
@@ -62,7 +62,7 @@
     Milliseconds stopTimeout { 500 };
 };
 
-/// How often a server refused or closed something because of a limit.
+/// How often a server refused or closed something because of a limit, or ended a connection without a complete reply.
 struct AsyncHttpServerCounts {
     /// Connections that were turned away because of AsyncHttpServerLimits::maxConnections.
     std::uint64_t rejectedConnections = 0;
@@ -72,6 +72,16 @@
     std::uint64_t tooLarge = 0;
     /// Requests refused because the memory for requests was used up.
     std::uint64_t outOfMemory = 0;
+    /// Requests that the handler dropped without a reply.
+    std::uint64_t notReplied = 0;
+    /// Replies that the client did not read in time, or whose connection it reset.
+    std::uint64_t notSent = 0;
+    /// Requests whose reply had not been sent when the server stopped.
+    std::uint64_t stopped = 0;
+    /// Requests that had not arrived completely when the server stopped.
+    std::uint64_t incomplete = 0;
+    /// Connections that the server closed although the next request had begun to arrive.
+    std::uint64_t notRead = 0;
 };
 
 /// An HTTP/1.1 server on an event loop: connections cost memory, but no threads. The requests of a connection are handled
@@ -113,6 +123,8 @@
     std::uint64_t rejectedConnections() const;
     /// Thread-safe.
     AsyncHttpServerCounts counts() const;
+    /// Number of requests that have been received and whose reply has not been sent. Thread-safe.
+    std::size_t requestsInProgress() const;
 
 private:
     class Connection;
--- a/packages/http/src/async_server.cpp
+++ b/packages/http/src/async_server.cpp
@@ -106,6 +106,12 @@
     std::atomic<std::uint64_t> replaced { 0 };
     std::atomic<std::uint64_t> tooLarge { 0 };
     std::atomic<std::uint64_t> outOfMemory { 0 };
+    std::atomic<std::uint64_t> notReplied { 0 };
+    std::atomic<std::uint64_t> notSent { 0 };
+    std::atomic<std::uint64_t> stopped { 0 };
+    std::atomic<std::uint64_t> incomplete { 0 };
+    std::atomic<std::uint64_t> notRead { 0 };
+    std::atomic<std::size_t> requestsInProgress { 0 };
     std::uint16_t boundPort = 0;
     /// Used on the loop's thread only.
     std::set<std::shared_ptr<Connection>> connections;
@@ -152,7 +158,7 @@
             close();
             return;
         }
-        m_phase = Phase::Idle;
+        setPhase(Phase::Idle);
         m_phaseBegin = SteadyClock::now();
         releaseBudget();
         m_parser.emplace();
@@ -186,7 +192,7 @@
     /// Sends a reply without having received a request, then closes the connection.
     void turnAway()
     {
-        m_phase = Phase::Reading;
+        setPhase(Phase::Reading);
         sendError(errorReply(httpStatus::unavailable, "connection", "too many connections"));
     }
 
@@ -227,7 +233,7 @@
     }
 
     /// Whether a request has been received and its reply not been sent.
-    bool isServing() const { return m_phase == Phase::Handling || m_phase == Phase::Writing; }
+    bool isServing() const { return isServing(m_phase); }
 
     void sendReply(const HttpResponse& response)
     {
@@ -235,7 +241,7 @@
             return;
         m_onDisconnect = nullptr;
         if (response.dropConnection) {
-            close();
+            closeUnanswered(m_server->notReplied);
             return;
         }
         const bool keepAlive = m_keepAlive && !m_server->stopping && !m_server->closing;
@@ -248,6 +254,17 @@
     void onExchangeDropped(std::uint64_t request)
     {
         if (m_phase == Phase::Handling && request == m_requestNumber)
+            closeUnanswered(m_server->notReplied);
+    }
+
+    /// Closes the connection because the server stops.
+    void closeAtStop()
+    {
+        if (isServing())
+            closeUnanswered(m_server->stopped);
+        else if (m_phase == Phase::Reading)
+            closeUnanswered(m_server->incomplete);
+        else
             close();
     }
 
@@ -255,7 +272,10 @@
     {
         if (m_phase == Phase::Closed)
             return;
-        m_phase = Phase::Closed;
+        const bool endsBetweenRequests = m_phase == Phase::Idle || m_phase == Phase::Writing;
+        if (endsBetweenRequests && (m_buffer.size() > 0 || hasInput()))
+            ++m_server->notRead;
+        setPhase(Phase::Closed);
         m_timer.cancel();
         releaseBudget();
         ErrorCode ignored;
@@ -281,6 +301,24 @@
 
     class Exchange;
 
+    static bool isServing(Phase phase) { return phase == Phase::Handling || phase == Phase::Writing; }
+
+    void setPhase(Phase phase)
+    {
+        if (isServing(phase) && !isServing(m_phase))
+            ++m_server->requestsInProgress;
+        else if (!isServing(phase) && isServing(m_phase))
+            --m_server->requestsInProgress;
+        m_phase = phase;
+    }
+
+    /// Closes the connection although a request on it has no complete reply.
+    void closeUnanswered(std::atomic<std::uint64_t>& count)
+    {
+        ++count;
+        close();
+    }
+
     void startTimer(Milliseconds time)
     {
         m_timer.expires_after(time);
@@ -296,13 +334,15 @@
             sendError(errorReply(httpStatus::requestTimeout, "header", "the complete request did not arrive in time"));
         else if (m_phase == Phase::Handling)
             checkForDisconnect();
+        else if (m_phase == Phase::Writing)
+            closeUnanswered(m_server->notSent);
         else
             close();
     }
 
     void readRequest()
     {
-        m_phase = Phase::Reading;
+        setPhase(Phase::Reading);
         m_phaseBegin = SteadyClock::now();
         startTimer(m_server->limits.receiveTimeout);
         if (m_buffer.size() > 0)
@@ -480,7 +520,7 @@
 
     void write(const HttpResponse& response, bool keepAlive)
     {
-        m_phase = Phase::Writing;
+        setPhase(Phase::Writing);
         ErrorCode ignored;
         // Ends the wait for a disconnection; there may be none.
         m_socket.cancel(ignored);
@@ -490,7 +530,9 @@
             if (self->m_phase != Phase::Writing)
                 return;
             self->m_output = {};
-            if (error || !keepAlive)
+            if (error)
+                self->closeUnanswered(self->m_server->notSent);
+            else if (!keepAlive)
                 self->close();
             else
                 self->serveNext();
@@ -499,7 +541,7 @@
 
     void sendError(const HttpResponse& response)
     {
-        m_phase = Phase::Writing;
+        setPhase(Phase::Writing);
         ErrorCode cancelError;
         // Ends a read that is still pending; there may be none. What was read is of no further use, and neither a cancelled
         // read nor the parser touches it again.
@@ -514,13 +556,13 @@
             if (self->m_phase != Phase::Writing)
                 return;
             if (error) {
-                self->close();
+                self->closeUnanswered(self->m_server->notSent);
                 return;
             }
             ErrorCode ignored;
             // The client may have disconnected already.
             self->m_socket.shutdown(tcp::socket::shutdown_send, ignored);
-            self->m_phase = Phase::Lingering;
+            self->setPhase(Phase::Lingering);
             self->startTimer(lingerTimeout);
             self->discardInput();
         });
@@ -620,7 +662,7 @@
         close();
         return;
     }
-    m_phase = Phase::Handling;
+    setPhase(Phase::Handling);
     m_timer.cancel();
     ++m_requestNumber;
     m_keepAlive = m_parser->keep_alive();
@@ -746,7 +788,7 @@
     const std::set<std::shared_ptr<Connection>> open = connections;
     for (const std::shared_ptr<Connection>& connection : open) {
         if (!connection->isServing())
-            connection->close();
+            connection->closeAtStop();
     }
 }
 
@@ -837,7 +879,7 @@
     m_state->loop.post([state = m_state, &closed] {
         const std::set<std::shared_ptr<Connection>> open = state->connections;
         for (const std::shared_ptr<Connection>& connection : open)
-            connection->close();
+            connection->closeAtStop();
         closed.set_value();
     });
     closed.get_future().wait();
@@ -856,7 +898,12 @@
 
 AsyncHttpServerCounts AsyncHttpServer::counts() const
 {
-    return { m_state->rejected, m_state->replaced, m_state->tooLarge, m_state->outOfMemory };
+    return { m_state->rejected, m_state->replaced, m_state->tooLarge, m_state->outOfMemory, m_state->notReplied, m_state->notSent, m_state->stopped, m_state->incomplete, m_state->notRead };
+}
+
+std::size_t AsyncHttpServer::requestsInProgress() const
+{
+    return m_state->requestsInProgress;
 }
 
 } // namespace egrettrestle
--- a/packages/services/src/daemon.cpp
+++ b/packages/services/src/daemon.cpp
@@ -61,7 +61,7 @@
 
 }
 
-absl::Status runDaemon(const Settings& settings, const std::atomic<bool>& stop)
+absl::Status runDaemon(const Settings& settings, const StopRequest& stop)
 {
     Kernel kernel;
     Metrics metrics;
@@ -76,7 +76,7 @@
         return started;
     }
     logEvent(events::started, "id=" + settings.id + " data_centre=" + settings.dataCentre + " caller=" + settings.callerAddress + " peer=" + settings.peerAddress + " admin=" + settings.adminAddress);
-    while (!stop)
+    while (!stop.isRequested())
         std::this_thread::sleep_for(stopPollInterval);
     JobsService& jobs = kernel.find<JobsService>(serviceNames::jobs);
     jobs.drain();
--- a/tests/unit/unit-async-http.cpp
+++ b/tests/unit/unit-async-http.cpp
@@ -572,6 +572,65 @@
     }
 }
 
+// Connections that ended without an answer left no trace, so that nobody could tell which part of the server had closed them.
+TEST_CASE("AsyncHttpServer counts the connections that end without a complete reply")
+{
+    RunningLoop running;
+    AsyncHttpServerLimits limits;
+    limits.stopTimeout = Milliseconds { 50 };
+    std::vector<std::shared_ptr<HttpExchange>> held;
+    std::promise<void> received;
+    AsyncHttpServer server(running.loop, "127.0.0.1:0", limits, [&held, &received](const std::shared_ptr<HttpExchange>& exchange) {
+        const std::string& path = exchange->request().path;
+        if (path == "/throw")
+            throw std::runtime_error("handler");
+        if (path == "/hold") {
+            held.push_back(exchange);
+            received.set_value();
+        } else if (path == "/reply") {
+            exchange->reply({});
+        }
+    });
+    REQUIRE(server.start().ok());
+    const auto request = [](const std::string& path) { return "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n"; };
+
+    SECTION("requests that the handler drops, with and without an exception")
+    {
+        for (const char* path : { "/drop", "/throw" }) {
+            RawConnection connection(server.port());
+            connection.send(request(path));
+            CHECK(connection.receive().empty());
+        }
+        CHECK(server.counts().notReplied == 2);
+    }
+
+    SECTION("requests in progress and requests that have arrived in part when the server stops")
+    {
+        RawConnection connection(server.port());
+        connection.send(request("/hold"));
+        received.get_future().wait();
+        CHECK(server.requestsInProgress() == 1);
+        RawConnection partial(server.port());
+        partial.send("GET /reply HTTP/1.1\r\n");
+        std::this_thread::sleep_for(Milliseconds { 50 });
+        server.stop();
+        CHECK(server.counts().stopped == 1);
+        CHECK(server.counts().incomplete == 1);
+        CHECK(server.requestsInProgress() == 0);
+    }
+
+    SECTION("none of those that are answered or closed by the client")
+    {
+        RawConnection connection(server.port());
+        connection.send(request("/reply"));
+        connection.receive("\r\n\r\n");
+        connection.reset();
+        server.stop();
+        const AsyncHttpServerCounts counts = server.counts();
+        CHECK(counts.notReplied + counts.notSent + counts.stopped + counts.incomplete + counts.notRead == 0);
+    }
+}
+
 // Which failures prove that a request was not sent decides whether a task may be started elsewhere at once.
 TEST_CASE("AsyncHttpClient reports how far a call without a reply got")
 {
