Stop the services that run jobs only when no caller is connected

What callers saw: a VM was restarted, and a request that became complete after the VM's last other job had ended got no answer: its connection ended with the process, or it got 504 at its deadline, for a job of 50 ms.

Cause: the drain waited for jobs, not for connections. When it saw no job it ended the jobs and called Kernel::stop(), which first tells every service to stop. From then on PeerLinks sends no batch, while CallerServer::stop() still accepts the rest of requests, new requests on connections in its backlog, and waits for their replies. A VM that has left the view owns no upstream, so every run of such a job has to be requested from another VM, in a batch that was not sent. Neither the run nor the withdrawal that a refusal waits for could be answered, and the steps that answer the last jobs had passed. The slower the machine, the more requests are read that late.

Fix: the drain closes the address for callers itself, accepts what waits in the backlog, and goes on to end the jobs and to stop the services only when no caller is connected, or at the deadline for replies, after which every request is refused at once.

Ruled out: the wait of the server itself (it waited, until the watchdog); a refusal of the job (`draining` is answered at once).

--- a/packages/fleet/include/egrettrestle/fleet/caller_server.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/caller_server.hpp
@@ -27,6 +27,10 @@
     void closeAbandonedConnections();
     /// Closes idle connections, and every other one after its next reply, so that callers connect to other VMs.
     void closeConnectionsAfterReply();
+    /// Closes the address for callers; see AsyncHttpServer::stopAccepting().
+    void stopAccepting();
+    /// Whether callers can still connect, or are connected.
+    bool hasCallers() const;
     /// Number of callers' requests that have been received and whose reply has not been sent.
     std::size_t requestsInProgress() const;
     /// Writes what the servers have refused or not answered since the last report.
--- a/packages/fleet/src/caller_server.cpp
+++ b/packages/fleet/src/caller_server.cpp
@@ -121,6 +121,16 @@
         server->stop();
 }
 
+void CallerServer::stopAccepting()
+{
+    m_callerServer->stopAccepting();
+}
+
+bool CallerServer::hasCallers() const
+{
+    return m_callerServer->isActive();
+}
+
 std::size_t CallerServer::requestsInProgress() const
 {
     return m_callerServer ? m_callerServer->requestsInProgress() : 0;
--- a/packages/fleet/src/fleet_daemon.cpp
+++ b/packages/fleet/src/fleet_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include <condition_variable>
 #include <cstdlib>
+#include <functional>
 #include <mutex>
 #include <thread>
 
@@ -41,9 +42,9 @@
         return kernel.find<DispatchService>(fleetServices::dispatch).withDispatcher([](Dispatcher& dispatcher, TimePoint) { return dispatcher.jobs(); });
     }
 
-    void waitForJobs(FleetContext& context, TimePoint end)
+    void waitUntil(FleetContext& context, TimePoint end, const std::function<bool()>& done)
     {
-        while (bootTimeNow() < end && jobsInFlight(context.kernel) > 0)
+        while (bootTimeNow() < end && !done())
             context.background.runFor(stopPollInterval);
     }
 
@@ -113,16 +114,20 @@
         context.draining = true;
         context.log.write(events::draining, { { "jobs", static_cast<std::int64_t>(jobsInFlight(context.kernel)) }, { "sinceSignalMs", toMilliseconds(requestedAt - signalledAt).count() } });
         context.kernel.find<FleetMembership>(fleetServices::membership).leave();
+        CallerServer& callerServer = context.kernel.find<CallerServer>(fleetServices::callerServer);
         logDrainStep(context, signalledAt, "left-view");
         const TimePoint balancerDetectedAt = requestedAt + std::min(balancerDetectionTime, context.settings.gracePeriod / 2);
-        while (bootTimeNow() < balancerDetectedAt)
-            context.background.runFor(stopPollInterval);
+        waitUntil(context, balancerDetectedAt, [] { return false; });
         logDrainStep(context, signalledAt, "close-after-replies");
-        context.kernel.find<CallerServer>(fleetServices::callerServer).closeConnectionsAfterReply();
-        waitForJobs(context, context.replyDeadline);
+        callerServer.closeConnectionsAfterReply();
+        waitUntil(context, context.replyDeadline, [&context, &callerServer] { return jobsInFlight(context.kernel) == 0 && callerServer.requestsInProgress() == 0; });
+        // A job that is submitted until the last connection is closed still needs all services.
+        logDrainStep(context, signalledAt, "stop-accepting");
+        callerServer.stopAccepting();
+        waitUntil(context, context.replyDeadline, [&callerServer] { return !callerServer.hasCallers(); });
         logDrainStep(context, signalledAt, "end-jobs");
         context.kernel.find<DispatchService>(fleetServices::dispatch).withDispatcher([](Dispatcher& dispatcher, TimePoint now) { dispatcher.endJobs(now); });
-        waitForJobs(context, bootTimeNow() + ownerReplyTime);
+        waitUntil(context, bootTimeNow() + ownerReplyTime, [&context] { return jobsInFlight(context.kernel) == 0; });
         context.kernel.find<DispatchService>(fleetServices::dispatch).withDispatcher([](Dispatcher& dispatcher, TimePoint now) { dispatcher.abandonJobs(now); });
     }
 
--- a/packages/http/include/egrettrestle/http/async_server.hpp
+++ b/packages/http/include/egrettrestle/http/async_server.hpp
@@ -113,8 +113,15 @@
     /// Makes connections close as soon as they are idle. Does not block. Thread-safe.
     void prepareStop();
 
-    /// Accepts no more connections, waits for the requests in progress and closes all connections. Must not be called on
-    /// the loop's thread.
+    /// Accepts no more connections. Those that are open, or were established before, close as soon as they are idle; a
+    /// request that does not arrive completely soon is not waited for. Does not block. Thread-safe.
+    void stopAccepting();
+
+    /// Whether it still accepts connections, or any is open. Thread-safe.
+    bool isActive() const;
+
+    /// Calls stopAccepting(), waits for the requests in progress and closes all connections. Must not be called on the
+    /// loop's thread.
     void stop();
 
     /// The port that the server listens on; for an address with port 0, the one chosen by the system.
--- a/packages/http/src/async_server.cpp
+++ b/packages/http/src/async_server.cpp
@@ -90,6 +90,7 @@
         , handler(std::move(requestHandler))
         , acceptor(context)
         , acceptTimer(context)
+        , receiveTimer(context)
     {
     }
 
@@ -100,6 +101,8 @@
     Handler handler;
     tcp::acceptor acceptor;
     boost::asio::steady_timer acceptTimer;
+    /// Ends the time for requests that are being received when the server stops.
+    boost::asio::steady_timer receiveTimer;
     std::atomic<bool> stopping { false };
     std::atomic<bool> closing { false };
     std::atomic<std::uint64_t> rejected { 0 };
@@ -115,11 +118,15 @@
     std::uint16_t boundPort = 0;
     /// Used on the loop's thread only.
     std::set<std::shared_ptr<Connection>> connections;
+    bool started = false;
 
     /// Guards the fields below.
     std::mutex mutex;
     std::condition_variable allClosed;
     std::size_t openConnections = 0;
+    bool listening = true;
+
+    bool isActive() const { return listening || openConnections > 0; }
 
     void accept(const std::shared_ptr<State>& self);
     /// Accepts all connections that are waiting. False if that fails, for want of descriptors.
@@ -134,6 +141,7 @@
     void closeAbandonedConnections();
     /// Closes the connections on which no request is being served.
     void closeUnlessServing();
+    void stopAccepting(const std::shared_ptr<State>& self);
 };
 
 /// Serves the requests of one connection, one after another. Used on the loop's thread only.
@@ -792,6 +800,29 @@
     }
 }
 
+void AsyncHttpServer::State::stopAccepting(const std::shared_ptr<State>& self)
+{
+    if (!acceptor.is_open())
+        return;
+    // For their clients, the connections that wait here are established.
+    if (started)
+        acceptPending(self);
+    ErrorCode ignored;
+    // Accepting ends either way.
+    acceptor.close(ignored);
+    closeIdleConnections();
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        listening = false;
+    }
+    allClosed.notify_all();
+    receiveTimer.expires_after(stopReceiveTimeout);
+    receiveTimer.async_wait([self](const ErrorCode& error) {
+        if (!error)
+            self->closeUnlessServing();
+    });
+}
+
 AsyncHttpServer::AsyncHttpServer(EventLoop& loop, std::string address, AsyncHttpServerLimits limits, Handler handler)
     : m_state(std::make_shared<State>(loop, std::move(limits), std::move(handler)))
 {
@@ -836,7 +867,10 @@
         if (!status.ok())
             return status;
     }
-    m_state->loop.post([state = m_state] { state->accept(state); });
+    m_state->loop.post([state = m_state] {
+        state->started = true;
+        state->accept(state);
+    });
     return absl::OkStatus();
 }
 
@@ -857,26 +891,30 @@
     m_state->loop.post([state = m_state] { state->closeIdleConnections(); });
 }
 
+void AsyncHttpServer::stopAccepting()
+{
+    m_state->stopping = true;
+    m_state->loop.post([state = m_state] { state->stopAccepting(state); });
+}
+
+bool AsyncHttpServer::isActive() const
+{
+    const std::lock_guard<std::mutex> lock(m_state->mutex);
+    return m_state->isActive();
+}
+
 void AsyncHttpServer::stop()
 {
     if (m_state->boundPort == 0)
         return;
-    m_state->stopping = true;
-    m_state->loop.post([state = m_state] {
-        ErrorCode ignored;
-        // Accepting ends either way.
-        state->acceptor.close(ignored);
-        state->closeIdleConnections();
-    });
-    const auto allClosed = [this] { return m_state->openConnections == 0; };
-    std::unique_lock<std::mutex> lock(m_state->mutex);
-    if (!m_state->allClosed.wait_for(lock, stopReceiveTimeout, allClosed)) {
-        m_state->loop.post([state = m_state] { state->closeUnlessServing(); });
-        m_state->allClosed.wait_for(lock, m_state->limits.stopTimeout, allClosed);
+    stopAccepting();
+    {
+        std::unique_lock<std::mutex> lock(m_state->mutex);
+        m_state->allClosed.wait_for(lock, stopReceiveTimeout + m_state->limits.stopTimeout, [this] { return !m_state->isActive(); });
     }
-    lock.unlock();
     std::promise<void> closed;
     m_state->loop.post([state = m_state, &closed] {
+        state->receiveTimer.cancel();
         const std::set<std::shared_ptr<Connection>> open = state->connections;
         for (const std::shared_ptr<Connection>& connection : open)
             connection->closeAtStop();
