Keep the thread that ends a VM free of other work, and count from the signal

What callers saw: a VM was restarted while its store did not answer, and requests in progress ended with the process, without an answer.

Cause: one thread waited for the signal, applied configurations of peers, and ran the drain, whose first step was to leave the view: up to six attempts of two calls to the store, 8.4 s if the store holds its replies. The steps that answer the last jobs came after it. All deadlines, the process's own exit among them, counted from the moment at which that thread noticed the signal, while the platform's grace period counts from the signal: each delay brought the last answers closer to the SIGKILL, or behind it.

Fix: DrainSchedule counts from the signal. The queue of background functions has its own thread; an exception there is logged and no longer ends the process. The thread of the membership leaves the view, and goes on trying while the drain goes on.

Evidence: fleet test "a draining VM answers its callers in time although the store does not reply" failed before (the connection ended, no response); unit-drain.

--- a/packages/fleet/include/egrettrestle/fleet/membership.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/membership.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <condition_variable>
 #include <map>
 #include <mutex>
 #include <thread>
@@ -19,7 +20,7 @@
 
     std::string name() const override { return fleetServices::membership; }
     absl::Status start() override;
-    void prepareStop() override { m_stopping = true; }
+    void prepareStop() override;
     void stop() override;
 
     /// Processes a new or changed store entry under storeKeys::prefix: the view or a suspicion. Older revisions than the
@@ -29,8 +30,11 @@
     /// Whether this process is a member of the latest view known here.
     bool isMember() const;
 
-    /// Removes this VM from the view, so that no work is sent to it. Gives up after a few attempts.
+    /// Removes this VM from the view, so that no work is sent to it. Gives up after a few attempts, each of which waits for
+    /// the store.
     void leave();
+    /// Has the service's thread call leave() until this VM has left. Does not block.
+    void leaveSoon();
 
 private:
     /// A member's entry under the suspicion prefix: it is suspected, or it has objected to that.
@@ -44,6 +48,7 @@
 
     void run();
     void step();
+    void setAndWake(std::atomic<bool>& flag);
     void joinIfNeeded();
     void checkUnresponsivePeers();
     void objectToSuspicion();
@@ -60,6 +65,10 @@
     std::map<VmId, Suspicion> m_suspicions;
     TimePoint m_lastJoin;
     std::atomic<bool> m_stopping { false };
+    std::atomic<bool> m_leaving { false };
+    /// Guards the wait between two steps.
+    std::mutex m_wakeMutex;
+    std::condition_variable m_wake;
     std::thread m_thread;
 };
 
--- a/packages/fleet/src/fleet_daemon.cpp
+++ b/packages/fleet/src/fleet_daemon.cpp
@@ -8,6 +8,7 @@
 
 #include <egrettrestle/fleet/caller_server.hpp>
 #include <egrettrestle/fleet/dispatch_service.hpp>
+#include <egrettrestle/fleet/drain_schedule.hpp>
 #include <egrettrestle/fleet/membership.hpp>
 #include <egrettrestle/fleet/peer_links.hpp>
 #include <egrettrestle/fleet/store_watcher.hpp>
@@ -18,15 +19,9 @@
 namespace {
 
     constexpr Milliseconds stopPollInterval { 50 };
-    // The load balancer probes once a second and removes a VM after two failures: until then it sends new connections here.
-    constexpr Milliseconds balancerDetectionTime { 2'300 };
-    // Part of the grace period that is reserved for stopping the services and the process.
-    constexpr Milliseconds shutdownMargin { 900 };
     // Wait for the owners' replies about the jobs given up at the end: which tasks had not started takes one round trip to
     // each owner.
     constexpr Milliseconds ownerReplyTime { 200 };
-    // The process exits this long before it would be killed, even if a service has not stopped.
-    constexpr Milliseconds exitMargin { 250 };
     // Time for the log's writer to write the last line.
     constexpr Milliseconds logFlushTime { 50 };
     // A process that cannot start exits by then, even if a service waits for the store.
@@ -42,10 +37,10 @@
         return kernel.find<DispatchService>(fleetServices::dispatch).withDispatcher([](Dispatcher& dispatcher, TimePoint) { return dispatcher.jobs(); });
     }
 
-    void waitUntil(FleetContext& context, TimePoint end, const std::function<bool()>& done)
+    void waitUntil(TimePoint end, const std::function<bool()>& done)
     {
         while (bootTimeNow() < end && !done())
-            context.background.runFor(stopPollInterval);
+            std::this_thread::sleep_for(stopPollInterval);
     }
 
     /// Watchdog for the shutdown: exits the process at `end` with `exitCode` and logs the service that has not stopped,
@@ -85,20 +80,21 @@
         std::thread m_thread;
     };
 
-    /// Stops an event loop when it is destroyed.
-    class LoopStopper {
+    /// Stops something that runs functions of the services when it is destroyed.
+    template <typename Runner>
+    class Stopper {
     public:
-        explicit LoopStopper(EventLoop& loop)
-            : m_loop(loop)
+        explicit Stopper(Runner& runner)
+            : m_runner(runner)
         {
         }
 
-        ~LoopStopper() { m_loop.stop(); }
-        LoopStopper(const LoopStopper&) = delete;
-        LoopStopper& operator=(const LoopStopper&) = delete;
+        ~Stopper() { m_runner.stop(); }
+        Stopper(const Stopper&) = delete;
+        Stopper& operator=(const Stopper&) = delete;
 
     private:
-        EventLoop& m_loop;
+        Runner& m_runner;
     };
 
     void logDrainStep(FleetContext& context, TimePoint signalledAt, const std::string& step)
@@ -107,27 +103,24 @@
         context.log.write(events::drainStep, { { "step", step }, { "sinceSignalMs", toMilliseconds(bootTimeNow() - signalledAt).count() }, { "jobs", static_cast<std::int64_t>(jobsInFlight(context.kernel)) }, { "requests", static_cast<std::int64_t>(requests) } });
     }
 
-    void drainJobs(FleetContext& context, TimePoint signalledAt)
+    void drainJobs(FleetContext& context, const DrainSchedule& schedule, TimePoint signalledAt)
     {
-        const TimePoint requestedAt = bootTimeNow();
-        context.replyDeadline = requestedAt + context.settings.gracePeriod - shutdownMargin;
+        context.replyDeadline = schedule.replyDeadline;
         context.draining = true;
-        context.log.write(events::draining, { { "jobs", static_cast<std::int64_t>(jobsInFlight(context.kernel)) }, { "sinceSignalMs", toMilliseconds(requestedAt - signalledAt).count() } });
-        context.kernel.find<FleetMembership>(fleetServices::membership).leave();
+        context.log.write(events::draining, { { "jobs", static_cast<std::int64_t>(jobsInFlight(context.kernel)) }, { "sinceSignalMs", toMilliseconds(bootTimeNow() - signalledAt).count() } });
+        context.kernel.find<FleetMembership>(fleetServices::membership).leaveSoon();
         CallerServer& callerServer = context.kernel.find<CallerServer>(fleetServices::callerServer);
-        logDrainStep(context, signalledAt, "left-view");
-        const TimePoint balancerDetectedAt = requestedAt + std::min(balancerDetectionTime, context.settings.gracePeriod / 2);
-        waitUntil(context, balancerDetectedAt, [] { return false; });
+        waitUntil(schedule.balancerDetectedAt, [] { return false; });
         logDrainStep(context, signalledAt, "close-after-replies");
         callerServer.closeConnectionsAfterReply();
-        waitUntil(context, context.replyDeadline, [&context, &callerServer] { return jobsInFlight(context.kernel) == 0 && callerServer.requestsInProgress() == 0; });
+        waitUntil(schedule.replyDeadline, [&context, &callerServer] { return jobsInFlight(context.kernel) == 0 && callerServer.requestsInProgress() == 0; });
         // A job that is submitted until the last connection is closed still needs all services.
         logDrainStep(context, signalledAt, "stop-accepting");
         callerServer.stopAccepting();
-        waitUntil(context, context.replyDeadline, [&callerServer] { return !callerServer.hasCallers(); });
+        waitUntil(schedule.replyDeadline, [&callerServer] { return !callerServer.hasCallers(); });
         logDrainStep(context, signalledAt, "end-jobs");
         context.kernel.find<DispatchService>(fleetServices::dispatch).withDispatcher([](Dispatcher& dispatcher, TimePoint now) { dispatcher.endJobs(now); });
-        waitUntil(context, bootTimeNow() + ownerReplyTime, [&context] { return jobsInFlight(context.kernel) == 0; });
+        waitUntil(bootTimeNow() + ownerReplyTime, [&context] { return jobsInFlight(context.kernel) == 0; });
         context.kernel.find<DispatchService>(fleetServices::dispatch).withDispatcher([](Dispatcher& dispatcher, TimePoint now) { dispatcher.abandonJobs(now); });
     }
 
@@ -136,11 +129,12 @@
 absl::Status runFleetDaemon(const FleetSettings& settings, const PlatformAdapterFactory& makeAdapters, const StopRequest& stop)
 {
     EventLog log(settings.id);
-    EventLoop loop([&log](const std::string& message) { log.write(events::unexpectedError, { { "cause", message } }); });
+    const std::function<void(const std::string&)> onError = [&log](const std::string& message) { log.write(events::unexpectedError, { { "cause", message } }); };
+    EventLoop loop(onError);
     PlatformAdapters platform = makeAdapters(settings, loop);
     Kernel kernel;
     Metrics metrics;
-    BackgroundQueue background;
+    BackgroundQueue background(onError);
     FleetContext context { settings, platform, kernel, metrics, log, loop, background, newProcessIncarnation() };
     kernel.add(std::make_unique<UpstreamLinks>(context));
     kernel.add(std::make_unique<DispatchService>(context));
@@ -149,8 +143,9 @@
     kernel.add(std::make_unique<StoreWatcher>(context));
     kernel.add(std::make_unique<CallerServer>(context));
     loop.start();
-    // Functions that the loop has not run yet refer to the services: it ends before they are destroyed.
-    const LoopStopper loopStopper(loop);
+    // Functions that the loop and the queue have not run yet refer to the services: both end before these are destroyed.
+    const Stopper<EventLoop> loopStopper(loop);
+    const Stopper<BackgroundQueue> backgroundStopper(background);
     const absl::Status started = kernel.start();
     if (!started.ok()) {
         log.write(events::startFailed, { { "cause", std::string(started.message()) } });
@@ -163,9 +158,10 @@
     }
     log.write(events::started, { { "dataCentre", settings.dataCentre }, { "caller", settings.callerAddress }, { "peer", settings.peerAddress }, { "life", static_cast<std::int64_t>(context.processIncarnation) } });
     while (!stop.isRequested())
-        background.runFor(stopPollInterval);
-    const ExitWatchdog exitWatchdog(bootTimeNow() + settings.gracePeriod - exitMargin, EXIT_SUCCESS, context);
-    drainJobs(context, stop.requestedAt());
+        std::this_thread::sleep_for(stopPollInterval);
+    const DrainSchedule schedule(stop.requestedAt(), bootTimeNow(), settings.gracePeriod);
+    const ExitWatchdog exitWatchdog(schedule.exitAt, EXIT_SUCCESS, context);
+    drainJobs(context, schedule, stop.requestedAt());
     logDrainStep(context, stop.requestedAt(), "stop-services");
     kernel.stop();
     kernel.find<CallerServer>(fleetServices::callerServer).reportRefusals();
--- a/packages/fleet/src/membership.cpp
+++ b/packages/fleet/src/membership.cpp
@@ -41,9 +41,28 @@
     return absl::OkStatus();
 }
 
+void FleetMembership::prepareStop()
+{
+    setAndWake(m_stopping);
+}
+
+void FleetMembership::leaveSoon()
+{
+    setAndWake(m_leaving);
+}
+
+void FleetMembership::setAndWake(std::atomic<bool>& flag)
+{
+    {
+        const std::lock_guard<std::mutex> lock(m_wakeMutex);
+        flag = true;
+    }
+    m_wake.notify_all();
+}
+
 void FleetMembership::stop()
 {
-    m_stopping = true;
+    prepareStop();
     if (m_thread.joinable())
         m_thread.join();
 }
@@ -51,13 +70,19 @@
 void FleetMembership::run()
 {
     while (!m_stopping) {
+        const bool leaving = m_leaving;
         step();
-        std::this_thread::sleep_for(stepInterval);
+        std::unique_lock<std::mutex> lock(m_wakeMutex);
+        m_wake.wait_for(lock, stepInterval, [this, leaving] { return m_stopping || m_leaving != leaving; });
     }
 }
 
 void FleetMembership::step()
 {
+    if (m_leaving) {
+        leave();
+        return;
+    }
     joinIfNeeded();
     if (!isMember())
         return;
@@ -223,7 +248,7 @@
 {
     // Other VMs may change the view at the same time.
     constexpr int attempts = 6;
-    for (int attempt = 0; attempt < attempts && isMember(); ++attempt) {
+    for (int attempt = 0; attempt < attempts && isMember() && !m_stopping; ++attempt) {
         std::uint64_t revision = 0;
         const View view = currentView(revision);
         if (tryWriteView(withRemoved(view, m_incarnation), revision)) {
