Answer the next request of a connection before it is ended

What callers saw: a client sent its next request before it had the reply to the one in progress. If the server was ending by then, the connection was reset, and the client lost both: the reply to the first request, which had been handled, and the second, which may have been read completely.

Cause: while the server ends, each reply ends its connection. Closing a socket with unread input resets the connection, and the reset discards what the client has not read yet. Requests that had come with the previous one were dropped with the buffer.

Fix: a reply ends its connection only if no further request has begun to arrive; the last one that has is answered with "Connection: close".

Evidence: unit-async-http, "AsyncHttpServer answers requests that arrive while it is ending", section "before the reply to the request in progress" failed before: "Connection reset by peer", or one of two replies.

--- a/packages/http/src/async_server.cpp
+++ b/packages/http/src/async_server.cpp
@@ -162,7 +162,7 @@
     {
         const bool ending = m_server->stopping || m_server->closing;
         // A request that has arrived, or that a new client is about to send, is still answered.
-        if (ending && m_requestNumber > 0 && m_buffer.size() == 0 && !hasInput()) {
+        if (ending && m_requestNumber > 0 && !hasNextRequest()) {
             close();
             return;
         }
@@ -212,7 +212,7 @@
     }
 
     /// Whether the connection can be closed without an effect on a request.
-    bool isIdle() { return m_phase == Phase::Idle && !hasInput(); }
+    bool isIdle() { return m_phase == Phase::Idle && !hasNextRequest(); }
 
     /// How long the connection has been without a complete request, if it may be closed in favour of a new one.
     std::optional<Duration> replaceableFor(TimePoint now) const
@@ -252,8 +252,9 @@
             closeUnanswered(m_server->notReplied);
             return;
         }
-        const bool keepAlive = m_keepAlive && !m_server->stopping && !m_server->closing;
-        write(response, keepAlive);
+        // Closing the connection with unread input would reset it, and the client might lose this reply as well.
+        const bool ending = (m_server->stopping || m_server->closing) && !hasNextRequest();
+        write(response, m_keepAlive && !ending);
     }
 
     void setDisconnectHandler(std::function<void()> function) { m_onDisconnect = std::move(function); }
@@ -281,7 +282,7 @@
         if (m_phase == Phase::Closed)
             return;
         const bool endsBetweenRequests = m_phase == Phase::Idle || m_phase == Phase::Writing;
-        if (endsBetweenRequests && (m_buffer.size() > 0 || hasInput()))
+        if (endsBetweenRequests && hasNextRequest())
             ++m_server->notRead;
         setPhase(Phase::Closed);
         m_timer.cancel();
@@ -509,7 +510,10 @@
             onDisconnect();
     }
 
-    /// Whether there is input: the next request, before the reply to the present one.
+    /// Whether the next request has begun to arrive.
+    bool hasNextRequest() { return m_buffer.size() > 0 || hasInput(); }
+
+    /// Whether there is input that has not been read.
     bool hasInput()
     {
         char byte = 0;
--- a/tests/unit/unit-async-http.cpp
+++ b/tests/unit/unit-async-http.cpp
@@ -561,6 +561,36 @@
         CHECK(connection.receive().find("/late") != std::string::npos);
     }
 
+    SECTION("before the reply to the request in progress")
+    {
+        std::shared_ptr<HttpExchange> held;
+        std::promise<void> received;
+        AsyncHttpServer slowServer(running.loop, "127.0.0.1:0", {}, [&held, &received](const std::shared_ptr<HttpExchange>& exchange) {
+            if (exchange->request().path == "/slow") {
+                held = exchange;
+                received.set_value();
+            } else {
+                exchange->reply({});
+            }
+        });
+        REQUIRE(slowServer.start().ok());
+        const bool sentTogether = GENERATE(true, false);
+        CAPTURE(sentTogether);
+        const std::string slow = "GET /slow HTTP/1.1\r\nHost: a\r\n\r\n";
+        RawConnection connection(slowServer.port());
+        connection.send(sentTogether ? slow + request : slow);
+        received.get_future().wait();
+        if (!sentTogether)
+            connection.send(request);
+        slowServer.closeAfterReplies();
+        held->reply({});
+        held.reset();
+        const std::string replies = connection.receive();
+        CHECK(RawConnection::occurrences(replies, "HTTP/1.1 200") == 2);
+        CHECK(RawConnection::occurrences(replies, "Connection: close") == 1);
+        CHECK(slowServer.counts().notRead == 0);
+    }
+
     SECTION("on a new connection")
     {
         server.closeAfterReplies();
