Read requests that arrived while the loop was busy, whatever their timers say

What callers saw: a VM short of processor time closed connections on which a request had just arrived, without an answer.

Cause: the idle time-out closed a connection without looking for input. The loop handles 128 events and then the timers that have expired, so beyond 128 ready connections the timers of the others came first. The same holds for the 0.2 s that a new client has while the server ends, and for the end of the 0.4 s for requests that are being received when it stops.

Fix: a connection with input is not idle. A request that begins to be read after the server has stopped accepting has the same 0.4 s to arrive.

Evidence: unit-async-http, "AsyncHttpServer answers requests that arrive while it is ending", section "on connections that have been idle for too long when the loop sees the requests" failed before: 132 of 200 requests answered, 68 connections closed with the request unread.

--- a/packages/http/src/async_server.cpp
+++ b/packages/http/src/async_server.cpp
@@ -214,6 +214,9 @@
     /// Whether the connection can be closed without an effect on a request.
     bool isIdle() { return m_phase == Phase::Idle && !hasNextRequest(); }
 
+    /// Whether a request has begun to arrive, and reading it has not begun.
+    bool isAboutToRead() { return m_phase == Phase::Idle && hasNextRequest(); }
+
     /// How long the connection has been without a complete request, if it may be closed in favour of a new one.
     std::optional<Duration> replaceableFor(TimePoint now) const
     {
@@ -345,6 +348,9 @@
             checkForDisconnect();
         else if (m_phase == Phase::Writing)
             closeUnanswered(m_server->notSent);
+        else if (isAboutToRead())
+            // It arrived while the loop was busy, and is about to be read.
+            startTimer(disconnectCheckInterval);
         else
             close();
     }
@@ -353,7 +359,7 @@
     {
         setPhase(Phase::Reading);
         m_phaseBegin = SteadyClock::now();
-        startTimer(m_server->limits.receiveTimeout);
+        startTimer(m_server->stopping ? std::min(stopReceiveTimeout, m_server->limits.receiveTimeout) : m_server->limits.receiveTimeout);
         if (m_buffer.size() > 0)
             parseInput();
         else
@@ -799,7 +805,7 @@
 {
     const std::set<std::shared_ptr<Connection>> open = connections;
     for (const std::shared_ptr<Connection>& connection : open) {
-        if (!connection->isServing())
+        if (!connection->isServing() && !connection->isAboutToRead())
             connection->closeAtStop();
     }
 }
--- a/tests/unit/unit-async-http.cpp
+++ b/tests/unit/unit-async-http.cpp
@@ -591,6 +591,33 @@
         CHECK(slowServer.counts().notRead == 0);
     }
 
+    SECTION("on connections that have been idle for too long when the loop sees the requests")
+    {
+        // More than the events that one turn of the loop handles before its timers.
+        constexpr std::size_t connectionCount = 200;
+        AsyncHttpServerLimits limits;
+        limits.idleTimeout = Milliseconds { 300 };
+        AsyncHttpServer busyServer(running.loop, "127.0.0.1:0", limits, echo());
+        REQUIRE(busyServer.start().ok());
+        std::vector<std::unique_ptr<RawConnection>> connections;
+        while (connections.size() < connectionCount)
+            connections.push_back(std::make_unique<RawConnection>(busyServer.port()));
+        running.loop.post([] { std::this_thread::sleep_for(Milliseconds { 800 }); });
+        std::this_thread::sleep_for(Milliseconds { 400 });
+        for (const std::unique_ptr<RawConnection>& connection : connections)
+            connection->send(request);
+        std::size_t answered = 0;
+        for (const std::unique_ptr<RawConnection>& connection : connections) {
+            try {
+                answered += connection->receive("/late").find("/late") != std::string::npos ? 1 : 0;
+            } catch (const Poco::Exception& error) {
+                CAPTURE(error.displayText());
+            }
+        }
+        CHECK(answered == connectionCount);
+        CHECK(busyServer.counts().notRead == 0);
+    }
+
     SECTION("on a new connection")
     {
         server.closeAfterReplies();
