--- a/packages/fleet/src/fleet_daemon.cpp
+++ b/packages/fleet/src/fleet_daemon.cpp
@@ -2,11 +2,13 @@
 
 #include <condition_variable>
 #include <cstdlib>
+#include <functional>
 #include <mutex>
 #include <thread>
 
 #include <egrettrestle/fleet/caller_server.hpp>
 #include <egrettrestle/fleet/dispatch_service.hpp>
+#include <egrettrestle/fleet/drain_schedule.hpp>
 #include <egrettrestle/fleet/membership.hpp>
 #include <egrettrestle/fleet/peer_links.hpp>
 #include <egrettrestle/fleet/store_watcher.hpp>
@@ -17,15 +19,9 @@
 namespace {
 
     constexpr Milliseconds stopPollInterval { 50 };
-    // The load balancer probes once a second and removes a VM after two failures: until then it sends new connections here.
-    constexpr Milliseconds balancerDetectionTime { 2'300 };
-    // Part of the grace period that is reserved for stopping the services and the process.
-    constexpr Milliseconds shutdownMargin { 900 };
     // Wait for the owners' replies about the jobs given up at the end: which tasks had not started takes one round trip to
     // each owner.
     constexpr Milliseconds ownerReplyTime { 200 };
-    // The process exits this long before it would be killed, even if a service has not stopped.
-    constexpr Milliseconds exitMargin { 250 };
     // Time for the log's writer to write the last line.
     constexpr Milliseconds logFlushTime { 50 };
     // A process that cannot start exits by then, even if a service waits for the store.
@@ -41,18 +37,18 @@
         return kernel.find<DispatchService>(fleetServices::dispatch).withDispatcher([](Dispatcher& dispatcher, TimePoint) { return dispatcher.jobs(); });
     }
 
-    void waitForJobs(FleetContext& context, TimePoint end)
+    void waitUntil(TimePoint end, const std::function<bool()>& done)
     {
-        while (bootTimeNow() < end && jobsInFlight(context.kernel) > 0)
-            context.background.runFor(stopPollInterval);
+        while (bootTimeNow() < end && !done())
+            std::this_thread::sleep_for(stopPollInterval);
     }
 
     /// Watchdog for the shutdown: exits the process at `end` with `exitCode` and logs the service that has not stopped,
     /// unless it is destroyed before.
     class ExitWatchdog {
     public:
-        ExitWatchdog(TimePoint end, int exitCode, const Kernel& kernel, EventLog& log)
-            : m_thread([this, end, exitCode, &kernel, &log] { wait(end, exitCode, kernel, log); })
+        ExitWatchdog(TimePoint end, int exitCode, FleetContext& context)
+            : m_thread([this, end, exitCode, &context] { wait(end, exitCode, context); })
         {
         }
 
@@ -67,12 +63,13 @@
         }
 
     private:
-        void wait(TimePoint end, int exitCode, const Kernel& kernel, EventLog& log)
+        void wait(TimePoint end, int exitCode, FleetContext& context)
         {
             std::unique_lock<std::mutex> lock(m_mutex);
             if (m_wake.wait_for(lock, end - logFlushTime - bootTimeNow(), [this] { return m_stopped; }))
                 return;
-            log.write(events::stopCutShort, { { "service", kernel.stoppingService() } });
+            CallerServer& callerServer = context.kernel.find<CallerServer>(fleetServices::callerServer);
+            context.log.write(events::stopCutShort, { { "service", context.kernel.stoppingService() }, { "requests", static_cast<std::int64_t>(callerServer.requestsInProgress()) } });
             std::this_thread::sleep_for(logFlushTime);
             std::_Exit(exitCode);
         }
@@ -83,49 +80,61 @@
         std::thread m_thread;
     };
 
-    /// Stops an event loop when it is destroyed.
-    class LoopStopper {
+    /// Stops something that runs functions of the services when it is destroyed.
+    template <typename Runner>
+    class Stopper {
     public:
-        explicit LoopStopper(EventLoop& loop)
-            : m_loop(loop)
+        explicit Stopper(Runner& runner)
+            : m_runner(runner)
         {
         }
 
-        ~LoopStopper() { m_loop.stop(); }
-        LoopStopper(const LoopStopper&) = delete;
-        LoopStopper& operator=(const LoopStopper&) = delete;
+        ~Stopper() { m_runner.stop(); }
+        Stopper(const Stopper&) = delete;
+        Stopper& operator=(const Stopper&) = delete;
 
     private:
-        EventLoop& m_loop;
+        Runner& m_runner;
     };
 
-    void drainJobs(FleetContext& context)
+    void logDrainStep(FleetContext& context, TimePoint signalledAt, const std::string& step)
     {
-        const TimePoint requestedAt = bootTimeNow();
-        context.replyDeadline = requestedAt + context.settings.gracePeriod - shutdownMargin;
+        const std::size_t requests = context.kernel.find<CallerServer>(fleetServices::callerServer).requestsInProgress();
+        context.log.write(events::drainStep, { { "step", step }, { "sinceSignalMs", toMilliseconds(bootTimeNow() - signalledAt).count() }, { "jobs", static_cast<std::int64_t>(jobsInFlight(context.kernel)) }, { "requests", static_cast<std::int64_t>(requests) } });
+    }
+
+    void drainJobs(FleetContext& context, const DrainSchedule& schedule, TimePoint signalledAt)
+    {
+        context.replyDeadline = schedule.replyDeadline;
         context.draining = true;
-        context.log.write(events::draining, { { "jobs", static_cast<std::int64_t>(jobsInFlight(context.kernel)) } });
-        context.kernel.find<FleetMembership>(fleetServices::membership).leave();
-        const TimePoint balancerDetectedAt = requestedAt + std::min(balancerDetectionTime, context.settings.gracePeriod / 2);
-        while (bootTimeNow() < balancerDetectedAt)
-            context.background.runFor(stopPollInterval);
-        context.kernel.find<CallerServer>(fleetServices::callerServer).closeConnectionsAfterReply();
-        waitForJobs(context, context.replyDeadline);
+        context.log.write(events::draining, { { "jobs", static_cast<std::int64_t>(jobsInFlight(context.kernel)) }, { "sinceSignalMs", toMilliseconds(bootTimeNow() - signalledAt).count() } });
+        context.kernel.find<FleetMembership>(fleetServices::membership).leaveSoon();
+        CallerServer& callerServer = context.kernel.find<CallerServer>(fleetServices::callerServer);
+        waitUntil(schedule.balancerDetectedAt, [] { return false; });
+        logDrainStep(context, signalledAt, "close-after-replies");
+        callerServer.closeConnectionsAfterReply();
+        waitUntil(schedule.replyDeadline, [&context, &callerServer] { return jobsInFlight(context.kernel) == 0 && callerServer.requestsInProgress() == 0; });
+        // A job that is submitted until the last connection is closed still needs all services.
+        logDrainStep(context, signalledAt, "stop-accepting");
+        callerServer.stopAccepting();
+        waitUntil(schedule.replyDeadline, [&callerServer] { return !callerServer.hasCallers(); });
+        logDrainStep(context, signalledAt, "end-jobs");
         context.kernel.find<DispatchService>(fleetServices::dispatch).withDispatcher([](Dispatcher& dispatcher, TimePoint now) { dispatcher.endJobs(now); });
-        waitForJobs(context, bootTimeNow() + ownerReplyTime);
+        waitUntil(bootTimeNow() + ownerReplyTime, [&context] { return jobsInFlight(context.kernel) == 0; });
         context.kernel.find<DispatchService>(fleetServices::dispatch).withDispatcher([](Dispatcher& dispatcher, TimePoint now) { dispatcher.abandonJobs(now); });
     }
 
 }
 
-absl::Status runFleetDaemon(const FleetSettings& settings, const PlatformAdapterFactory& makeAdapters, const std::atomic<bool>& stop)
+absl::Status runFleetDaemon(const FleetSettings& settings, const PlatformAdapterFactory& makeAdapters, const StopRequest& stop)
 {
     EventLog log(settings.id);
-    EventLoop loop([&log](const std::string& message) { log.write(events::unexpectedError, { { "cause", message } }); });
+    const std::function<void(const std::string&)> onError = [&log](const std::string& message) { log.write(events::unexpectedError, { { "cause", message } }); };
+    EventLoop loop(onError);
     PlatformAdapters platform = makeAdapters(settings, loop);
     Kernel kernel;
     Metrics metrics;
-    BackgroundQueue background;
+    BackgroundQueue background(onError);
     FleetContext context { settings, platform, kernel, metrics, log, loop, background, newProcessIncarnation() };
     kernel.add(std::make_unique<UpstreamLinks>(context));
     kernel.add(std::make_unique<DispatchService>(context));
@@ -134,12 +143,13 @@
     kernel.add(std::make_unique<StoreWatcher>(context));
     kernel.add(std::make_unique<CallerServer>(context));
     loop.start();
-    // Functions that the loop has not run yet refer to the services: it ends before they are destroyed.
-    const LoopStopper loopStopper(loop);
+    // Functions that the loop and the queue have not run yet refer to the services: both end before these are destroyed.
+    const Stopper<EventLoop> loopStopper(loop);
+    const Stopper<BackgroundQueue> backgroundStopper(background);
     const absl::Status started = kernel.start();
     if (!started.ok()) {
         log.write(events::startFailed, { { "cause", std::string(started.message()) } });
-        const ExitWatchdog exitWatchdog(bootTimeNow() + failedStartTimeout, EXIT_FAILURE, kernel, log);
+        const ExitWatchdog exitWatchdog(bootTimeNow() + failedStartTimeout, EXIT_FAILURE, context);
         // Ends the watches of the store.
         context.draining = true;
         kernel.find<FleetMembership>(fleetServices::membership).leave();
@@ -147,11 +157,14 @@
         return started;
     }
     log.write(events::started, { { "dataCentre", settings.dataCentre }, { "caller", settings.callerAddress }, { "peer", settings.peerAddress }, { "life", static_cast<std::int64_t>(context.processIncarnation) } });
-    while (!stop)
-        background.runFor(stopPollInterval);
-    const ExitWatchdog exitWatchdog(bootTimeNow() + settings.gracePeriod - exitMargin, EXIT_SUCCESS, kernel, log);
-    drainJobs(context);
+    while (!stop.isRequested())
+        std::this_thread::sleep_for(stopPollInterval);
+    const DrainSchedule schedule(stop.requestedAt(), bootTimeNow(), settings.gracePeriod);
+    const ExitWatchdog exitWatchdog(schedule.exitAt, EXIT_SUCCESS, context);
+    drainJobs(context, schedule, stop.requestedAt());
+    logDrainStep(context, stop.requestedAt(), "stop-services");
     kernel.stop();
+    kernel.find<CallerServer>(fleetServices::callerServer).reportRefusals();
     log.write(events::stopped, {});
     return absl::OkStatus();
 }
--- a/packages/http/src/async_server.cpp
+++ b/packages/http/src/async_server.cpp
@@ -90,6 +90,7 @@
         , handler(std::move(requestHandler))
         , acceptor(context)
         , acceptTimer(context)
+        , receiveTimer(context)
     {
     }
 
@@ -100,20 +101,32 @@
     Handler handler;
     tcp::acceptor acceptor;
     boost::asio::steady_timer acceptTimer;
+    /// Ends the time for requests that are being received when the server stops.
+    boost::asio::steady_timer receiveTimer;
     std::atomic<bool> stopping { false };
     std::atomic<bool> closing { false };
     std::atomic<std::uint64_t> rejected { 0 };
     std::atomic<std::uint64_t> replaced { 0 };
     std::atomic<std::uint64_t> tooLarge { 0 };
     std::atomic<std::uint64_t> outOfMemory { 0 };
+    std::atomic<std::uint64_t> notReplied { 0 };
+    std::atomic<std::uint64_t> notSent { 0 };
+    std::atomic<std::uint64_t> stopped { 0 };
+    std::atomic<std::uint64_t> incomplete { 0 };
+    std::atomic<std::uint64_t> notRead { 0 };
+    std::atomic<std::size_t> requestsInProgress { 0 };
     std::uint16_t boundPort = 0;
     /// Used on the loop's thread only.
     std::set<std::shared_ptr<Connection>> connections;
+    bool started = false;
 
     /// Guards the fields below.
     std::mutex mutex;
     std::condition_variable allClosed;
     std::size_t openConnections = 0;
+    bool listening = true;
+
+    bool isActive() const { return listening || openConnections > 0; }
 
     void accept(const std::shared_ptr<State>& self);
     /// Accepts all connections that are waiting. False if that fails, for want of descriptors.
@@ -128,6 +141,7 @@
     void closeAbandonedConnections();
     /// Closes the connections on which no request is being served.
     void closeUnlessServing();
+    void stopAccepting(const std::shared_ptr<State>& self);
 };
 
 /// Serves the requests of one connection, one after another. Used on the loop's thread only.
@@ -148,11 +162,11 @@
     {
         const bool ending = m_server->stopping || m_server->closing;
         // A request that has arrived, or that a new client is about to send, is still answered.
-        if (ending && m_requestNumber > 0 && m_buffer.size() == 0 && !hasInput()) {
+        if (ending && m_requestNumber > 0 && !hasNextRequest()) {
             close();
             return;
         }
-        m_phase = Phase::Idle;
+        setPhase(Phase::Idle);
         m_phaseBegin = SteadyClock::now();
         releaseBudget();
         m_parser.emplace();
@@ -186,7 +200,7 @@
     /// Sends a reply without having received a request, then closes the connection.
     void turnAway()
     {
-        m_phase = Phase::Reading;
+        setPhase(Phase::Reading);
         sendError(errorReply(httpStatus::unavailable, "connection", "too many connections"));
     }
 
@@ -198,7 +212,10 @@
     }
 
     /// Whether the connection can be closed without an effect on a request.
-    bool isIdle() { return m_phase == Phase::Idle && !hasInput(); }
+    bool isIdle() { return m_phase == Phase::Idle && !hasNextRequest(); }
+
+    /// Whether a request has begun to arrive, and reading it has not begun.
+    bool isAboutToRead() { return m_phase == Phase::Idle && hasNextRequest(); }
 
     /// How long the connection has been without a complete request, if it may be closed in favour of a new one.
     std::optional<Duration> replaceableFor(TimePoint now) const
@@ -227,7 +244,7 @@
     }
 
     /// Whether a request has been received and its reply not been sent.
-    bool isServing() const { return m_phase == Phase::Handling || m_phase == Phase::Writing; }
+    bool isServing() const { return isServing(m_phase); }
 
     void sendReply(const HttpResponse& response)
     {
@@ -235,11 +252,12 @@
             return;
         m_onDisconnect = nullptr;
         if (response.dropConnection) {
-            close();
+            closeUnanswered(m_server->notReplied);
             return;
         }
-        const bool keepAlive = m_keepAlive && !m_server->stopping && !m_server->closing;
-        write(response, keepAlive);
+        // Closing the connection with unread input would reset it, and the client might lose this reply as well.
+        const bool ending = (m_server->stopping || m_server->closing) && !hasNextRequest();
+        write(response, m_keepAlive && !ending);
     }
 
     void setDisconnectHandler(std::function<void()> function) { m_onDisconnect = std::move(function); }
@@ -248,6 +266,17 @@
     void onExchangeDropped(std::uint64_t request)
     {
         if (m_phase == Phase::Handling && request == m_requestNumber)
+            closeUnanswered(m_server->notReplied);
+    }
+
+    /// Closes the connection because the server stops.
+    void closeAtStop()
+    {
+        if (isServing())
+            closeUnanswered(m_server->stopped);
+        else if (m_phase == Phase::Reading)
+            closeUnanswered(m_server->incomplete);
+        else
             close();
     }
 
@@ -255,7 +284,10 @@
     {
         if (m_phase == Phase::Closed)
             return;
-        m_phase = Phase::Closed;
+        const bool endsBetweenRequests = m_phase == Phase::Idle || m_phase == Phase::Writing;
+        if (endsBetweenRequests && hasNextRequest())
+            ++m_server->notRead;
+        setPhase(Phase::Closed);
         m_timer.cancel();
         releaseBudget();
         ErrorCode ignored;
@@ -281,6 +313,24 @@
 
     class Exchange;
 
+    static bool isServing(Phase phase) { return phase == Phase::Handling || phase == Phase::Writing; }
+
+    void setPhase(Phase phase)
+    {
+        if (isServing(phase) && !isServing(m_phase))
+            ++m_server->requestsInProgress;
+        else if (!isServing(phase) && isServing(m_phase))
+            --m_server->requestsInProgress;
+        m_phase = phase;
+    }
+
+    /// Closes the connection although a request on it has no complete reply.
+    void closeUnanswered(std::atomic<std::uint64_t>& count)
+    {
+        ++count;
+        close();
+    }
+
     void startTimer(Milliseconds time)
     {
         m_timer.expires_after(time);
@@ -296,15 +346,20 @@
             sendError(errorReply(httpStatus::requestTimeout, "header", "the complete request did not arrive in time"));
         else if (m_phase == Phase::Handling)
             checkForDisconnect();
+        else if (m_phase == Phase::Writing)
+            closeUnanswered(m_server->notSent);
+        else if (isAboutToRead())
+            // It arrived while the loop was busy, and is about to be read.
+            startTimer(disconnectCheckInterval);
         else
             close();
     }
 
     void readRequest()
     {
-        m_phase = Phase::Reading;
+        setPhase(Phase::Reading);
         m_phaseBegin = SteadyClock::now();
-        startTimer(m_server->limits.receiveTimeout);
+        startTimer(m_server->stopping ? std::min(stopReceiveTimeout, m_server->limits.receiveTimeout) : m_server->limits.receiveTimeout);
         if (m_buffer.size() > 0)
             parseInput();
         else
@@ -461,7 +516,10 @@
             onDisconnect();
     }
 
-    /// Whether there is input: the next request, before the reply to the present one.
+    /// Whether the next request has begun to arrive.
+    bool hasNextRequest() { return m_buffer.size() > 0 || hasInput(); }
+
+    /// Whether there is input that has not been read.
     bool hasInput()
     {
         char byte = 0;
@@ -480,7 +538,7 @@
 
     void write(const HttpResponse& response, bool keepAlive)
     {
-        m_phase = Phase::Writing;
+        setPhase(Phase::Writing);
         ErrorCode ignored;
         // Ends the wait for a disconnection; there may be none.
         m_socket.cancel(ignored);
@@ -490,7 +548,9 @@
             if (self->m_phase != Phase::Writing)
                 return;
             self->m_output = {};
-            if (error || !keepAlive)
+            if (error)
+                self->closeUnanswered(self->m_server->notSent);
+            else if (!keepAlive)
                 self->close();
             else
                 self->serveNext();
@@ -499,7 +559,7 @@
 
     void sendError(const HttpResponse& response)
     {
-        m_phase = Phase::Writing;
+        setPhase(Phase::Writing);
         ErrorCode cancelError;
         // Ends a read that is still pending; there may be none. What was read is of no further use, and neither a cancelled
         // read nor the parser touches it again.
@@ -514,13 +574,13 @@
             if (self->m_phase != Phase::Writing)
                 return;
             if (error) {
-                self->close();
+                self->closeUnanswered(self->m_server->notSent);
                 return;
             }
             ErrorCode ignored;
             // The client may have disconnected already.
             self->m_socket.shutdown(tcp::socket::shutdown_send, ignored);
-            self->m_phase = Phase::Lingering;
+            self->setPhase(Phase::Lingering);
             self->startTimer(lingerTimeout);
             self->discardInput();
         });
@@ -620,7 +680,7 @@
         close();
         return;
     }
-    m_phase = Phase::Handling;
+    setPhase(Phase::Handling);
     m_timer.cancel();
     ++m_requestNumber;
     m_keepAlive = m_parser->keep_alive();
@@ -745,9 +805,32 @@
 {
     const std::set<std::shared_ptr<Connection>> open = connections;
     for (const std::shared_ptr<Connection>& connection : open) {
-        if (!connection->isServing())
-            connection->close();
+        if (!connection->isServing() && !connection->isAboutToRead())
+            connection->closeAtStop();
+    }
+}
+
+void AsyncHttpServer::State::stopAccepting(const std::shared_ptr<State>& self)
+{
+    if (!acceptor.is_open())
+        return;
+    // For their clients, the connections that wait here are established.
+    if (started)
+        acceptPending(self);
+    ErrorCode ignored;
+    // Accepting ends either way.
+    acceptor.close(ignored);
+    closeIdleConnections();
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        listening = false;
     }
+    allClosed.notify_all();
+    receiveTimer.expires_after(stopReceiveTimeout);
+    receiveTimer.async_wait([self](const ErrorCode& error) {
+        if (!error)
+            self->closeUnlessServing();
+    });
 }
 
 AsyncHttpServer::AsyncHttpServer(EventLoop& loop, std::string address, AsyncHttpServerLimits limits, Handler handler)
@@ -794,7 +877,10 @@
         if (!status.ok())
             return status;
     }
-    m_state->loop.post([state = m_state] { state->accept(state); });
+    m_state->loop.post([state = m_state] {
+        state->started = true;
+        state->accept(state);
+    });
     return absl::OkStatus();
 }
 
@@ -815,29 +901,33 @@
     m_state->loop.post([state = m_state] { state->closeIdleConnections(); });
 }
 
+void AsyncHttpServer::stopAccepting()
+{
+    m_state->stopping = true;
+    m_state->loop.post([state = m_state] { state->stopAccepting(state); });
+}
+
+bool AsyncHttpServer::isActive() const
+{
+    const std::lock_guard<std::mutex> lock(m_state->mutex);
+    return m_state->isActive();
+}
+
 void AsyncHttpServer::stop()
 {
     if (m_state->boundPort == 0)
         return;
-    m_state->stopping = true;
-    m_state->loop.post([state = m_state] {
-        ErrorCode ignored;
-        // Accepting ends either way.
-        state->acceptor.close(ignored);
-        state->closeIdleConnections();
-    });
-    const auto allClosed = [this] { return m_state->openConnections == 0; };
-    std::unique_lock<std::mutex> lock(m_state->mutex);
-    if (!m_state->allClosed.wait_for(lock, stopReceiveTimeout, allClosed)) {
-        m_state->loop.post([state = m_state] { state->closeUnlessServing(); });
-        m_state->allClosed.wait_for(lock, m_state->limits.stopTimeout, allClosed);
+    stopAccepting();
+    {
+        std::unique_lock<std::mutex> lock(m_state->mutex);
+        m_state->allClosed.wait_for(lock, stopReceiveTimeout + m_state->limits.stopTimeout, [this] { return !m_state->isActive(); });
     }
-    lock.unlock();
     std::promise<void> closed;
     m_state->loop.post([state = m_state, &closed] {
+        state->receiveTimer.cancel();
         const std::set<std::shared_ptr<Connection>> open = state->connections;
         for (const std::shared_ptr<Connection>& connection : open)
-            connection->close();
+            connection->closeAtStop();
         closed.set_value();
     });
     closed.get_future().wait();
@@ -856,7 +946,12 @@
 
 AsyncHttpServerCounts AsyncHttpServer::counts() const
 {
-    return { m_state->rejected, m_state->replaced, m_state->tooLarge, m_state->outOfMemory };
+    return { m_state->rejected, m_state->replaced, m_state->tooLarge, m_state->outOfMemory, m_state->notReplied, m_state->notSent, m_state->stopped, m_state->incomplete, m_state->notRead };
+}
+
+std::size_t AsyncHttpServer::requestsInProgress() const
+{
+    return m_state->requestsInProgress;
 }
 
 } // namespace egrettrestle
--- a/tests/unit/unit-async-http.cpp
+++ b/tests/unit/unit-async-http.cpp
@@ -561,6 +561,63 @@
         CHECK(connection.receive().find("/late") != std::string::npos);
     }
 
+    SECTION("before the reply to the request in progress")
+    {
+        std::shared_ptr<HttpExchange> held;
+        std::promise<void> received;
+        AsyncHttpServer slowServer(running.loop, "127.0.0.1:0", {}, [&held, &received](const std::shared_ptr<HttpExchange>& exchange) {
+            if (exchange->request().path == "/slow") {
+                held = exchange;
+                received.set_value();
+            } else {
+                exchange->reply({});
+            }
+        });
+        REQUIRE(slowServer.start().ok());
+        const bool sentTogether = GENERATE(true, false);
+        CAPTURE(sentTogether);
+        const std::string slow = "GET /slow HTTP/1.1\r\nHost: a\r\n\r\n";
+        RawConnection connection(slowServer.port());
+        connection.send(sentTogether ? slow + request : slow);
+        received.get_future().wait();
+        if (!sentTogether)
+            connection.send(request);
+        slowServer.closeAfterReplies();
+        held->reply({});
+        held.reset();
+        const std::string replies = connection.receive();
+        CHECK(RawConnection::occurrences(replies, "HTTP/1.1 200") == 2);
+        CHECK(RawConnection::occurrences(replies, "Connection: close") == 1);
+        CHECK(slowServer.counts().notRead == 0);
+    }
+
+    SECTION("on connections that have been idle for too long when the loop sees the requests")
+    {
+        // More than the events that one turn of the loop handles before its timers.
+        constexpr std::size_t connectionCount = 200;
+        AsyncHttpServerLimits limits;
+        limits.idleTimeout = Milliseconds { 300 };
+        AsyncHttpServer busyServer(running.loop, "127.0.0.1:0", limits, echo());
+        REQUIRE(busyServer.start().ok());
+        std::vector<std::unique_ptr<RawConnection>> connections;
+        while (connections.size() < connectionCount)
+            connections.push_back(std::make_unique<RawConnection>(busyServer.port()));
+        running.loop.post([] { std::this_thread::sleep_for(Milliseconds { 800 }); });
+        std::this_thread::sleep_for(Milliseconds { 400 });
+        for (const std::unique_ptr<RawConnection>& connection : connections)
+            connection->send(request);
+        std::size_t answered = 0;
+        for (const std::unique_ptr<RawConnection>& connection : connections) {
+            try {
+                answered += connection->receive("/late").find("/late") != std::string::npos ? 1 : 0;
+            } catch (const Poco::Exception& error) {
+                CAPTURE(error.displayText());
+            }
+        }
+        CHECK(answered == connectionCount);
+        CHECK(busyServer.counts().notRead == 0);
+    }
+
     SECTION("on a new connection")
     {
         server.closeAfterReplies();
@@ -572,6 +629,65 @@
     }
 }
 
+// Connections that ended without an answer left no trace, so that nobody could tell which part of the server had closed them.
+TEST_CASE("AsyncHttpServer counts the connections that end without a complete reply")
+{
+    RunningLoop running;
+    AsyncHttpServerLimits limits;
+    limits.stopTimeout = Milliseconds { 50 };
+    std::vector<std::shared_ptr<HttpExchange>> held;
+    std::promise<void> received;
+    AsyncHttpServer server(running.loop, "127.0.0.1:0", limits, [&held, &received](const std::shared_ptr<HttpExchange>& exchange) {
+        const std::string& path = exchange->request().path;
+        if (path == "/throw")
+            throw std::runtime_error("handler");
+        if (path == "/hold") {
+            held.push_back(exchange);
+            received.set_value();
+        } else if (path == "/reply") {
+            exchange->reply({});
+        }
+    });
+    REQUIRE(server.start().ok());
+    const auto request = [](const std::string& path) { return "GET " + path + " HTTP/1.1\r\nHost: a\r\n\r\n"; };
+
+    SECTION("requests that the handler drops, with and without an exception")
+    {
+        for (const char* path : { "/drop", "/throw" }) {
+            RawConnection connection(server.port());
+            connection.send(request(path));
+            CHECK(connection.receive().empty());
+        }
+        CHECK(server.counts().notReplied == 2);
+    }
+
+    SECTION("requests in progress and requests that have arrived in part when the server stops")
+    {
+        RawConnection connection(server.port());
+        connection.send(request("/hold"));
+        received.get_future().wait();
+        CHECK(server.requestsInProgress() == 1);
+        RawConnection partial(server.port());
+        partial.send("GET /reply HTTP/1.1\r\n");
+        std::this_thread::sleep_for(Milliseconds { 50 });
+        server.stop();
+        CHECK(server.counts().stopped == 1);
+        CHECK(server.counts().incomplete == 1);
+        CHECK(server.requestsInProgress() == 0);
+    }
+
+    SECTION("none of those that are answered or closed by the client")
+    {
+        RawConnection connection(server.port());
+        connection.send(request("/reply"));
+        connection.receive("\r\n\r\n");
+        connection.reset();
+        server.stop();
+        const AsyncHttpServerCounts counts = server.counts();
+        CHECK(counts.notReplied + counts.notSent + counts.stopped + counts.incomplete + counts.notRead == 0);
+    }
+}
+
 // Which failures prove that a request was not sent decides whether a task may be started elsewhere at once.
 TEST_CASE("AsyncHttpClient reports how far a call without a reply got")
 {
