Report discarded messages to other VMs, and what has become of claims

PeerLinks::send() dropped a message to a VM without a link, and a link that was removed or got no replies dropped its queue, all without a line. They are counted by VM and cause now: messages-discarded (4109, at most once a second for each) and egrettrestle_discarded_messages_total{cause}. The owner writes claim-handled (6117) for each claim: the run is there, has ended, is lost, or the claim waits for the upstream and may expire.

--- a/packages/base/include/egrettrestle/base/event.hpp
+++ b/packages/base/include/egrettrestle/base/event.hpp
@@ -74,6 +74,7 @@
     inline constexpr Event staleBatch { 4106, Severity::Warning, "stale-batch", "Messages from a VM were delayed in transit and were discarded." };
     inline constexpr Event batchRejected { 4107, Severity::Error, "batch-rejected", "A VM sent a batch of messages that this build cannot read." };
     inline constexpr Event batchRefused { 4108, Severity::Error, "batch-refused", "A VM that can be reached refuses this VM's messages, and learns nothing from it." };
+    inline constexpr Event messagesDiscarded { 4109, Severity::Warning, "messages-discarded", "Messages to a VM were discarded: by `cause` there is no link to it (`no-link`), it has not replied for too long (`unanswered`), or its link was removed after it had left the view (`link-removed`); `count` says how many, at most one line a second for each VM and cause." };
     inline constexpr Event manifestInForce { 5001, Severity::Info, "manifest-in-force", "A manifest revision is in force on this VM." };
     inline constexpr Event manifestRejected { 5002, Severity::Error, "manifest-rejected", "The store holds an invalid manifest; the previous one stays in force." };
     inline constexpr Event manifestOlder { 5003, Severity::Warning, "manifest-older", "A manifest revision lower than the current one was read and ignored." };
@@ -99,6 +100,7 @@
     inline constexpr Event upstreamUnreachable { 6114, Severity::Warning, "upstream-unreachable", "Several polls of an upstream in a row have failed; the cause says how the last one did, and `runs` which runs are there." };
     inline constexpr Event upstreamReachable { 6115, Severity::Info, "upstream-reachable", "An unreachable upstream answers again and is the same incarnation." };
     inline constexpr Event entryFieldIgnored { 6116, Severity::Warning, "entry-field-ignored", "A field of a store entry cannot be read; the entry is used without it." };
+    inline constexpr Event claimHandled { 6117, Severity::Info, "claim-handled", "An executor has claimed a run: by `cause` it is `running` or has `ended` here, is `lost`, or the claim waits until this VM owns the upstream under its epoch (`early`), which it did not in time (`never-owned`); `count` is the epoch." };
     inline constexpr Event waitsEnded { 6120, Severity::Info, "waits-ended", "Runs that waited for a better place were started, on a better place or on a free one, by `cause`; `count` says how many since the last such line, at most one a second, and `ageMs` how long they waited on average." };
     inline constexpr Event evacuationBegun { 6201, Severity::Info, "evacuation-begun", "A data centre is being evacuated: nothing more is started on its upstreams; `upstreams` is how many are listed there." };
     inline constexpr Event evacuationEnded { 6202, Severity::Info, "evacuation-ended", "A data centre is back in service after an evacuation." };
--- a/packages/base/include/egrettrestle/base/metrics.hpp
+++ b/packages/base/include/egrettrestle/base/metrics.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 #include <memory>
 #include <string>
@@ -32,6 +33,9 @@
     /// Counts a batch of messages from another VM that could not be read.
     void countRejectedBatch();
 
+    /// Counts messages to another VM that were discarded; `cause` is `no-link`, `unanswered` or `link-removed`.
+    void countDiscardedMessages(const std::string& cause, std::size_t count);
+
     /// Counts a start order that was discarded because it no longer stood when it was to be sent.
     void countWithheldStart();
 
--- a/packages/base/src/metrics.cpp
+++ b/packages/base/src/metrics.cpp
@@ -27,6 +27,7 @@
         , messageBytes(counterFamily(registry, "message_bytes_total", "Bytes of message bodies sent and received, by use"))
         , starts(counterFamily(registry, "task_starts_total", "Tasks sent to an upstream"))
         , rejectedBatches(counterFamily(registry, "rejected_batches_total", "Batches of messages from other VMs that could not be read"))
+        , discardedMessages(counterFamily(registry, "discarded_messages_total", "Messages to other VMs that were discarded, by cause"))
         , withheldStarts(counterFamily(registry, "withheld_starts_total", "Start orders that no longer stood when they were to be sent"))
         , lostRuns(counterFamily(registry, "lost_runs_total", "Runs lost with their upstream, by route and cause"))
         , waits(counterFamily(registry, "placement_waits_total", "Runs that waited for a better place, by outcome"))
@@ -42,6 +43,7 @@
     prometheus::Family<prometheus::Counter>& messageBytes;
     prometheus::Family<prometheus::Counter>& starts;
     prometheus::Family<prometheus::Counter>& rejectedBatches;
+    prometheus::Family<prometheus::Counter>& discardedMessages;
     prometheus::Family<prometheus::Counter>& withheldStarts;
     prometheus::Family<prometheus::Counter>& lostRuns;
     prometheus::Family<prometheus::Counter>& waits;
@@ -81,6 +83,11 @@
     m_families->rejectedBatches.Add({}).Increment();
 }
 
+void Metrics::countDiscardedMessages(const std::string& cause, std::size_t count)
+{
+    m_families->discardedMessages.Add({ { "cause", cause } }).Increment(static_cast<double>(count));
+}
+
 void Metrics::countWithheldStart()
 {
     m_families->withheldStarts.Add({}).Increment();
--- a/packages/decision/include/egrettrestle/decision/peer_channel.hpp
+++ b/packages/decision/include/egrettrestle/decision/peer_channel.hpp
@@ -54,8 +54,9 @@
     void send(PeerMessage message) { m_pending.push_back(std::move(message)); }
     /// Whether no message is pending.
     bool isEmpty() const { return m_pending.empty(); }
-    /// Discards the pending messages. Those that were already sent may still be processed, until they are too old.
-    void discardPending();
+    /// Discards the pending messages and returns their number. Those that were already sent may still be processed, until
+    /// they are too old.
+    std::size_t discardPending();
     /// Replaces the pending requests and claims by withdrawals of the same runs, because the peer does not reply and the tasks are
     /// started elsewhere. The numbers of the messages stay. All other messages are kept, since the peer cannot learn otherwise
     /// what has become of its runs here: that it does not reply does not mean that it has lost them.
--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -376,6 +376,9 @@
     void requireSync(OwnedUpstream& upstream, TimePoint now);
     /// Processes the claims that arrived before this VM owned the upstream.
     void processEarlyClaims(const UpstreamId& upstream, TimePoint now);
+    /// Drops the claims that have waited too long.
+    void expireEarlyClaims(TimePoint now);
+    void recordClaim(const RunClaim& claim, const char* outcome, TimePoint receivedAt, TimePoint now);
     /// When the runs of an executor that was lost or has restarted must have ended.
     TimePoint orphanedRunsEndBy(const VmId& executor, TimePoint now) const;
     OwnedUpstream* findUpstream(const UpstreamId& upstream);
--- a/packages/decision/src/peer_channel.cpp
+++ b/packages/decision/src/peer_channel.cpp
@@ -4,10 +4,12 @@
 
 namespace egrettrestle {
 
-void PeerChannel::discardPending()
+std::size_t PeerChannel::discardPending()
 {
-    m_firstPending += m_pending.size();
+    const std::size_t count = m_pending.size();
+    m_firstPending += count;
     m_pending.clear();
+    return count;
 }
 
 void PeerChannel::withdrawPendingRequests()
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -318,11 +318,13 @@
 {
     // A run with the same number may have ended at another upstream, in an earlier submission of the job.
     if (const RunEnded* ended = m_recentEnds.findAt(claim.upstream, claim.run)) {
+        recordClaim(claim, "ended", now, now);
         m_port.notify(executor, { {}, {}, *ended, {}, {}, {} });
         return;
     }
     OwnedUpstream* upstream = findUpstream(claim.upstream);
     if (!upstream || upstream->token < claim.epoch) {
+        recordClaim(claim, "early", now, now);
         m_earlyClaims.push_back({ executor, claim, now });
         return;
     }
@@ -330,10 +332,12 @@
     if (found != upstream->runs.end()) {
         found->second.executor = executor;
         setNeed(*upstream, found->second, claim.need);
+        recordClaim(claim, "running", now, now);
         m_port.notify(executor, { {}, RunStarted { claim.run, claim.upstream, upstream->token }, {}, {}, {}, {} });
         return;
     }
     if (upstream->synced) {
+        recordClaim(claim, "lost", now, now);
         returnRun(executor, claim.run, ReturnReason::Lost);
         return;
     }
@@ -348,9 +352,23 @@
     run.confirmedAt = upstream->ownedSince;
     upstream->used = upstream->used + run.request.need;
     upstream->runs.emplace(claim.run, std::move(run));
+    recordClaim(claim, "running", now, now);
     m_port.notify(executor, { {}, RunStarted { claim.run, claim.upstream, upstream->token }, {}, {}, {}, {} });
 }
 
+void UpstreamOwner::recordClaim(const RunClaim& claim, const char* outcome, TimePoint receivedAt, TimePoint now)
+{
+    m_port.recordEvent({ EventKind::ClaimHandled, claim.upstream, claim.run, outcome, toMilliseconds(now - receivedAt), claim.epoch.value });
+}
+
+void UpstreamOwner::expireEarlyClaims(TimePoint now)
+{
+    const auto expired = std::stable_partition(m_earlyClaims.begin(), m_earlyClaims.end(), [this, now](const EarlyClaim& earlyClaim) { return now - earlyClaim.since <= m_limits.earlyClaimTimeout; });
+    for (auto earlyClaim = expired; earlyClaim != m_earlyClaims.end(); ++earlyClaim)
+        recordClaim(earlyClaim->claim, "never-owned", earlyClaim->since, now);
+    m_earlyClaims.erase(expired, m_earlyClaims.end());
+}
+
 TimePoint UpstreamOwner::orphanedRunsEndBy(const VmId& executor, TimePoint now) const
 {
     const auto lastContact = m_lastContact.find(executor);
@@ -790,7 +808,7 @@
 {
     updateCrashingRoutes();
     expireQueuedRuns(now);
-    m_earlyClaims.erase(std::remove_if(m_earlyClaims.begin(), m_earlyClaims.end(), [this, now](const EarlyClaim& earlyClaim) { return now - earlyClaim.since > m_limits.earlyClaimTimeout; }), m_earlyClaims.end());
+    expireEarlyClaims(now);
     std::vector<UpstreamId> expiredUpstreams;
     for (auto& entry : m_upstreams) {
         OwnedUpstream& upstream = entry.second;
--- a/packages/fleet/include/egrettrestle/fleet/peer_links.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/peer_links.hpp
@@ -8,6 +8,7 @@
 
 #include <egrettrestle/decision/peer_channel.hpp>
 #include <egrettrestle/decision/view.hpp>
+#include <egrettrestle/fleet/discarded_messages.hpp>
 #include <egrettrestle/fleet/fleet_context.hpp>
 #include <egrettrestle/fleet/server_refusals.hpp>
 #include <egrettrestle/http/async_client.hpp>
@@ -44,7 +45,7 @@
     /// Connects to the members of a view. Links to former members are kept for some seconds after their removal or last
     /// reply.
     void setView(const View& view);
-    /// Queues a message for a VM; it is discarded if there is no link to that VM.
+    /// Queues a message for a VM; it is discarded, and reported as such, if there is no link to that VM.
     void send(const VmId& vm, PeerMessage message);
     /// See PeerChannel::withdrawPendingRequests().
     void withdrawPendingRequests(const VmId& vm);
@@ -84,6 +85,7 @@
     std::map<VmId, PeerChannel> m_channels;
     Epoch m_epoch;
     std::set<VmId> m_contacts;
+    DiscardedMessages m_discarded;
     int m_batchesInFlight = 0;
     std::atomic<bool> m_fetchingConfiguration { false };
     std::atomic<bool> m_stopping { false };
--- a/packages/fleet/src/dispatch_service.cpp
+++ b/packages/fleet/src/dispatch_service.cpp
@@ -61,6 +61,7 @@
             { OwnerEvent::Kind::StartUnanswered, &events::startUnanswered },
             { OwnerEvent::Kind::RunStopped, &events::runStopped },
             { OwnerEvent::Kind::RequestExpired, &events::requestExpired },
+            { OwnerEvent::Kind::ClaimHandled, &events::claimHandled },
             { OwnerEvent::Kind::WaitsEnded, &events::waitsEnded },
         };
         return *events.at(kind);
--- a/packages/fleet/src/peer_links.cpp
+++ b/packages/fleet/src/peer_links.cpp
@@ -34,7 +34,7 @@
     // short task.
     constexpr Milliseconds maxMessageDelay { 50 };
     constexpr int maxPeerConnections = 2'000;
-    constexpr Milliseconds refusalReportInterval { 1'000 };
+    constexpr Milliseconds reportInterval { 1'000 };
     // Bytes of a batch that cannot be read that are logged; they name the sender.
     constexpr std::size_t rejectedBatchExcerpt = 200;
     // A configuration can be hundreds of kilobytes long.
@@ -90,7 +90,11 @@
 
 absl::Status PeerLinks::start()
 {
-    m_context.loop.runEvery(refusalReportInterval, [this] { m_refusals->report(m_context.log, m_context.metrics); });
+    m_context.loop.runEvery(reportInterval, [this] {
+        m_refusals->report(m_context.log, m_context.metrics);
+        const std::lock_guard<std::mutex> lock(m_mutex);
+        m_discarded.report(m_context.log, m_context.metrics);
+    });
     return m_server->start();
 }
 
@@ -143,8 +147,10 @@
 {
     const std::lock_guard<std::mutex> lock(m_mutex);
     const auto found = m_peers.find(vm);
-    if (found == m_peers.end())
+    if (found == m_peers.end()) {
+        m_discarded.add(vm, "no-link", 1);
         return;
+    }
     const PeerPointer peer = found->second;
     const bool urgent = !message.deferrable;
     peer->channel->send(std::move(message));
@@ -248,7 +254,7 @@
             ++entry;
             continue;
         }
-        peer.channel->discardPending();
+        m_discarded.add(peer.id, "link-removed", peer.channel->discardPending());
         entry = m_peers.erase(entry);
     }
 }
@@ -263,7 +269,7 @@
         for (const auto& entry : m_peers) {
             // The last reply of a VM that is not in regular contact may be older.
             if (entry.second->unansweredSince && now - *entry.second->unansweredSince > maxUndeliveredTime)
-                entry.second->channel->discardPending();
+                m_discarded.add(entry.first, "unanswered", entry.second->channel->discardPending());
             if (isDue(*entry.second, now))
                 due.push_back(entry.second);
         }
