Link to VMs that left before this one joined

Callers of a draining VM got 504 at their deadline although only planned work happened.

Cause: PeerLinks made links to the members of a view only. A VM that joins after the draining VM has left is in no common view with it, becomes the owner of upstreams with runs of its jobs, gets its batches and acts on the claims and requests in them; but send() discarded whatever it had to tell it, also that the runs had ended. In a rolling restart that is the usual case: a VM drains for 2 to 5 s, and another one is back within that time.

Fix: an accepted batch of a sender without a link makes one, by the address that every batch carries, before its messages are processed. Accepted means that it is addressed to this process and echoes one of its time-stamps of the last 600 ms, so a delayed batch, or one of an earlier process, makes no link. A link to a VM that is not a member follows the address of its batches; that of a member comes from the view. Such links end 3 s after the last reply, as those to former members do, and there are at most 600 to VMs that are not members.

--- a/packages/fleet/include/egrettrestle/fleet/peer_links.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/peer_links.hpp
@@ -43,7 +43,7 @@
     void stop() override;
 
     /// Connects to the members of a view. Links to former members are kept for some seconds after their removal or last
-    /// reply.
+    /// reply. A VM that is not a member is connected to as well when a batch of it arrives.
     void setView(const View& view);
     /// Queues a message for a VM; it is discarded, and reported as such, if there is no link to that VM.
     void send(const VmId& vm, PeerMessage message);
@@ -69,6 +69,8 @@
     void fetchConfiguration(const std::string& address);
     void logPeerRestart(const VmId& vm, std::uint64_t processIncarnation, const char* seen);
     PeerChannel& channel(const VmId& vm);
+    Peer& link(const VmId& vm);
+    void linkToSender(const DispatchBatch& batch);
     /// Time from one batch to the next, whose reply has been received or has timed out.
     Milliseconds sendInterval(const Peer& peer) const;
     bool isDue(const Peer& peer, TimePoint now) const;
--- a/packages/fleet/src/peer_links.cpp
+++ b/packages/fleet/src/peer_links.cpp
@@ -27,6 +27,8 @@
     constexpr Milliseconds retryInterval { 40 };
     // Links to former members are kept for this long after their last reply.
     constexpr Milliseconds formerMemberTimeout { 3'000 };
+    // More than the VMs of the largest fleet, and a bound on memory whatever names senders use.
+    constexpr std::size_t maxLinksToNonMembers = 600;
     // Messages to a VM that has not replied for this long are discarded. Executors number the runs of a job anew 10 s after it
     // has ended, and would mistake an older report for one on a run of the same number.
     constexpr Milliseconds maxUndeliveredTime { 5'000 };
@@ -131,16 +133,45 @@
     for (const Member& member : view.members) {
         if (member.id == m_context.settings.id)
             continue;
-        PeerPointer& peer = m_peers[member.id];
-        if (!peer) {
-            peer = std::make_shared<Peer>();
-            peer->id = member.id;
-            peer->channel = &channel(member.id);
-            peer->lastReplyAt = bootTimeNow();
-        }
-        peer->address = member.peerAddress;
-        peer->contact = m_contacts.count(member.id) > 0;
+        Peer& peer = link(member.id);
+        peer.address = member.peerAddress;
+        peer.contact = m_contacts.count(member.id) > 0;
+    }
+}
+
+/// Called with m_mutex held. Makes the link if there is none.
+PeerLinks::Peer& PeerLinks::link(const VmId& vm)
+{
+    PeerPointer& peer = m_peers[vm];
+    if (!peer) {
+        peer = std::make_shared<Peer>();
+        peer->id = vm;
+        peer->channel = &channel(vm);
+        peer->lastReplyAt = bootTimeNow();
     }
+    return *peer;
+}
+
+/// Called with m_mutex held, for a batch that was accepted: it comes from the sender's present process. A VM that left before
+/// this one joined is in none of its views, but has runs at upstreams that this VM owns now.
+void PeerLinks::linkToSender(const DispatchBatch& batch)
+{
+    const auto found = m_peers.find(batch.sender);
+    if (found != m_peers.end()) {
+        // A member's address is that of the view.
+        if (!found->second->member)
+            found->second->address = batch.address;
+        return;
+    }
+    const auto nonMembers = std::count_if(m_peers.begin(), m_peers.end(), [](const auto& entry) { return !entry.second->member; });
+    if (static_cast<std::size_t>(nonMembers) >= maxLinksToNonMembers)
+        return;
+    Peer& peer = link(batch.sender);
+    peer.address = batch.address;
+    peer.member = false;
+    peer.removedAt = bootTimeNow();
+    // Like a former contact, it needs this VM's free capacity to finish its jobs.
+    peer.contact = true;
 }
 
 void PeerLinks::send(const VmId& vm, PeerMessage message)
@@ -416,6 +447,9 @@
             const std::lock_guard<std::mutex> lock(m_mutex);
             reply.epoch = m_epoch;
             batchResult = channel(batch.sender).onBatch(batch.stamp, batch.messages.size(), now);
+            // Before the messages are processed, which may cause replies.
+            if (batchResult.accepted)
+                linkToSender(batch);
         }
         if (batchResult.peerRestarted)
             dispatcher.onPeerRestarted(batch.sender, now);
