Return the runs that wait at a VM without upstreams

Their executor moves them only when another owner reports a free place, which none does in a burst; and a queue that is served there never gets them.

Cause: only an evacuation had an owner return what it can never start.

Fix: an owner that has released upstreams and has none left returns every run in its queue, as it does in an evacuation, also those requested later by an executor with an older view. The executor sends them elsewhere at once. Such an owner is passed over for the task until the view changes, not for good: in a small fleet each VM may return a task once and be back a moment later.

An owner that has not had any upstreams yet keeps what is requested, as before: it waits for its first ones. Not covered: an owner that loses its last upstreams of one service and keeps others.

Evidence: both unit tests failed before (no run returned; the task not sent again).

--- a/packages/decision/include/egrettrestle/decision/job_executor.hpp
+++ b/packages/decision/include/egrettrestle/decision/job_executor.hpp
@@ -274,7 +274,7 @@
         std::optional<TimePoint> orphanedUntil;
         /// Upstreams on which a run of the task has ended without completing.
         std::vector<UpstreamId> avoid;
-        /// Owners none of whose upstreams can run the task.
+        /// Owners none of whose upstreams can run the task, in the present view.
         std::vector<VmId> unsuitableOwners;
     };
 
--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -336,6 +336,8 @@
     /// Ends the reservations that no queued run needs.
     void releaseReservations();
     bool isEvacuated(const UpstreamInfo& info) const { return m_evacuated.count(info.dataCentre) > 0; }
+    /// Returns every queued run, because this owner has no upstreams any more.
+    void returnQueuedRuns();
     /// Whether, with the data centres that are being evacuated, none of this owner's upstreams can ever run a request.
     bool isLeftWithoutUpstream(const RunRequest& request) const;
     /// Whether an upstream accepts runs now and may run a request, apart from its free capacity.
@@ -398,6 +400,8 @@
     RecentRuns<RunEnded> m_recentEnds;
     /// Runs that passed to another owner together with their upstream.
     RecentRuns<RunStarted> m_released;
+    /// An owner without upstreams that has not released any waits for its first ones.
+    bool m_hasReleasedUpstreams = false;
     std::vector<EarlyClaim> m_earlyClaims;
     VmId m_self;
     std::uint64_t m_lastPlacement = 0;
--- a/packages/decision/src/job_executor.cpp
+++ b/packages/decision/src/job_executor.cpp
@@ -508,6 +508,8 @@
     m_epoch = epoch;
     for (auto& entry : m_jobs) {
         for (Task& task : entry.second.tasks) {
+            if (newView)
+                task.unsuitableOwners.clear();
             const auto owner = m_owners.find(task.upstream);
             const bool mayBeRunning = task.state == TaskState::Running || task.state == TaskState::Withdrawn;
             if (!mayBeRunning || owner == m_owners.end() || m_epoch < task.startEpoch)
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -209,6 +209,7 @@
     }
     m_speeds.forget(upstream);
     m_upstreams.erase(upstream);
+    m_hasReleasedUpstreams = true;
     removeImpossibleNeeds();
 }
 
@@ -880,12 +881,29 @@
     }
 }
 
+void UpstreamOwner::returnQueuedRuns()
+{
+    std::vector<std::pair<VmId, TaskRun>> runs;
+    runs.reserve(m_queue.size());
+    for (const QueuedRun& queuedRun : m_queue)
+        runs.emplace_back(queuedRun.executor, queuedRun.request.run);
+    for (const auto& run : runs) {
+        m_queue.remove(run.first, run.second);
+        returnRun(run.first, run.second, ReturnReason::Unschedulable);
+    }
+}
+
 void UpstreamOwner::startQueuedRuns(TimePoint now)
 {
     if (!m_startsEnabled || m_queue.empty()) {
         releaseReservations();
         return;
     }
+    if (m_upstreams.empty() && m_hasReleasedUpstreams) {
+        returnQueuedRuns();
+        releaseReservations();
+        return;
+    }
     std::int64_t largestFree = largestFreeMilliCores(now);
     // While no queued run fits anywhere, only the reports about crashes and the evacuations matter.
     if (m_queue.smallestNeed() > largestFree && m_crashes.size() == 0 && !m_queue.hasSuspects() && m_evacuated.empty()) {
--- a/tests/unit/unit-dispatcher.cpp
+++ b/tests/unit/unit-dispatcher.cpp
@@ -1,3 +1,5 @@
+#include <set>
+
 #include <catch2/catch.hpp>
 
 #include <egrettrestle/decision/dispatcher.hpp>
@@ -457,3 +459,57 @@
         CHECK_FALSE(extendsLease());
     }
 }
+
+// In a rolling restart, runs that were queued at a VM when it left the view waited there until their latest start, although it
+// had no upstreams any more.
+TEST_CASE("dispatcher of a VM that has left returns the runs that wait there")
+{
+    DispatcherFixture fixture;
+    fixture.setUp({ "x", "y" });
+    fixture.poll();
+    const auto requestRun = [&fixture](std::uint32_t index) {
+        const RunRequest request = requestFor("j", index, fixture.now + Seconds { 1 });
+        fixture.dispatcher.onPeerMessages("y", { { request, {}, {}, {}, {}, {} } }, capacityFor(4, 4), fixture.now);
+    };
+    const auto returnedRuns = [&fixture] {
+        std::set<std::uint32_t> indices;
+        for (const SentMessage& sent : fixture.port.sent) {
+            if (sent.message.returned && sent.message.returned->reason == ReturnReason::Unschedulable)
+                indices.insert(sent.message.returned->run.task.index);
+        }
+        return indices;
+    };
+
+    SECTION("those in its queue, and those whose start has not been sent")
+    {
+        for (std::uint32_t index = 0; index < 3; ++index)
+            requestRun(index);
+        REQUIRE(fixture.port.starts.size() == 2);
+        REQUIRE(fixture.dispatcher.startToSend(fixture.port.starts[0], fixture.now));
+        fixture.dispatcher.setView(viewOf(2, { "y" }), fixture.now);
+        fixture.dispatcher.tick(fixture.now);
+        CHECK(returnedRuns() == std::set<std::uint32_t> { 1, 2 });
+        CHECK(fixture.dispatcher.queued() == 0);
+    }
+
+    SECTION("one that is requested later, since its executor has not adopted the view yet")
+    {
+        fixture.dispatcher.setView(viewOf(2, { "y" }), fixture.now);
+        requestRun(0);
+        CHECK(returnedRuns() == std::set<std::uint32_t> { 0 });
+    }
+
+    SECTION("none while it has upstreams, or before it has had any")
+    {
+        for (std::uint32_t index = 0; index < 3; ++index)
+            requestRun(index);
+        fixture.dispatcher.setView(viewOf(2, { "x" }), fixture.now);
+        fixture.dispatcher.tick(fixture.now);
+        CHECK(returnedRuns().empty());
+        DispatcherFixture joining;
+        joining.dispatcher.onPeerMessages("y", { { requestFor("j", 0, joining.now + Seconds { 1 }), {}, {}, {}, {}, {} } }, capacityFor(4, 4), joining.now);
+        joining.dispatcher.tick(joining.now);
+        CHECK(joining.port.sent.empty());
+        CHECK(joining.dispatcher.queued() == 1);
+    }
+}
--- a/tests/unit/unit-job-executor.cpp
+++ b/tests/unit/unit-job-executor.cpp
@@ -799,3 +799,32 @@
     REQUIRE(fixture.port.replies.size() == 1);
     CHECK(fixture.port.replies[0].reply.outcome == JobOutcome::GaveUp);
 }
+
+// In a small fleet that is restarted, each VM returns the job's tasks once, when it leaves; without another try after the next
+// view no owner would be left for them.
+TEST_CASE("executor sends a task back to an owner that had returned it once the view has changed")
+{
+    ExecutorFixture fixture;
+    fixture.submit(jobOf("j", 1));
+    REQUIRE(fixture.port.sent.size() == 1);
+    for (const VmId& owner : { VmId("x"), VmId("y") }) {
+        REQUIRE(fixture.port.sent.back().vm == owner);
+        fixture.executor.onReturned(owner, { fixture.port.sent.back().message.request->run, ReturnReason::Unschedulable }, fixture.now);
+    }
+    fixture.executor.tick(fixture.now);
+    CHECK(fixture.port.sent.size() == 2);
+
+    SECTION("but not within the same view")
+    {
+        fixture.executor.onOwnersChanged({}, { 0 }, {}, fixture.now);
+        fixture.executor.tick(fixture.now);
+        CHECK(fixture.port.sent.size() == 2);
+    }
+
+    SECTION("in the next view")
+    {
+        fixture.executor.onOwnersChanged({}, { 1 }, {}, fixture.now);
+        fixture.executor.tick(fixture.now);
+        CHECK(fixture.port.sent.size() == 3);
+    }
+}
