--- a/packages/fleet/include/egrettrestle/fleet/peer_links.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/peer_links.hpp
@@ -8,6 +8,7 @@
 
 #include <egrettrestle/decision/peer_channel.hpp>
 #include <egrettrestle/decision/view.hpp>
+#include <egrettrestle/fleet/discarded_messages.hpp>
 #include <egrettrestle/fleet/fleet_context.hpp>
 #include <egrettrestle/fleet/server_refusals.hpp>
 #include <egrettrestle/http/async_client.hpp>
@@ -42,9 +43,9 @@
     void stop() override;
 
     /// Connects to the members of a view. Links to former members are kept for some seconds after their removal or last
-    /// reply.
+    /// reply. A VM that is not a member is connected to as well when a batch of it arrives.
     void setView(const View& view);
-    /// Queues a message for a VM; it is discarded if there is no link to that VM.
+    /// Queues a message for a VM; it is discarded, and reported as such, if there is no link to that VM.
     void send(const VmId& vm, PeerMessage message);
     /// See PeerChannel::withdrawPendingRequests().
     void withdrawPendingRequests(const VmId& vm);
@@ -68,6 +69,8 @@
     void fetchConfiguration(const std::string& address);
     void logPeerRestart(const VmId& vm, std::uint64_t processIncarnation, const char* seen);
     PeerChannel& channel(const VmId& vm);
+    Peer& link(const VmId& vm);
+    void linkToSender(const DispatchBatch& batch);
     /// Time from one batch to the next, whose reply has been received or has timed out.
     Milliseconds sendInterval(const Peer& peer) const;
     bool isDue(const Peer& peer, TimePoint now) const;
@@ -84,6 +87,7 @@
     std::map<VmId, PeerChannel> m_channels;
     Epoch m_epoch;
     std::set<VmId> m_contacts;
+    DiscardedMessages m_discarded;
     int m_batchesInFlight = 0;
     std::atomic<bool> m_fetchingConfiguration { false };
     std::atomic<bool> m_stopping { false };
