Keep the event log going after lines were dropped

Every VM of a large fleet wrote 400 lines at its start and none afterwards.

Cause: the writer thread is woken when a line is added to an empty queue. After an overflow, admit() first adds the report on the dropped lines, so the queue was no longer empty when the next line came; nobody woke the writer, and once 512 lines were queued everything was dropped. Ruled out: a limit on the output or a writer that ended.

The queue is now looked at before the report is added.

--- a/packages/base/src/event_log.cpp
+++ b/packages/base/src/event_log.cpp
@@ -127,11 +127,12 @@
         std::visit([&line, &field](const auto& value) { line[field.key] = value; }, field.value);
     std::string text = formatLine(line);
     const std::lock_guard<std::mutex> lock(m_state->mutex);
+    // The writer has to be woken as well for the report on dropped lines, which admit() may add.
+    const bool wakeWriter = m_state->lines.empty();
     if (!m_state->admit(event))
         return;
-    const bool first = m_state->lines.empty();
     m_state->lines.push_back(std::move(text));
-    if (first)
+    if (wakeWriter)
         m_state->wake.notify_one();
 }
 
