Measure the processor time of a VM by kind of work

The hypotheses on the cost of a large fleet could not be told apart: only the processor time of a whole process was known. WorkMeter counts time and units by kind of work (ticks, batches sent and received, polls, orders, submissions, the three watches, membership); they are metrics and a log line each 10 s. On the event loop it reads the steady clock, on the store's threads the thread's processor time once a page.

--- a/packages/base/include/egrettrestle/base/event.hpp
+++ b/packages/base/include/egrettrestle/base/event.hpp
@@ -35,6 +35,7 @@
     inline constexpr Event processResumed { 1008, Severity::Warning, "process-resumed", "The process stood still for longer than it should; starts wait until it is known which callers have left meanwhile." };
     inline constexpr Event startFailed { 1009, Severity::Error, "start-failed", "The process cannot start, for the cause named, and exits." };
     inline constexpr Event inputRefused { 1010, Severity::Warning, "input-refused", "Requests were refused because of their size or because the memory for requests was used up, or connections were closed in favour of new ones." };
+    inline constexpr Event processorTime { 1011, Severity::Info, "processor-time", "Processor time of the process since its start, and the part of it by kind of work; written every 10 s." };
     inline constexpr Event badRequest { 2001, Severity::Info, "bad-request", "A request is malformed; the reply names the invalid field." };
     inline constexpr Event unknownKind { 2002, Severity::Info, "unknown-kind", "A job names a service or kind that the manifest does not define." };
     inline constexpr Event jobTooLarge { 2003, Severity::Info, "job-too-large", "A job has too many tasks, or a task exceeds the size limit of its kind." };
--- a/packages/base/include/egrettrestle/base/metrics.hpp
+++ b/packages/base/include/egrettrestle/base/metrics.hpp
@@ -5,6 +5,7 @@
 #include <string>
 
 #include <egrettrestle/base/clock.hpp>
+#include <egrettrestle/base/work_meter.hpp>
 
 namespace prometheus {
 class Counter;
@@ -51,6 +52,9 @@
     /// Sets a gauge: `view_epoch`, `manifest_revision`, `claims`, `queued_tasks`, `tasks_in_flight`, `upstreams_aside`.
     void setGauge(const std::string& name, double value);
 
+    /// Sets the time and count of each kind of work, and the process's processor time.
+    void setWork(const WorkMeter& work);
+
     /// Renders all metrics in the Prometheus text format.
     std::string render() const;
 
--- a/packages/base/src/event.cpp
+++ b/packages/base/src/event.cpp
@@ -34,6 +34,7 @@
         events::processResumed,
         events::startFailed,
         events::inputRefused,
+        events::processorTime,
         events::badRequest,
         events::unknownKind,
         events::jobTooLarge,
--- a/packages/base/src/metrics.cpp
+++ b/packages/base/src/metrics.cpp
@@ -32,6 +32,8 @@
         , waits(counterFamily(registry, "placement_waits_total", "Runs that waited for a better place, by outcome"))
         , inputRefused(counterFamily(registry, "input_refused_total", "Requests and connections refused or closed because of a server's limits, by port and reason"))
         , responses(prometheus::BuildHistogram().Name("egrettrestle_response_seconds").Help("Response time of jobs").Register(registry))
+        , workTime(prometheus::BuildGauge().Name("egrettrestle_work_seconds").Help("Time since the start by kind of work; 'process' is the processor time of the whole process").Register(registry))
+        , workCount(prometheus::BuildGauge().Name("egrettrestle_work_count").Help("Units of work since the start, by kind").Register(registry))
         , gauges(prometheus::BuildGauge().Name("egrettrestle_state").Help("Current values by name").Register(registry))
     {
     }
@@ -47,6 +49,8 @@
     prometheus::Family<prometheus::Counter>& waits;
     prometheus::Family<prometheus::Counter>& inputRefused;
     prometheus::Family<prometheus::Histogram>& responses;
+    prometheus::Family<prometheus::Gauge>& workTime;
+    prometheus::Family<prometheus::Gauge>& workCount;
     prometheus::Family<prometheus::Gauge>& gauges;
 };
 
@@ -111,6 +115,17 @@
     m_families->gauges.Add({ { "name", name } }).Set(value);
 }
 
+void Metrics::setWork(const WorkMeter& work)
+{
+    for (std::size_t number = 0; number < workKindCount; ++number) {
+        const WorkKind kind = static_cast<WorkKind>(number);
+        const WorkMeter::Total total = work.total(kind);
+        m_families->workTime.Add({ { "kind", workKindName(kind) } }).Set(toSeconds(total.time));
+        m_families->workCount.Add({ { "kind", workKindName(kind) } }).Set(static_cast<double>(total.count));
+    }
+    m_families->workTime.Add({ { "kind", "process" } }).Set(toSeconds(WorkMeter::processTime()));
+}
+
 std::string Metrics::render() const
 {
     return prometheus::TextSerializer().Serialize(m_registry->Collect());
--- a/packages/fleet/include/egrettrestle/fleet/dispatch_service.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/dispatch_service.hpp
@@ -63,6 +63,8 @@
     void onPeerLost(const VmId& vm) override;
     void tick();
     void updateEvacuationMetrics();
+    /// Logs the processor time since the start by kind of work.
+    void reportWork();
     /// To be called with the lock held before each use of the dispatcher. Returns the current time, and has the callers'
     /// connections checked if the process has just resumed after a pause.
     TimePoint beginActivity();
--- a/packages/fleet/include/egrettrestle/fleet/fleet_context.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/fleet_context.hpp
@@ -6,6 +6,7 @@
 
 #include <egrettrestle/base/event_log.hpp>
 #include <egrettrestle/base/metrics.hpp>
+#include <egrettrestle/base/work_meter.hpp>
 #include <egrettrestle/fleet/background_queue.hpp>
 #include <egrettrestle/fleet/fleet_settings.hpp>
 #include <egrettrestle/fleet/platform_adapters.hpp>
@@ -31,6 +32,8 @@
     std::uint64_t processIncarnation = 0;
     /// Memory for requests, shared by all servers of the process.
     std::shared_ptr<ReceiveBudget> receiveBudget = std::make_shared<ReceiveBudget>(settings.receiveBudgetBytes());
+    /// Time by kind of work; docs/OPERATIONS.md.
+    WorkMeter work = {};
     /// Set once the process has been asked to end and drains.
     std::atomic<bool> draining { false };
     /// Time by which the last job must be answered, by the boot clock; set when draining starts.
--- a/packages/fleet/include/egrettrestle/fleet/store_watcher.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/store_watcher.hpp
@@ -46,6 +46,9 @@
         bool evacuationsChanged = false;
         bool storeUnavailable = false;
         TimePoint unavailableSince;
+        WorkKind work = WorkKind::OperatorWatch;
+        /// The thread's processor time that has been counted.
+        Duration workCounted { 0 };
         std::thread thread;
     };
 
@@ -53,6 +56,7 @@
     bool readAndWatch(Stream& stream);
     absl::Status readAll(Stream& stream);
     absl::Status watch(Stream& stream);
+    void countWork(Stream& stream);
     void applyEntry(Stream& stream, const StoreEntry& entry);
     void rejectEntry(const StoreEntry& entry, const std::string& fault);
     void applyEvacuation(Stream& stream, const StoreEntry& entry);
--- a/packages/fleet/src/caller_server.cpp
+++ b/packages/fleet/src/caller_server.cpp
@@ -50,6 +50,7 @@
             HttpResponse response;
             response.contentType = "text/plain";
             updateCapacityGauges();
+            m_context.metrics.setWork(m_context.work);
             response.body = m_context.metrics.render();
             exchange->reply(std::move(response));
         });
--- a/packages/fleet/src/dispatch_service.cpp
+++ b/packages/fleet/src/dispatch_service.cpp
@@ -13,6 +13,7 @@
 
     // Fine enough for time-outs of some tens of milliseconds.
     constexpr Milliseconds tickInterval { 20 };
+    constexpr Milliseconds workReportInterval { 10'000 };
     // Share of the platform's longest lease that is requested: with shorter leases the tasks of an unresponsive upstream
     // can be started elsewhere sooner.
     constexpr double leaseFraction = 0.6;
@@ -113,13 +114,17 @@
 absl::Status DispatchService::start()
 {
     m_context.loop.runEvery(tickInterval, [this] { tick(); });
+    m_context.loop.runEvery(workReportInterval, [this] { reportWork(); });
     return absl::OkStatus();
 }
 
 void DispatchService::tick()
 {
-    withDispatcher([](Dispatcher& dispatcher, TimePoint now) { dispatcher.tick(now); });
-    updateEvacuationMetrics();
+    {
+        const WorkScope scope(m_context.work, WorkKind::Tick);
+        withDispatcher([](Dispatcher& dispatcher, TimePoint now) { dispatcher.tick(now); });
+        updateEvacuationMetrics();
+    }
     m_context.kernel.find<PeerLinks>(fleetServices::peerLinks).sendDueBatches();
 }
 
@@ -132,6 +137,24 @@
     m_context.metrics.setGauge("evacuated_runs", static_cast<double>(m_dispatcher.evacuatedRuns()));
 }
 
+void DispatchService::reportWork()
+{
+    const auto milliseconds = [this](WorkKind kind) { return toMilliseconds(m_context.work.total(kind).time).count(); };
+    m_context.log.write(events::processorTime, {
+                                                   { "totalMs", toMilliseconds(WorkMeter::processTime()).count() },
+                                                   { "tickMs", milliseconds(WorkKind::Tick) },
+                                                   { "batchSentMs", milliseconds(WorkKind::BatchSent) },
+                                                   { "batchReceivedMs", milliseconds(WorkKind::BatchReceived) },
+                                                   { "pollMs", milliseconds(WorkKind::Poll) },
+                                                   { "orderMs", milliseconds(WorkKind::Order) },
+                                                   { "submissionMs", milliseconds(WorkKind::Submission) },
+                                                   { "upstreamWatchMs", milliseconds(WorkKind::UpstreamWatch) },
+                                                   { "viewWatchMs", milliseconds(WorkKind::ViewWatch) },
+                                                   { "operatorWatchMs", milliseconds(WorkKind::OperatorWatch) },
+                                                   { "membershipMs", milliseconds(WorkKind::Membership) },
+                                               });
+}
+
 TimePoint DispatchService::beginActivity()
 {
     const TimePoint now = bootTimeNow();
@@ -153,6 +176,7 @@
 
 CallerTicket DispatchService::submit(const DispatchJob& request, const Route& route, TimePoint arrivedAfter, ReplyCallback onReply)
 {
+    const WorkScope scope(m_context.work, WorkKind::Submission);
     const std::lock_guard<std::mutex> lock(m_mutex);
     const CallerTicket ticket = ++m_lastTicket;
     m_pending[ticket] = std::move(onReply);
--- a/packages/fleet/src/membership.cpp
+++ b/packages/fleet/src/membership.cpp
@@ -50,8 +50,12 @@
 
 void FleetMembership::run()
 {
+    Duration counted { 0 };
     while (!m_stopping) {
         step();
+        const Duration time = WorkMeter::threadTime();
+        m_context.work.add(WorkKind::Membership, time - counted);
+        counted = time;
         std::this_thread::sleep_for(stepInterval);
     }
 }
--- a/packages/fleet/src/peer_links.cpp
+++ b/packages/fleet/src/peer_links.cpp
@@ -276,6 +276,7 @@
 {
     if (m_stopping)
         return;
+    const WorkScope scope(m_context.work, WorkKind::BatchSent);
     DispatchBatch batch = makeBatch(*peer);
     HttpRequest request;
     request.method = "POST";
@@ -293,6 +294,7 @@
 
 void PeerLinks::onResult(const PeerPointer& peer, const HttpResult& result, const DispatchBatch& batch)
 {
+    const WorkScope scope(m_context.work, WorkKind::BatchSent);
     const std::optional<DispatchReply> reply = result.ok() && result.response.status == httpStatus::ok ? parseDispatchReply(result.response.body) : std::nullopt;
     bool sendNext = false;
     bool refusalBegins = false;
@@ -376,6 +378,7 @@
 
 void PeerLinks::handleRequest(const std::shared_ptr<HttpExchange>& exchange)
 {
+    const WorkScope scope(m_context.work, WorkKind::BatchReceived);
     const HttpRequest& request = exchange->request();
     HttpResponse response;
     if (request.method == "GET" && request.path == configurationPath) {
--- a/packages/fleet/src/store_watcher.cpp
+++ b/packages/fleet/src/store_watcher.cpp
@@ -41,10 +41,16 @@
 absl::Status StoreWatcher::start()
 {
     const StoreFormats& formats = *m_context.platform.formats;
-    for (const auto& watched : { std::make_pair(formats.operatorPrefix(), Milliseconds { 0 }), std::make_pair(storeKeys::prefix, Milliseconds { 0 }), std::make_pair(formats.upstreamPrefix(), heartbeatBatchInterval) }) {
+    struct Watched {
+        std::string prefix;
+        Milliseconds batchInterval;
+        WorkKind work;
+    };
+    for (const Watched& watched : { Watched { formats.operatorPrefix(), Milliseconds { 0 }, WorkKind::OperatorWatch }, Watched { storeKeys::prefix, Milliseconds { 0 }, WorkKind::ViewWatch }, Watched { formats.upstreamPrefix(), heartbeatBatchInterval, WorkKind::UpstreamWatch } }) {
         m_streams.emplace_back();
-        m_streams.back().prefix = watched.first;
-        m_streams.back().batchInterval = watched.second;
+        m_streams.back().prefix = watched.prefix;
+        m_streams.back().batchInterval = watched.batchInterval;
+        m_streams.back().work = watched.work;
     }
     for (Stream& stream : m_streams)
         stream.thread = std::thread([this, &stream] { watchLoop(stream); });
@@ -113,6 +119,8 @@
         // Not before all changes of a transaction have been applied: other VMs ignore a second set of the same revision.
         if (stream.evacuationsChanged && !entry.moreFollow)
             publishEvacuations(stream, std::max(stream.revision, entry.deliveredUntil));
+        if (!entry.moreFollow)
+            countWork(stream);
     });
 }
 
@@ -141,6 +149,14 @@
     return absl::OkStatus();
 }
 
+/// Called on the stream's thread, whose whole time since the last call counts: also that of the call to the store.
+void StoreWatcher::countWork(Stream& stream)
+{
+    const Duration time = WorkMeter::threadTime();
+    m_context.work.add(stream.work, time - stream.workCounted);
+    stream.workCounted = time;
+}
+
 void StoreWatcher::applyEntry(Stream& stream, const StoreEntry& entry)
 {
     const StoreFormats& formats = *m_context.platform.formats;
--- a/packages/fleet/src/upstream_links.cpp
+++ b/packages/fleet/src/upstream_links.cpp
@@ -129,6 +129,7 @@
 void UpstreamLinks::start(const StartOrder& order)
 {
     enqueue(order.upstream, [this, order](const LinkPointer& link) {
+        const WorkScope scope(m_context.work, WorkKind::Order);
         DispatchService& dispatch = m_context.kernel.find<DispatchService>(fleetServices::dispatch);
         const std::optional<StartOrder> current = dispatch.withDispatcher([&order](Dispatcher& dispatcher, TimePoint now) { return dispatcher.startToSend(order, now); });
         if (!current) {
@@ -137,6 +138,7 @@
         }
         m_context.metrics.countStart("run");
         m_context.platform.upstreams->start(infoOf(link), *current, [this, link, current = *current, &dispatch](const OrderReply& reply) {
+            const WorkScope replyScope(m_context.work, WorkKind::Order);
             dispatch.withDispatcher([&](Dispatcher& dispatcher, TimePoint now) { dispatcher.onStartReply(current, reply, now); });
             onOrderDone(link);
         });
@@ -147,11 +149,13 @@
 void UpstreamLinks::stop(const StopOrder& order)
 {
     enqueue(order.upstream, [this, order](const LinkPointer& link) {
+        const WorkScope scope(m_context.work, WorkKind::Order);
         DispatchService& dispatch = m_context.kernel.find<DispatchService>(fleetServices::dispatch);
         const std::optional<StopOrder> current = dispatch.withDispatcher([&order](Dispatcher& dispatcher, TimePoint) { return dispatcher.stopToSend(order); });
         if (!current)
             return false;
         m_context.platform.upstreams->stop(infoOf(link), *current, [this, link, current = *current, &dispatch](const OrderReply& reply) {
+            const WorkScope replyScope(m_context.work, WorkKind::Order);
             dispatch.withDispatcher([&](Dispatcher& dispatcher, TimePoint now) { dispatcher.onStopReply(current, reply, now); });
             onOrderDone(link);
         });
@@ -190,6 +194,7 @@
 
 void UpstreamLinks::poll(const LinkPointer& link, bool immediate, std::function<void(Milliseconds)> onDone)
 {
+    const WorkScope scope(m_context.work, WorkKind::Poll);
     const UpstreamInfo info = infoOf(link);
     DispatchService& dispatch = m_context.kernel.find<DispatchService>(fleetServices::dispatch);
     std::optional<PollOrder> order = dispatch.withDispatcher([&info](Dispatcher& dispatcher, TimePoint now) { return dispatcher.nextPoll(info.id, now); });
@@ -200,6 +205,7 @@
     if (immediate)
         order->wait = Milliseconds { 0 };
     m_context.platform.upstreams->poll(info, *order, [this, order = *order, sentAt = bootTimeNow(), onDone = std::move(onDone)](const PollReply& reply) {
+        const WorkScope replyScope(m_context.work, WorkKind::Poll);
         m_context.kernel.find<DispatchService>(fleetServices::dispatch).withDispatcher([&](Dispatcher& dispatcher, TimePoint now) { dispatcher.onPollReply(order, reply, sentAt, now); });
         if (reply.outcome != OrderOutcome::Accepted)
             onDone(failedPollDelay);
