--- a/packages/base/src/event.cpp
+++ b/packages/base/src/event.cpp
@@ -36,6 +36,7 @@
         events::inputRefused,
         events::requestsUnanswered,
         events::drainStep,
+        events::processorTime,
         events::badRequest,
         events::unknownKind,
         events::jobTooLarge,
--- a/packages/fleet/src/membership.cpp
+++ b/packages/fleet/src/membership.cpp
@@ -69,9 +69,13 @@
 
 void FleetMembership::run()
 {
+    Duration counted { 0 };
     while (!m_stopping) {
         const bool leaving = m_leaving;
         step();
+        const Duration time = WorkMeter::threadTime();
+        m_context.work.add(WorkKind::Membership, time - counted);
+        counted = time;
         std::unique_lock<std::mutex> lock(m_wakeMutex);
         m_wake.wait_for(lock, stepInterval, [this, leaving] { return m_stopping || m_leaving != leaving; });
     }
