Accept a run's end from the owner that had its upstream before

After a change of owners an executor took reports about a run from the new owner only. If the run had ended shortly before, the earlier owner had acknowledged the end to the upstream, its report was under way (it may be deferred by 50 ms), and the new owner found nothing and answered the claim with lost: the finished task ran again, and its job was late or given up.

Cause: findTask() matched the sender with the present owner for every report. That is right for returned, which says that a VM knows nothing of a run; but that a run has ended at its upstream is a fact, whoever owns the upstream.

Fix: RunEnded is accepted from another VM if it names the task's present run and the upstream where that run was started.

Evidence: the section added to "executor claims runs at an upstream's new owner" failed before.

Remains: a deferred report can still arrive after the new owner's answer.

--- a/packages/decision/include/egrettrestle/decision/job_executor.hpp
+++ b/packages/decision/include/egrettrestle/decision/job_executor.hpp
@@ -368,7 +368,8 @@
     /// Keeps the highest run number of a job that has ended, so that a later submission does not reuse the numbers.
     void rememberRunNumbers(const Job& job, TimePoint now);
     void forgetRunNumbers(TimePoint now);
-    /// The task and job of a run; null if the run is not the task's current one or is not at this owner.
+    /// The task and job of a run; null if the run is not the task's current one, or not at the owner given.
+    Task* findTask(const TaskRun& run, Job*& job);
     Task* findTask(const TaskRun& run, const VmId& owner, Job*& job);
     TaskRun runOf(const Job& job, const Task& task) const;
     OwnerQuery queryFor(Job& job, const Task& task, TimePoint now) const;
--- a/packages/decision/src/job_executor.cpp
+++ b/packages/decision/src/job_executor.cpp
@@ -390,7 +390,7 @@
         reply(entry.second, { JobOutcome::GaveUp, Milliseconds { 0 }, "vm-ending" }, now);
 }
 
-JobExecutor::Task* JobExecutor::findTask(const TaskRun& run, const VmId& owner, Job*& job)
+JobExecutor::Task* JobExecutor::findTask(const TaskRun& run, Job*& job)
 {
     const auto entry = m_jobs.find(run.task.job);
     if (entry == m_jobs.end())
@@ -398,11 +398,17 @@
     job = &entry->second;
     for (Task& task : job->tasks) {
         if (task.step == run.task.step && task.index == run.task.index)
-            return task.run == run.number && task.owner == owner ? &task : nullptr;
+            return task.run == run.number ? &task : nullptr;
     }
     return nullptr;
 }
 
+JobExecutor::Task* JobExecutor::findTask(const TaskRun& run, const VmId& owner, Job*& job)
+{
+    Task* task = findTask(run, job);
+    return task && task->owner == owner ? task : nullptr;
+}
+
 void JobExecutor::onStarted(const VmId& owner, const RunStarted& started, TimePoint now)
 {
     Job* job = nullptr;
@@ -429,8 +435,10 @@
 void JobExecutor::onEnded(const VmId& owner, const RunEnded& ended, TimePoint now)
 {
     Job* job = nullptr;
-    Task* task = findTask(ended.run, owner, job);
-    if (!task || task->state == TaskState::Done)
+    Task* task = findTask(ended.run, job);
+    // That a run has ended at its upstream is true whoever owns the upstream now. The new owner may not learn of an end that
+    // an earlier one has acknowledged to the upstream.
+    if (!task || task->state == TaskState::Done || (task->owner != owner && task->upstream != ended.upstream))
         return;
     job->anyStarted = true;
     const JobStep& step = job->request.steps[task->step];
--- a/tests/unit/unit-job-executor.cpp
+++ b/tests/unit/unit-job-executor.cpp
@@ -402,6 +402,25 @@
         CHECK(fixture.port.sent.size() == 2);
     }
 
+    // The previous owner has acknowledged the end to the upstream, so the new owner only finds that the run is not there. Without
+    // its report the task would run again.
+    SECTION("and accepts the previous owner's report that the run has ended there")
+    {
+        fixture.executor.onEnded("x", { fixture.request(0).run, "u", RunOutcome::Done, {}, "a" }, fixture.now);
+        REQUIRE(fixture.port.replies.size() == 1);
+        CHECK(fixture.port.replies[0].reply.outcome == JobOutcome::Succeeded);
+        fixture.executor.onReturned("y", { fixture.request(0).run, ReturnReason::Lost }, fixture.now);
+        CHECK(fixture.port.sent.size() == 2);
+    }
+
+    SECTION("and none about another upstream or run")
+    {
+        const TaskRun run = fixture.request(0).run;
+        fixture.executor.onEnded("x", { run, "other", RunOutcome::Done, {}, "a" }, fixture.now);
+        fixture.executor.onEnded("x", { { run.task, run.number + 1 }, "u", RunOutcome::Done, {}, "a" }, fixture.now);
+        CHECK(fixture.port.replies.empty());
+    }
+
     SECTION("and processes the new owner's messages")
     {
         fixture.executor.onEnded("y", { fixture.request(0).run, "u", RunOutcome::Done, {}, "a" }, fixture.now);
