Parse JSON without a callback unless it is nested deeply

A profile of a VM in a fleet of 48 (9 s, 360 upstreams, 100 jobs a second) had 17% of its time in parseJson(): heartbeats, batches, replies. The limit of the depth was a parser callback, with which nlohmann::json calls a function for each value and checks twice whether to keep it. The brackets are now counted first, outside of strings; only a text that may be too deep is parsed with the callback, so errors are the same as before.

--- a/packages/wire/src/object_reader.cpp
+++ b/packages/wire/src/object_reader.cpp
@@ -36,15 +36,57 @@
     return text.substr(0, length) + "...";
 }
 
+namespace {
+
+    /// Whether the character at a position in a string is preceded by an odd number of backslashes.
+    bool isEscaped(std::string_view text, std::size_t at)
+    {
+        std::size_t backslashes = 0;
+        while (backslashes < at && text[at - backslashes - 1] == '\\')
+            ++backslashes;
+        return backslashes % 2 == 1;
+    }
+
+    /// Whether brackets are nested at most maxDepth levels deep; the text need not be valid.
+    bool isShallow(std::string_view text)
+    {
+        int depth = 0;
+        for (std::size_t at = 0; at < text.size(); ++at) {
+            const char character = text[at];
+            if (character == '{' || character == '[') {
+                if (++depth > maxDepth)
+                    return false;
+            } else if (character == '}' || character == ']') {
+                --depth;
+            } else if (character == '"') {
+                do {
+                    at = text.find('"', at + 1);
+                } while (at != std::string_view::npos && isEscaped(text, at));
+                if (at == std::string_view::npos)
+                    return true;
+            }
+        }
+        return true;
+    }
+
+    nlohmann::json parseNested(std::string_view text)
+    {
+        // The parser calls a callback for every value, which takes as long as the parsing.
+        if (isShallow(text))
+            return nlohmann::json::parse(text);
+        return nlohmann::json::parse(text, [](int depth, nlohmann::json::parse_event_t, nlohmann::json&) {
+            if (depth > maxDepth)
+                throw TooDeep {};
+            return true;
+        });
+    }
+
+}
+
 std::optional<nlohmann::json> parseJson(std::string_view text, ErrorCodeRange codes, std::vector<ValidationError>& errors)
 {
-    const nlohmann::json::parser_callback_t limitDepth = [](int depth, nlohmann::json::parse_event_t, nlohmann::json&) {
-        if (depth > maxDepth)
-            throw TooDeep {};
-        return true;
-    };
     try {
-        return nlohmann::json::parse(text, limitDepth);
+        return parseNested(text);
     } catch (const nlohmann::json::parse_error& error) {
         errors.push_back({ codes.notJson(), "byte " + std::to_string(error.byte), "invalid JSON", "a JSON object" });
     } catch (const nlohmann::json::exception&) {
