Write batches between VMs without a tree of values

Each VM of a large fleet writes up to 133 batches and as many replies a second, most of them without messages. Each was built as a tree of JSON values and then written: 7.5% of a VM's time in a profile of 48 VMs. JsonWriter writes the text directly; messages keep their trees.

--- a/packages/wire/src/dispatch_messages.cpp
+++ b/packages/wire/src/dispatch_messages.cpp
@@ -4,6 +4,7 @@
 #include <cmath>
 
 #include <egrettrestle/wire/detail/conversions/parse_message.hpp>
+#include <egrettrestle/wire/detail/output/json_writer.hpp>
 
 namespace egrettrestle {
 
@@ -213,17 +214,6 @@
         return message;
     }
 
-    json kindJson(const KindCapacity& kind)
-    {
-        json value { { "service", kind.service }, { "kind", kind.kind }, { "free", kind.freeTasks }, { "total", kind.totalTasks }, { "slowness", readableReal(kind.slowness, 1) } };
-        if (!kind.places.empty()) {
-            json& places = value["places"] = json::array();
-            for (const SizedCapacity& place : kind.places)
-                places.push_back(json::array({ readableNumber(place.milliCores), place.freeTasks }));
-        }
-        return value;
-    }
-
     std::vector<SizedCapacity> readPlaces(ObjectReader& reader, std::vector<ValidationError>& errors)
     {
         constexpr std::size_t fields = 2;
@@ -237,22 +227,65 @@
         return places;
     }
 
-    json capacityJson(const CapacityReport& capacity)
+    void writeKind(detail::JsonWriter& writer, const KindCapacity& kind)
+    {
+        writer.beginObject();
+        writer.field("service", kind.service);
+        writer.field("kind", kind.kind);
+        writer.field("free", kind.freeTasks);
+        writer.field("total", kind.totalTasks);
+        writer.field("slowness", readableReal(kind.slowness, 1));
+        if (!kind.places.empty()) {
+            writer.beginArray("places");
+            for (const SizedCapacity& place : kind.places) {
+                writer.beginArray();
+                writer.element(readableNumber(place.milliCores));
+                writer.element(place.freeTasks);
+                writer.endArray();
+            }
+            writer.endArray();
+        }
+        writer.endObject();
+    }
+
+    void writeCapacity(detail::JsonWriter& writer, const CapacityReport& capacity)
     {
-        json kinds = json::array();
+        writer.beginObject("room");
+        writer.beginObject("need");
+        writer.field("cpu", readableNumber(capacity.typicalNeed.milliCores));
+        writer.field("memory", readableNumber(capacity.typicalNeed.memoryMb));
+        writer.field("accelerators", readableNumber(capacity.typicalNeed.accelerators));
+        writer.endObject();
+        writer.beginArray("kinds");
         for (const KindCapacity& kind : capacity.kinds)
-            kinds.push_back(kindJson(kind));
-        json queues = json::array();
-        for (const QueueBacklog& queue : capacity.queues)
-            queues.push_back({ { "service", queue.service }, { "priority", readableNumber(queue.priority) }, { "tasks", queue.tasks }, { "workMs", readableMilliseconds(queue.work) } });
-        json routes = json::array();
-        for (const RouteCapacity& route : capacity.confinedRoutes)
-            routes.push_back({ { "route", route.route }, { "free", route.freeTasks }, { "total", route.totalTasks }, { "tasks", route.queuedTasks }, { "workMs", readableMilliseconds(route.queuedWork) } });
-        const json need { { "cpu", readableNumber(capacity.typicalNeed.milliCores) }, { "memory", readableNumber(capacity.typicalNeed.memoryMb) }, { "accelerators", readableNumber(capacity.typicalNeed.accelerators) } };
-        json value { { "need", need }, { "kinds", std::move(kinds) }, { "queues", std::move(queues) }, { "seen", capacity.requestsReceived }, { "completeUnder", capacity.completeAtEpoch.value } };
-        if (!routes.empty())
-            value["confined"] = std::move(routes);
-        return value;
+            writeKind(writer, kind);
+        writer.endArray();
+        writer.beginArray("queues");
+        for (const QueueBacklog& queue : capacity.queues) {
+            writer.beginObject();
+            writer.field("service", queue.service);
+            writer.field("priority", readableNumber(queue.priority));
+            writer.field("tasks", queue.tasks);
+            writer.field("workMs", readableMilliseconds(queue.work));
+            writer.endObject();
+        }
+        writer.endArray();
+        writer.field("seen", capacity.requestsReceived);
+        writer.field("completeUnder", capacity.completeAtEpoch.value);
+        if (!capacity.confinedRoutes.empty()) {
+            writer.beginArray("confined");
+            for (const RouteCapacity& route : capacity.confinedRoutes) {
+                writer.beginObject();
+                writer.field("route", route.route);
+                writer.field("free", route.freeTasks);
+                writer.field("total", route.totalTasks);
+                writer.field("tasks", route.queuedTasks);
+                writer.field("workMs", readableMilliseconds(route.queuedWork));
+                writer.endObject();
+            }
+            writer.endArray();
+        }
+        writer.endObject();
     }
 
     Evacuations readEvacuations(ObjectReader& reader, std::vector<ValidationError>& errors)
@@ -294,25 +327,35 @@
 
 }
 
+// A VM of a large fleet writes more than a hundred batches a second, most of them without messages.
 std::string toText(const DispatchBatch& batch, TimePoint now)
 {
-    json value {
-        { "from", batch.sender },
-        { "life", batch.stamp.processIncarnation },
-        { "toLife", batch.stamp.receiverProcessIncarnation },
-        { "first", batch.stamp.firstMessage },
-        { "address", batch.address },
-        { "epoch", batch.epoch.value },
-        { "configuration", batch.configurationVersion },
-        { "mark", batch.stamp.echoedTimestamp },
-        { "room", capacityJson(batch.capacity) },
-    };
-    if (batch.evacuations)
-        value["evacuations"] = { { "revision", batch.evacuations->revision }, { "dataCentres", batch.evacuations->dataCentres } };
-    json& messages = value["messages"] = json::array();
+    detail::JsonWriter writer;
+    writer.beginObject();
+    writer.field("from", batch.sender);
+    writer.field("life", batch.stamp.processIncarnation);
+    writer.field("toLife", batch.stamp.receiverProcessIncarnation);
+    writer.field("first", batch.stamp.firstMessage);
+    writer.field("address", batch.address);
+    writer.field("epoch", batch.epoch.value);
+    writer.field("configuration", batch.configurationVersion);
+    writer.field("mark", batch.stamp.echoedTimestamp);
+    writeCapacity(writer, batch.capacity);
+    if (batch.evacuations) {
+        writer.beginObject("evacuations");
+        writer.field("revision", batch.evacuations->revision);
+        writer.beginArray("dataCentres");
+        for (const DataCentreId& dataCentre : batch.evacuations->dataCentres)
+            writer.element(dataCentre);
+        writer.endArray();
+        writer.endObject();
+    }
+    writer.beginArray("messages");
     for (const PeerMessage& message : batch.messages)
-        messages.push_back(messageJson(message, now));
-    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+        writer.element(messageJson(message, now));
+    writer.endArray();
+    writer.endObject();
+    return writer.text();
 }
 
 std::optional<DispatchBatch> parseDispatchBatch(std::string_view text, TimePoint now)
@@ -351,14 +394,15 @@
 
 std::string toText(const DispatchReply& reply)
 {
-    return json {
-        { "life", reply.channel.processIncarnation },
-        { "epoch", reply.epoch.value },
-        { "configuration", reply.configurationVersion },
-        { "mark", reply.channel.timestamp },
-        { "taken", reply.channel.accepted },
-    }
-        .dump();
+    detail::JsonWriter writer;
+    writer.beginObject();
+    writer.field("life", reply.channel.processIncarnation);
+    writer.field("epoch", reply.epoch.value);
+    writer.field("configuration", reply.configurationVersion);
+    writer.field("mark", reply.channel.timestamp);
+    writer.field("taken", reply.channel.accepted);
+    writer.endObject();
+    return writer.text();
 }
 
 std::optional<DispatchReply> parseDispatchReply(std::string_view text)
