Check all peers at a tick in one pass

Each tick looked up every known VM in two sets of ids, 50 times a second: 4% of a VM's time in a profile of 48 VMs, and it grows with the fleet.

--- a/packages/decision/src/dispatcher.cpp
+++ b/packages/decision/src/dispatcher.cpp
@@ -29,6 +29,15 @@
         UpstreamOwner& m_owner;
     };
 
+    /// Whether a set contains an id that is higher than those asked for before; `position` is moved up to it.
+    bool isNext(std::set<VmId>::const_iterator& position, const std::set<VmId>& ids, const VmId& id)
+    {
+        int order = -1;
+        while (position != ids.end() && (order = position->compare(id)) < 0)
+            ++position;
+        return position != ids.end() && order == 0;
+    }
+
     /// VMs that are members of both views with the same incarnation; none if views were skipped in between.
     std::set<VmId> stableMembers(const View& earlier, const View& later)
     {
@@ -407,10 +416,14 @@
 void Dispatcher::checkPeers(TimePoint now)
 {
     const std::set<VmId> ownersWithTasks = m_executor.ownersWithTasks();
+    // All three are ordered by id: searching the sets for each VM of a large fleet at each tick would cost more than the rest.
+    auto contact = m_contacts.begin();
+    auto ownerWithTasks = ownersWithTasks.begin();
     for (auto& entry : m_peers) {
         PeerState& peer = entry.second;
-        const bool isContact = m_contacts.count(entry.first) > 0;
-        const bool replyExpected = isContact || ownersWithTasks.count(entry.first) > 0;
+        const bool isContact = isNext(contact, m_contacts, entry.first);
+        const bool hasTasks = isNext(ownerWithTasks, ownersWithTasks, entry.first);
+        const bool replyExpected = isContact || hasTasks;
         if (!replyExpected)
             peer.expectedSince.reset();
         else if (!isContact && !peer.expectedSince)
