--- a/tests/bench/measure-slopes.cpp
+++ b/tests/bench/measure-slopes.cpp
@@ -10,6 +10,7 @@
 #include <malloc.h>
 
 #include <egrettrestle/decision/claim_ledger.hpp>
+#include <egrettrestle/decision/dispatcher.hpp>
 #include <egrettrestle/decision/slot_share.hpp>
 #include <egrettrestle/decision/task_scheduler.hpp>
 #include <egrettrestle/wire/manifest_json.hpp>
@@ -163,6 +164,74 @@
     }
 }
 
+/// Carries out nothing.
+class IdlePort : public DispatcherPort {
+public:
+    void start(const StartOrder&) override { }
+    void stop(const StopOrder&) override { }
+    void pollNow(const UpstreamId&) override { }
+    void send(const VmId&, PeerMessage) override { }
+    void reply(CallerTicket, const JobResult&) override { }
+    void recordEvent(const OwnerEvent&) override { }
+    void recordEvent(const JobEvent&) override { }
+    void recordEvent(const EvacuationEvent&) override { }
+    void onOwnedUpstreamsChanged() override { }
+    void onPeerLost(const VmId&) override { }
+};
+
+/// The members of a fleet join one after another; all figures are for one VM that follows all the views.
+void measureJoins()
+{
+    constexpr std::size_t dataCentres = 5;
+    constexpr std::size_t upstreams = 1'100;
+    const auto dataCentre = [](std::size_t number) { return "zone-" + std::to_string(number % dataCentres); };
+    for (const std::size_t members : { 50, 147, 300 }) {
+        std::vector<View> views(1);
+        for (std::size_t number = 0; number < members; ++number) {
+            View next = withJoined(views.back(), "front-" + dataCentre(number) + "-" + std::to_string(number), "10.1.0.13:7720", "10.1.0.13:8161");
+            next.past.clear();
+            for (Member& member : next.members)
+                member.dataCentre = dataCentre(std::stoull(member.id.substr(member.id.rfind('-') + 1)));
+            views.push_back(std::move(next));
+        }
+        views.erase(views.begin());
+        const VmId self = views.front().members.front().id;
+        IdlePort port;
+        Dispatcher dispatcher(port, self, {});
+        for (std::size_t number = 0; number < upstreams; ++number) {
+            UpstreamInfo upstream;
+            upstream.id = "upstream-" + std::to_string(number);
+            upstream.service = "print";
+            upstream.dataCentre = dataCentre(number);
+            dispatcher.setUpstream(upstream, start);
+        }
+        std::vector<std::string> texts;
+        for (const View& view : views)
+            texts.push_back(toText(view));
+        printRow("joins, views parsed", members, measureMicroseconds([&] {
+            for (const std::string& text : texts)
+                parseView(text);
+        }) / 1'000,
+            "ms");
+        printRow("joins, regular contacts", members, measureMicroseconds([&] {
+            for (const View& view : views)
+                regularContacts(view, self, {});
+        }) / 1'000,
+            "ms");
+        printRow("joins, views adopted", members, measureMicroseconds([&] {
+            for (const View& view : views)
+                dispatcher.setView(view, start);
+        }) / 1'000,
+            "ms");
+        printRow("tick of an idle dispatcher", members, measureMicroseconds([&] {
+            constexpr int ticks = 1'000;
+            for (int tick = 0; tick < ticks; ++tick)
+                dispatcher.tick(start);
+        }) / 1'000,
+            "us");
+    }
+}
+
 void measureScheduling()
 {
     for (const std::size_t upstreams : { 17, 50, 275 }) {
@@ -203,5 +272,6 @@
     measureClaims();
     measureMessages();
     measureViewsAndLists();
+    measureJoins();
     measureScheduling();
 }
