--- a/packages/wire/src/dispatch_messages.cpp
+++ b/packages/wire/src/dispatch_messages.cpp
@@ -2,8 +2,10 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 #include <egrettrestle/wire/detail/conversions/parse_message.hpp>
+#include <egrettrestle/wire/detail/output/json_writer.hpp>
 
 namespace egrettrestle {
 
@@ -213,17 +215,6 @@
         return message;
     }
 
-    json kindJson(const KindCapacity& kind)
-    {
-        json value { { "service", kind.service }, { "kind", kind.kind }, { "free", kind.freeTasks }, { "total", kind.totalTasks }, { "slowness", readableReal(kind.slowness, 1) } };
-        if (!kind.places.empty()) {
-            json& places = value["places"] = json::array();
-            for (const SizedCapacity& place : kind.places)
-                places.push_back(json::array({ readableNumber(place.milliCores), place.freeTasks }));
-        }
-        return value;
-    }
-
     std::vector<SizedCapacity> readPlaces(ObjectReader& reader, std::vector<ValidationError>& errors)
     {
         constexpr std::size_t fields = 2;
@@ -237,22 +228,65 @@
         return places;
     }
 
-    json capacityJson(const CapacityReport& capacity)
+    void writeKind(detail::JsonWriter& writer, const KindCapacity& kind)
+    {
+        writer.beginObject();
+        writer.field("service", kind.service);
+        writer.field("kind", kind.kind);
+        writer.field("free", kind.freeTasks);
+        writer.field("total", kind.totalTasks);
+        writer.field("slowness", readableReal(kind.slowness, 1));
+        if (!kind.places.empty()) {
+            writer.beginArray("places");
+            for (const SizedCapacity& place : kind.places) {
+                writer.beginArray();
+                writer.element(readableNumber(place.milliCores));
+                writer.element(place.freeTasks);
+                writer.endArray();
+            }
+            writer.endArray();
+        }
+        writer.endObject();
+    }
+
+    void writeCapacity(detail::JsonWriter& writer, const CapacityReport& capacity)
     {
-        json kinds = json::array();
+        writer.beginObject("room");
+        writer.beginObject("need");
+        writer.field("cpu", readableNumber(capacity.typicalNeed.milliCores));
+        writer.field("memory", readableNumber(capacity.typicalNeed.memoryMb));
+        writer.field("accelerators", readableNumber(capacity.typicalNeed.accelerators));
+        writer.endObject();
+        writer.beginArray("kinds");
         for (const KindCapacity& kind : capacity.kinds)
-            kinds.push_back(kindJson(kind));
-        json queues = json::array();
-        for (const QueueBacklog& queue : capacity.queues)
-            queues.push_back({ { "service", queue.service }, { "priority", readableNumber(queue.priority) }, { "tasks", queue.tasks }, { "workMs", readableMilliseconds(queue.work) } });
-        json routes = json::array();
-        for (const RouteCapacity& route : capacity.confinedRoutes)
-            routes.push_back({ { "route", route.route }, { "free", route.freeTasks }, { "total", route.totalTasks }, { "tasks", route.queuedTasks }, { "workMs", readableMilliseconds(route.queuedWork) } });
-        const json need { { "cpu", readableNumber(capacity.typicalNeed.milliCores) }, { "memory", readableNumber(capacity.typicalNeed.memoryMb) }, { "accelerators", readableNumber(capacity.typicalNeed.accelerators) } };
-        json value { { "need", need }, { "kinds", std::move(kinds) }, { "queues", std::move(queues) }, { "seen", capacity.requestsReceived }, { "completeUnder", capacity.completeAtEpoch.value } };
-        if (!routes.empty())
-            value["confined"] = std::move(routes);
-        return value;
+            writeKind(writer, kind);
+        writer.endArray();
+        writer.beginArray("queues");
+        for (const QueueBacklog& queue : capacity.queues) {
+            writer.beginObject();
+            writer.field("service", queue.service);
+            writer.field("priority", readableNumber(queue.priority));
+            writer.field("tasks", queue.tasks);
+            writer.field("workMs", readableMilliseconds(queue.work));
+            writer.endObject();
+        }
+        writer.endArray();
+        writer.field("seen", capacity.requestsReceived);
+        writer.field("completeUnder", capacity.completeAtEpoch.value);
+        if (!capacity.confinedRoutes.empty()) {
+            writer.beginArray("confined");
+            for (const RouteCapacity& route : capacity.confinedRoutes) {
+                writer.beginObject();
+                writer.field("route", route.route);
+                writer.field("free", route.freeTasks);
+                writer.field("total", route.totalTasks);
+                writer.field("tasks", route.queuedTasks);
+                writer.field("workMs", readableMilliseconds(route.queuedWork));
+                writer.endObject();
+            }
+            writer.endArray();
+        }
+        writer.endObject();
     }
 
     Evacuations readEvacuations(ObjectReader& reader, std::vector<ValidationError>& errors)
@@ -294,25 +328,302 @@
 
 }
 
+// A VM of a large fleet writes more than a hundred batches a second, most of them without messages.
 std::string toText(const DispatchBatch& batch, TimePoint now)
 {
-    json value {
-        { "from", batch.sender },
-        { "life", batch.stamp.processIncarnation },
-        { "toLife", batch.stamp.receiverProcessIncarnation },
-        { "first", batch.stamp.firstMessage },
-        { "address", batch.address },
-        { "epoch", batch.epoch.value },
-        { "configuration", batch.configurationVersion },
-        { "mark", batch.stamp.echoedTimestamp },
-        { "room", capacityJson(batch.capacity) },
-    };
-    if (batch.evacuations)
-        value["evacuations"] = { { "revision", batch.evacuations->revision }, { "dataCentres", batch.evacuations->dataCentres } };
-    json& messages = value["messages"] = json::array();
+    detail::JsonWriter writer;
+    writer.beginObject();
+    writer.field("from", batch.sender);
+    writer.field("life", batch.stamp.processIncarnation);
+    writer.field("toLife", batch.stamp.receiverProcessIncarnation);
+    writer.field("first", batch.stamp.firstMessage);
+    writer.field("address", batch.address);
+    writer.field("epoch", batch.epoch.value);
+    writer.field("configuration", batch.configurationVersion);
+    writer.field("mark", batch.stamp.echoedTimestamp);
+    writeCapacity(writer, batch.capacity);
+    if (batch.evacuations) {
+        writer.beginObject("evacuations");
+        writer.field("revision", batch.evacuations->revision);
+        writer.beginArray("dataCentres");
+        for (const DataCentreId& dataCentre : batch.evacuations->dataCentres)
+            writer.element(dataCentre);
+        writer.endArray();
+        writer.endObject();
+    }
+    writer.beginArray("messages");
     for (const PeerMessage& message : batch.messages)
-        messages.push_back(messageJson(message, now));
-    return value.dump(-1, ' ', false, json::error_handler_t::replace);
+        writer.element(messageJson(message, now));
+    writer.endArray();
+    writer.endObject();
+    return writer.text();
+}
+
+namespace {
+
+    /// Reads a batch without messages, as VMs send most of them, without building a tree of its values. Stops at anything
+    /// else, also at unknown fields and at values out of range, for which the tree is built.
+    class EmptyBatchReader : public nlohmann::json_sax<json> {
+    public:
+        static std::optional<DispatchBatch> read(std::string_view text)
+        {
+            if (text.find("\"messages\":[]") == std::string_view::npos)
+                return std::nullopt;
+            EmptyBatchReader reader;
+            if (!json::sax_parse(text, &reader) || reader.m_levels.size() != 1 || reader.m_levels.back().kind != Kind::Text)
+                return std::nullopt;
+            return std::move(reader.m_batch);
+        }
+
+        EmptyBatchReader() { m_levels.push_back({ Kind::Text }); }
+
+        bool null() override { return false; }
+        bool boolean(bool) override { return false; }
+        bool binary(json::binary_t&) override { return false; }
+        bool number_integer(std::int64_t) override { return false; }
+        bool parse_error(std::size_t, const std::string&, const json::exception&) override { return false; }
+
+        bool number_float(double value, const std::string&) override
+        {
+            return isAt(Kind::KindCapacity, "slowness") && setSlowness(value);
+        }
+
+        bool number_unsigned(std::uint64_t value) override
+        {
+            if (isAt(Kind::KindCapacity, "slowness"))
+                return setSlowness(static_cast<double>(value));
+            if (m_levels.back().kind == Kind::Place)
+                return addToPlace(value);
+            std::uint64_t* number = numberAt();
+            if (number) {
+                *number = value;
+                return true;
+            }
+            if (m_levels.back().kind == Kind::Need)
+                return value <= maxInteger && setNeed(static_cast<std::int64_t>(value));
+            return setCount(value);
+        }
+
+        bool string(std::string& value) override
+        {
+            std::string* text = textAt();
+            if (!text)
+                return false;
+            text->swap(value);
+            return true;
+        }
+
+        bool key(std::string& value) override
+        {
+            Level& level = m_levels.back();
+            const std::vector<const char*>& fields = fieldsOf(level.kind);
+            const auto field = std::find(fields.begin(), fields.end(), value);
+            if (field == fields.end())
+                return false;
+            const unsigned bit = 1U << static_cast<unsigned>(field - fields.begin());
+            // Of repeated fields, the last one counts in a tree.
+            if ((level.fieldsRead & bit) != 0)
+                return false;
+            level.fieldsRead |= bit;
+            m_field = *field;
+            return true;
+        }
+
+        bool start_object(std::size_t) override
+        {
+            if (m_levels.back().kind == Kind::Text)
+                return enter(Kind::Batch);
+            if (isAt(Kind::Batch, "room"))
+                return enter(Kind::Room);
+            if (isAt(Kind::Room, "need"))
+                return enter(Kind::Need);
+            if (m_levels.back().kind == Kind::KindList) {
+                m_batch.capacity.kinds.emplace_back();
+                return enter(Kind::KindCapacity);
+            }
+            if (m_levels.back().kind == Kind::QueueList) {
+                m_batch.capacity.queues.emplace_back();
+                return enter(Kind::Queue);
+            }
+            return false;
+        }
+
+        bool end_object() override
+        {
+            const Level& level = m_levels.back();
+            const std::size_t required = fieldsOf(level.kind).size() - (level.kind == Kind::KindCapacity ? 1 : 0);
+            const unsigned mask = (1U << required) - 1;
+            if ((level.fieldsRead & mask) != mask)
+                return false;
+            m_levels.pop_back();
+            return true;
+        }
+
+        bool start_array(std::size_t) override
+        {
+            if (isAt(Kind::Batch, "messages"))
+                return enter(Kind::Messages);
+            if (isAt(Kind::Room, "kinds"))
+                return enter(Kind::KindList);
+            if (isAt(Kind::Room, "queues"))
+                return enter(Kind::QueueList);
+            if (isAt(Kind::KindCapacity, "places"))
+                return enter(Kind::PlaceList);
+            if (m_levels.back().kind != Kind::PlaceList)
+                return false;
+            m_batch.capacity.kinds.back().places.emplace_back();
+            m_placeFields = 0;
+            return enter(Kind::Place);
+        }
+
+        bool end_array() override
+        {
+            if (m_levels.back().kind == Kind::Place && m_placeFields != 2)
+                return false;
+            m_levels.pop_back();
+            return true;
+        }
+
+    private:
+        enum class Kind {
+            Text,
+            Batch,
+            Room,
+            Need,
+            KindList,
+            KindCapacity,
+            PlaceList,
+            Place,
+            QueueList,
+            Queue,
+            Messages,
+        };
+
+        struct Level {
+            Kind kind;
+            /// One bit for each of fieldsOf().
+            unsigned fieldsRead = 0;
+        };
+
+        static constexpr std::uint64_t maxInteger = std::numeric_limits<std::int64_t>::max();
+
+        /// The fields of an object; all but the last of a kind's capacity are required.
+        static const std::vector<const char*>& fieldsOf(Kind kind)
+        {
+            static const std::vector<const char*> batch { "from", "life", "toLife", "first", "address", "epoch", "configuration", "mark", "room", "messages" };
+            static const std::vector<const char*> room { "need", "kinds", "queues", "seen", "completeUnder" };
+            static const std::vector<const char*> need { "cpu", "memory", "accelerators" };
+            static const std::vector<const char*> kindCapacity { "service", "kind", "free", "total", "slowness", "places" };
+            static const std::vector<const char*> queue { "service", "priority", "tasks", "workMs" };
+            static const std::vector<const char*> none;
+            switch (kind) {
+            case Kind::Batch:
+                return batch;
+            case Kind::Room:
+                return room;
+            case Kind::Need:
+                return need;
+            case Kind::KindCapacity:
+                return kindCapacity;
+            case Kind::Queue:
+                return queue;
+            default:
+                return none;
+            }
+        }
+
+        bool enter(Kind kind)
+        {
+            m_levels.push_back({ kind });
+            return true;
+        }
+
+        bool isAt(Kind kind, std::string_view field) const { return m_levels.back().kind == kind && m_field == field; }
+
+        std::uint64_t* numberAt()
+        {
+            if (m_levels.back().kind == Kind::Room)
+                return m_field == "seen" ? &m_batch.capacity.requestsReceived : m_field == "completeUnder" ? &m_batch.capacity.completeAtEpoch.value
+                                                                                                           : nullptr;
+            if (m_levels.back().kind != Kind::Batch)
+                return nullptr;
+            const std::pair<std::string_view, std::uint64_t*> numbers[] = {
+                { "life", &m_batch.stamp.processIncarnation },
+                { "toLife", &m_batch.stamp.receiverProcessIncarnation },
+                { "first", &m_batch.stamp.firstMessage },
+                { "epoch", &m_batch.epoch.value },
+                { "configuration", &m_batch.configurationVersion },
+                { "mark", &m_batch.stamp.echoedTimestamp },
+            };
+            const auto found = std::find_if(std::begin(numbers), std::end(numbers), [this](const auto& number) { return number.first == m_field; });
+            return found == std::end(numbers) ? nullptr : found->second;
+        }
+
+        std::string* textAt()
+        {
+            if (isAt(Kind::Batch, "from"))
+                return &m_batch.sender;
+            if (isAt(Kind::Batch, "address"))
+                return &m_batch.address;
+            if (isAt(Kind::KindCapacity, "service"))
+                return &m_batch.capacity.kinds.back().service;
+            if (isAt(Kind::KindCapacity, "kind"))
+                return &m_batch.capacity.kinds.back().kind;
+            if (isAt(Kind::Queue, "service"))
+                return &m_batch.capacity.queues.back().service;
+            return nullptr;
+        }
+
+        bool setSlowness(double value)
+        {
+            m_batch.capacity.kinds.back().slowness = value;
+            return true;
+        }
+
+        bool addToPlace(std::uint64_t value)
+        {
+            SizedCapacity& place = m_batch.capacity.kinds.back().places.back();
+            ++m_placeFields;
+            if (m_placeFields == 1)
+                place.milliCores = static_cast<std::int64_t>(value);
+            else
+                place.freeTasks = static_cast<std::uint32_t>(value);
+            return m_placeFields <= 2;
+        }
+
+        bool setNeed(std::int64_t value)
+        {
+            Resources& need = m_batch.capacity.typicalNeed;
+            (m_field == "cpu" ? need.milliCores : m_field == "memory" ? need.memoryMb
+                                                                      : need.accelerators)
+                = value;
+            return true;
+        }
+
+        /// Sets a number of a kind's capacity or of a queue.
+        bool setCount(std::uint64_t value)
+        {
+            if (isAt(Kind::KindCapacity, "free"))
+                m_batch.capacity.kinds.back().freeTasks = static_cast<std::uint32_t>(value);
+            else if (isAt(Kind::KindCapacity, "total"))
+                m_batch.capacity.kinds.back().totalTasks = static_cast<std::uint32_t>(value);
+            else if (isAt(Kind::Queue, "priority"))
+                m_batch.capacity.queues.back().priority = static_cast<int>(value);
+            else if (isAt(Kind::Queue, "tasks"))
+                m_batch.capacity.queues.back().tasks = static_cast<std::uint32_t>(value);
+            else if (isAt(Kind::Queue, "workMs") && value <= detail::maxMilliseconds)
+                m_batch.capacity.queues.back().work = Milliseconds { static_cast<std::int64_t>(value) };
+            else
+                return false;
+            return true;
+        }
+
+        DispatchBatch m_batch;
+        std::vector<Level> m_levels;
+        std::string_view m_field;
+        int m_placeFields = 0;
+    };
+
 }
 
 std::optional<DispatchBatch> parseDispatchBatch(std::string_view text, TimePoint now)
@@ -323,6 +634,8 @@
 
 std::optional<DispatchBatch> parseDispatchBatch(std::string_view text, TimePoint now, std::vector<ValidationError>& parseErrors)
 {
+    if (std::optional<DispatchBatch> batch = EmptyBatchReader::read(text))
+        return batch;
     return detail::parseMessage<DispatchBatch>(text, dispatchErrorCodes, parseErrors, [now](ObjectReader& reader, std::vector<ValidationError>& errors) {
         DispatchBatch batch;
         batch.sender = reader.text("from");
@@ -351,14 +664,15 @@
 
 std::string toText(const DispatchReply& reply)
 {
-    return json {
-        { "life", reply.channel.processIncarnation },
-        { "epoch", reply.epoch.value },
-        { "configuration", reply.configurationVersion },
-        { "mark", reply.channel.timestamp },
-        { "taken", reply.channel.accepted },
-    }
-        .dump();
+    detail::JsonWriter writer;
+    writer.beginObject();
+    writer.field("life", reply.channel.processIncarnation);
+    writer.field("epoch", reply.epoch.value);
+    writer.field("configuration", reply.configurationVersion);
+    writer.field("mark", reply.channel.timestamp);
+    writer.field("taken", reply.channel.accepted);
+    writer.endObject();
+    return writer.text();
 }
 
 std::optional<DispatchReply> parseDispatchReply(std::string_view text)
