Count a failed run once although two owners report its end

An owner that has processed the end of a run may pass the upstream on before it has acknowledged the end there. The new owner's first poll then lists it again, and since ends are accepted from earlier owners, both reports counted. While the task could not be sent again, one failure used two of the route's attempts, and the job could be answered as failed. Found by review; the unit test failed before.

The executor remembers the last run of a task whose end it has processed.

--- a/packages/decision/include/egrettrestle/decision/job_executor.hpp
+++ b/packages/decision/include/egrettrestle/decision/job_executor.hpp
@@ -259,6 +259,8 @@
         std::uint32_t index = 0;
         TaskState state = TaskState::Blocked;
         RunNumber run = 0;
+        /// The last run whose end was processed.
+        RunNumber endedRun = 0;
         VmId owner;
         UpstreamId upstream;
         /// Epoch of the view under which the run was last reported as running.
--- a/packages/decision/src/job_executor.cpp
+++ b/packages/decision/src/job_executor.cpp
@@ -451,6 +451,10 @@
     // an earlier one has acknowledged to the upstream.
     if (!task || task->state == TaskState::Done || (task->owner != owner && task->upstream != ended.upstream))
         return;
+    // Both the earlier and the present owner may report it.
+    if (ended.outcome != RunOutcome::Done && task->endedRun == ended.run.number)
+        return;
+    task->endedRun = ended.run.number;
     job->anyStarted = true;
     const JobStep& step = job->request.steps[task->step];
     // The message about the start may not have been sent.
--- a/tests/unit/unit-job-executor.cpp
+++ b/tests/unit/unit-job-executor.cpp
@@ -870,3 +870,20 @@
         CHECK(fixture.port.sent.size() == 3);
     }
 }
+
+// An owner may pass an upstream on before it has acknowledged an end to it; then the new owner reports the end as well. Counted
+// twice, one failure used two attempts of the route.
+TEST_CASE("executor counts a failed run once although two owners report its end")
+{
+    ExecutorFixture fixture;
+    fixture.submit(jobOf("j", 1));
+    const TaskRun run = fixture.request(0).run;
+    fixture.executor.onStarted("x", { run, "u", { 1 } }, fixture.now);
+    fixture.executor.onOwnersChanged({ { "u", "y" } }, { 2 }, {}, fixture.now);
+    REQUIRE(fixture.port.sent.back().message.claim);
+    // The task is not sent again meanwhile.
+    fixture.executor.setCallersUncheckedSince(fixture.now);
+    fixture.executor.onEnded("x", { run, "u", RunOutcome::Failed, {}, "a" }, fixture.now);
+    fixture.executor.onEnded("y", { run, "u", RunOutcome::Failed, {}, "a" }, fixture.now);
+    CHECK(fixture.port.replies.empty());
+}
