Send tasks to an owner again that has got an upstream since it returned them

An owner that lost its last upstream returned its queue and was passed over until the next view. If it then got an upstream in the same view, as when its last one was replaced or discovery was silent for a while, the task waited to its deadline beside free capacity. Found by review; the unit test failed before.

An owner is passed over until the view changes or it becomes the owner of an upstream that is listed.

--- a/packages/decision/include/egrettrestle/decision/job_executor.hpp
+++ b/packages/decision/include/egrettrestle/decision/job_executor.hpp
@@ -277,7 +277,7 @@
         std::optional<TimePoint> orphanedUntil;
         /// Upstreams on which a run of the task has ended without completing.
         std::vector<UpstreamId> avoid;
-        /// Owners none of whose upstreams can run the task, in the present view.
+        /// Owners none of whose upstreams can run the task, until the view changes or they own another upstream.
         std::vector<VmId> unsuitableOwners;
     };
 
--- a/packages/decision/src/job_executor.cpp
+++ b/packages/decision/src/job_executor.cpp
@@ -518,6 +518,8 @@
     m_owners[upstream] = owner;
     for (auto& entry : m_jobs) {
         for (Task& task : entry.second.tasks) {
+            std::vector<VmId>& unsuitable = task.unsuitableOwners;
+            unsuitable.erase(std::remove(unsuitable.begin(), unsuitable.end(), owner), unsuitable.end());
             if (task.upstream == upstream)
                 claimIfOwnerChanged(entry.second, task, now);
         }
--- a/tests/unit/unit-dispatcher.cpp
+++ b/tests/unit/unit-dispatcher.cpp
@@ -513,3 +513,45 @@
         CHECK(joining.dispatcher.queued() == 1);
     }
 }
+
+// Guards against an owner that is passed over until the view changes because it has returned a run, although it owns a new
+// upstream with free capacity.
+TEST_CASE("dispatcher runs a task that it had returned once it owns an upstream again")
+{
+    DispatcherFixture fixture;
+    fixture.setUp();
+    fixture.poll();
+    DispatchJob job = jobOf("j", 3);
+    job.callerTimeout = Milliseconds { 20'000 };
+    Route route = routeNamed("proof");
+    route.timeout = Milliseconds { 20'000 };
+    fixture.dispatcher.submit(1, job, route, fixture.now, fixture.now);
+    // The upstream fits two tasks; the third one waits.
+    REQUIRE(fixture.port.starts.size() == 2);
+    REQUIRE(fixture.dispatcher.queued() == 1);
+    for (const StartOrder& order : fixture.port.starts) {
+        REQUIRE(fixture.dispatcher.startToSend(order, fixture.now));
+        fixture.dispatcher.onStartReply(order, { OrderOutcome::Accepted, std::nullopt }, fixture.now);
+    }
+    fixture.dispatcher.onUpstreamUnlisted("u1", fixture.now);
+    for (int step = 0; step < 250; ++step) {
+        fixture.now += Milliseconds { 20 };
+        fixture.dispatcher.tick(fixture.now);
+    }
+    REQUIRE(fixture.port.replies.empty());
+    fixture.upstream = "u2";
+    fixture.dispatcher.setUpstream(upstreamNamed("u2", 640'000), fixture.now);
+    fixture.poll();
+    for (int step = 0; step < 50; ++step) {
+        fixture.now += Milliseconds { 20 };
+        fixture.poll();
+        fixture.dispatcher.tick(fixture.now);
+    }
+    std::set<std::uint32_t> started;
+    for (const StartOrder& order : fixture.port.starts) {
+        if (order.upstream == "u2")
+            started.insert(order.run.task.index);
+    }
+    // Of the two others, which may have crashed the upstream, only one may be there at a time.
+    CHECK(started.count(2) == 1);
+}
