Serve upstreams until the VM has left the view

A VM without jobs of its own stopped its services 2.3 s after SIGTERM, also while a slow store had not let it leave the view yet. Other VMs still sent it the tasks for its upstreams; for them the stop was a crash, and the tasks waited for its removal. This came with the change by which the service's own thread leaves the view.

The drain now waits, up to the deadline for replies, until the VM is in the view no more. A view that was written although its reply was lost is logged as vm-left as well, which it was not.

--- a/packages/fleet/include/egrettrestle/fleet/membership.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/membership.hpp
@@ -66,6 +66,8 @@
     TimePoint m_lastJoin;
     std::atomic<bool> m_stopping { false };
     std::atomic<bool> m_leaving { false };
+    /// This VM has left the view, which is logged once.
+    std::atomic<bool> m_hasLeft { false };
     /// Guards the wait between two steps.
     std::mutex m_wakeMutex;
     std::condition_variable m_wake;
--- a/packages/fleet/src/fleet_daemon.cpp
+++ b/packages/fleet/src/fleet_daemon.cpp
@@ -108,7 +108,8 @@
         context.replyDeadline = schedule.replyDeadline;
         context.draining = true;
         context.log.write(events::draining, { { "jobs", static_cast<std::int64_t>(jobsInFlight(context.kernel)) }, { "sinceSignalMs", toMilliseconds(bootTimeNow() - signalledAt).count() } });
-        context.kernel.find<FleetMembership>(fleetServices::membership).leaveSoon();
+        FleetMembership& membership = context.kernel.find<FleetMembership>(fleetServices::membership);
+        membership.leaveSoon();
         CallerServer& callerServer = context.kernel.find<CallerServer>(fleetServices::callerServer);
         waitUntil(schedule.balancerDetectedAt, [] { return false; });
         logDrainStep(context, signalledAt, "close-after-replies");
@@ -118,6 +119,8 @@
         logDrainStep(context, signalledAt, "stop-accepting");
         callerServer.stopAccepting();
         waitUntil(schedule.replyDeadline, [&callerServer] { return !callerServer.hasCallers(); });
+        // As long as it is a member, other VMs send it the tasks for its upstreams.
+        waitUntil(schedule.replyDeadline, [&membership] { return !membership.isMember(); });
         logDrainStep(context, signalledAt, "end-jobs");
         context.kernel.find<DispatchService>(fleetServices::dispatch).withDispatcher([](Dispatcher& dispatcher, TimePoint now) { dispatcher.endJobs(now); });
         waitUntil(bootTimeNow() + ownerReplyTime, [&context] { return jobsInFlight(context.kernel) == 0; });
--- a/packages/fleet/src/membership.cpp
+++ b/packages/fleet/src/membership.cpp
@@ -252,14 +252,16 @@
 {
     // Other VMs may change the view at the same time.
     constexpr int attempts = 6;
-    for (int attempt = 0; attempt < attempts && isMember() && !m_stopping; ++attempt) {
+    bool written = false;
+    for (int attempt = 0; attempt < attempts && isMember() && !m_stopping && !written; ++attempt) {
         std::uint64_t revision = 0;
         const View view = currentView(revision);
-        if (tryWriteView(withRemoved(view, m_incarnation), revision)) {
-            m_context.log.write(events::vmLeft, { { "incarnation", static_cast<std::int64_t>(m_incarnation.value) } });
-            return;
-        }
+        written = tryWriteView(withRemoved(view, m_incarnation), revision);
     }
+    // A write whose reply was lost may have taken effect.
+    const bool hasLeft = written || (m_incarnation.value > 0 && !isMember());
+    if (hasLeft && !m_hasLeft.exchange(true))
+        m_context.log.write(events::vmLeft, { { "incarnation", static_cast<std::int64_t>(m_incarnation.value) } });
 }
 
 } // namespace egrettrestle
