Comments of the executor and explicit types, after reading the whole change

onOwnersChanged() had lost its line breaks, the section on owners said that reports of other VMs are always ignored, and one comment stood above another declaration. No behaviour changes.

--- a/packages/decision/include/egrettrestle/decision/job_executor.hpp
+++ b/packages/decision/include/egrettrestle/decision/job_executor.hpp
@@ -174,14 +174,16 @@
 
     /// @}
     /// @name owners
-    /// Messages about earlier runs of a task, or from a VM that is not the owner of the task's run, are ignored.
+    /// Messages about earlier runs of a task are ignored, and those from a VM that is not the owner of the task's run, except
+    /// about its end.
     /// @{
 
     /// Handles the message that a run has started.
     void onStarted(const VmId& owner, const RunStarted& started, TimePoint now);
 
     /// Handles the end of a run: completes the task or, after a failure, sends it again within the route's attempts. A
-    /// run that was stopped or whose lease expired is sent again without counting as an attempt.
+    /// run that was stopped or whose lease expired is sent again without counting as an attempt. An end is also accepted
+    /// from an earlier owner of the upstream, which may have acknowledged it there.
     void onEnded(const VmId& owner, const RunEnded& ended, TimePoint now);
 
     /// Handles the message that a run is not running and never will be. The task is sent again, unless it could not
@@ -192,9 +194,9 @@
     void onCrashesRecorded(const std::vector<TaskRef>& tasks, TimePoint now);
 
     /// Adopts the view of an epoch, with the owners of those upstreams whose owner has changed (an empty id for none), and
-    /// claims the runs at all upstreams at their owners. No claim is needed for a run whose owner is unchanged and among the `stableOwners`, the VMs that were in the directly
-    /// preceding view with the same incarnation. After skipped views that set must be empty: an upstream may have
-    /// changed its owner and changed back in between.
+    /// claims the runs at all upstreams at their owners. No claim is needed for a run whose owner is unchanged and among the
+    /// `stableOwners`, the VMs that were in the directly preceding view with the same incarnation. After skipped views that
+    /// set must be empty: an upstream may have changed its owner and changed back in between.
     void onOwnersChanged(const std::map<UpstreamId, VmId>& owners, FencingToken epoch, const std::set<VmId>& stableOwners, TimePoint now);
 
     /// Sets the owner of one upstream in the current view, and claims the runs there if the owner has changed.
@@ -371,8 +373,9 @@
     /// Keeps the highest run number of a job that has ended, so that a later submission does not reuse the numbers.
     void rememberRunNumbers(const Job& job, TimePoint now);
     void forgetRunNumbers(TimePoint now);
-    /// The task and job of a run; null if the run is not the task's current one, or not at the owner given.
+    /// The task and job of a run; null if the run is not the task's current one.
     Task* findTask(const TaskRun& run, Job*& job);
+    /// The same; null also if the run is not at this owner.
     Task* findTask(const TaskRun& run, const VmId& owner, Job*& job);
     TaskRun runOf(const Job& job, const Task& task) const;
     OwnerQuery queryFor(Job& job, const Task& task, TimePoint now) const;
--- a/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
+++ b/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
@@ -226,7 +226,8 @@
     /// A duration that depends on the kind, such as the age of the run or request, the length of a pause or the mean
     /// length of waits.
     Milliseconds age { 0 };
-    /// For Owned and Fenced the token, for ClaimHandled the claim's epoch; otherwise the number of runs concerned, queued requests, waits or consecutive pauses.
+    /// For Owned and Fenced the token, for ClaimHandled the claim's epoch; otherwise the number of runs concerned, queued
+    /// requests, waits or consecutive pauses.
     std::uint64_t count = 0;
     /// The runs that were at an upstream when it became unreachable or lost them.
     std::vector<LostRun> runs = {};
--- a/packages/decision/src/ownership.cpp
+++ b/packages/decision/src/ownership.cpp
@@ -44,10 +44,10 @@
 
 const VmId* OwnershipTable::setUpstream(const UpstreamInfo& upstream)
 {
-    const auto added = m_upstreams.try_emplace(upstream.id);
-    Upstream& entry = added.first->second;
-    if (added.second || entry.dataCentre != upstream.dataCentre) {
-        if (!added.second)
+    const bool isNew = m_upstreams.count(upstream.id) == 0;
+    Upstream& entry = m_upstreams[upstream.id];
+    if (isNew || entry.dataCentre != upstream.dataCentre) {
+        if (!isNew)
             m_upstreamsIn[entry.dataCentre].erase(upstream.id);
         m_upstreamsIn[upstream.dataCentre].insert(upstream.id);
         entry.hash = hashOf(upstream.id);
--- a/packages/fleet/include/egrettrestle/fleet/caller_server.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/caller_server.hpp
@@ -40,10 +40,10 @@
     void handleRequest(const std::shared_ptr<HttpExchange>& exchange);
     /// Submits a job; its outcome is the reply, unless the caller disconnects before.
     void handleSubmission(const std::shared_ptr<HttpExchange>& exchange, const CallerRequest& call);
-    /// The servers that are in use.
     /// Sets the gauges of the capacity of this VM's upstreams by kind. Done when the metrics are read, since reports are too
     /// frequent.
     void updateCapacityGauges();
+    /// The servers that are in use.
     std::vector<AsyncHttpServer*> servers() const;
     HttpResponse handleReadinessProbe(const HttpRequest& request) const;
     bool isReady() const;
