Print the events of one job in explore-dispatch

explore-dispatch names the pairs of runs of a bad schedule, and nothing of how they came about, so none of the open schedules could be traced.

--- a/tests/model/dispatch_simulation.cpp
+++ b/tests/model/dispatch_simulation.cpp
@@ -1,6 +1,7 @@
 #include "dispatch_simulation.hpp"
 
 #include <algorithm>
+#include <ostream>
 
 namespace egrettrestle::model {
 
@@ -46,8 +47,71 @@
     constexpr int upstreamCountForLargeJobs = 12;
     const std::string hotRack = "r1";
 
+    constexpr std::chrono::hours simulationBegin { 1 };
+
     VmId vmId(int number) { return "vm" + std::to_string(number); }
 
+    std::string textOf(const TaskRun& run)
+    {
+        return run.task.job + '.' + std::to_string(run.task.index) + '#' + std::to_string(run.number);
+    }
+
+    const char* nameOf(OrderOutcome outcome)
+    {
+        static const std::map<OrderOutcome, const char*> names {
+            { OrderOutcome::Accepted, "accepted" },
+            { OrderOutcome::Superseded, "superseded" },
+            { OrderOutcome::LeaseExpired, "lease-expired" },
+            { OrderOutcome::InsufficientCapacity, "no-capacity" },
+            { OrderOutcome::Fenced, "fenced" },
+            { OrderOutcome::Unknown, "no-reply" },
+            { OrderOutcome::NotSent, "not-sent" },
+            { OrderOutcome::WrongUpstream, "wrong-upstream" },
+        };
+        const auto found = names.find(outcome);
+        return found == names.end() ? "other" : found->second;
+    }
+
+    const char* nameOf(RunOutcome outcome)
+    {
+        static const std::map<RunOutcome, const char*> names {
+            { RunOutcome::Done, "done" },
+            { RunOutcome::Failed, "failed" },
+            { RunOutcome::Stopped, "stopped" },
+            { RunOutcome::LeaseExpired, "lease-expired" },
+        };
+        return names.at(outcome);
+    }
+
+    const char* nameOf(ReturnReason reason)
+    {
+        static const std::map<ReturnReason, const char*> names {
+            { ReturnReason::Expired, "expired" },
+            { ReturnReason::Withdrawn, "withdrawn" },
+            { ReturnReason::Lost, "lost" },
+            { ReturnReason::Superseded, "superseded" },
+            { ReturnReason::Unschedulable, "unschedulable" },
+        };
+        return names.at(reason);
+    }
+
+    const char* nameOf(OwnerEvent::Kind kind)
+    {
+        static const std::map<OwnerEvent::Kind, const char*> names {
+            { OwnerEvent::Kind::Owned, "owned" },
+            { OwnerEvent::Kind::Released, "released" },
+            { OwnerEvent::Kind::Fenced, "fenced" },
+            { OwnerEvent::Kind::Restarted, "restarted" },
+            { OwnerEvent::Kind::Unreachable, "unreachable" },
+            { OwnerEvent::Kind::RunsLost, "runs-lost" },
+            { OwnerEvent::Kind::StartUnanswered, "start-unanswered" },
+            { OwnerEvent::Kind::RunStopped, "run-stopped" },
+            { OwnerEvent::Kind::ClaimHandled, "claim-handled" },
+        };
+        const auto found = names.find(kind);
+        return found == names.end() ? nullptr : found->second;
+    }
+
     Route proofRoute()
     {
         Route route;
@@ -137,7 +201,10 @@
     void sendStart(const StartOrder& order)
     {
         simulation.sendOrder(
-            number, order.upstream, [this, order](Upstream& upstream) { return simulation.executeStart(upstream, order); },
+            number, order.upstream, [this, order](Upstream& upstream) {
+                const OrderReply reply = simulation.executeStart(upstream, order);
+                simulation.noteOrder(upstream, "start", order.run, order.token, reply);
+                return reply; },
             [this, order](const OrderReply& reply) {
                 dispatcher.onStartReply(order, reply, simulation.m_now);
                 simulation.onOrderDone(number, order.upstream);
@@ -147,7 +214,10 @@
     void stop(const StopOrder& order) override
     {
         if (simulation.upstream(order.upstream).lateStopsUntil > simulation.m_now) {
-            simulation.after(simulation.randomDuration(2'000, 6'000), [this, order] { simulation.executeStop(simulation.upstream(order.upstream), order); });
+            simulation.after(simulation.randomDuration(2'000, 6'000), [this, order] {
+                Upstream& target = simulation.upstream(order.upstream);
+                simulation.noteOrder(target, "late stop", order.run, order.token, simulation.executeStop(target, order));
+            });
             const std::uint64_t ownIncarnation = processIncarnation;
             simulation.afterOn(number, orderTimeout, [this, ownIncarnation, order] {
                 if (simulation.aliveProcess(number, ownIncarnation))
@@ -170,7 +240,10 @@
     void sendStop(const StopOrder& order)
     {
         simulation.sendOrder(
-            number, order.upstream, [this, order](Upstream& upstream) { return simulation.executeStop(upstream, order); },
+            number, order.upstream, [this, order](Upstream& upstream) {
+                const OrderReply reply = simulation.executeStop(upstream, order);
+                simulation.noteOrder(upstream, "stop", order.run, order.token, reply);
+                return reply; },
             [this, order](const OrderReply& reply) {
                 dispatcher.onStopReply(order, reply, simulation.m_now);
                 simulation.onOrderDone(number, order.upstream);
@@ -205,9 +278,22 @@
     {
         if (event.kind == OwnerEvent::Kind::WaitsEnded)
             simulation.m_result.waits += static_cast<int>(event.count);
+        const char* name = nameOf(event.kind);
+        if (!name)
+            return;
+        const std::string text = vmId(number) + ' ' + name + ' ' + event.upstream + ' ' + event.cause + " age " + std::to_string(event.age.count()) + " count " + std::to_string(event.count);
+        if (event.run.task.job.empty())
+            simulation.note(text);
+        else
+            simulation.note(event.run.task.job, text + ' ' + textOf(event.run));
+        for (const LostRun& lost : event.runs)
+            simulation.note(lost.run.task.job, text + ' ' + textOf(lost.run));
     }
     void recordEvent(const EvacuationEvent&) override { }
-    void recordEvent(const JobEvent&) override { }
+    void recordEvent(const JobEvent& event) override
+    {
+        simulation.note(event.job, vmId(number) + " job event " + std::to_string(static_cast<int>(event.kind)) + ' ' + event.reason + " age " + std::to_string(event.age.count()));
+    }
     void onOwnedUpstreamsChanged() override
     {
         const std::uint64_t ownIncarnation = processIncarnation;
@@ -275,6 +361,50 @@
 
 DispatchSimulation::~DispatchSimulation() = default;
 
+void DispatchSimulation::trace(std::string job, std::ostream& output)
+{
+    m_tracedJob = std::move(job);
+    m_traceOutput = &output;
+}
+
+void DispatchSimulation::note(const std::string& text) const
+{
+    if (m_traceOutput)
+        *m_traceOutput << toMilliseconds(m_now.time_since_epoch() - simulationBegin).count() << " ms: " << text << '\n';
+}
+
+void DispatchSimulation::note(const std::string& job, const std::string& text) const
+{
+    if (job == m_tracedJob)
+        note(text);
+}
+
+void DispatchSimulation::noteMessage(const Batch& batch, const PeerMessage& message) const
+{
+    if (!m_traceOutput)
+        return;
+    const std::string route = vmId(batch.from) + " -> " + vmId(batch.to) + ' ';
+    const auto add = [this, &route](const TaskRun& run, const std::string& text) { note(run.task.job, route + text + ' ' + textOf(run)); };
+    if (message.request)
+        add(message.request->run, "request");
+    if (message.started)
+        add(message.started->run, "started at " + message.started->upstream + " epoch " + std::to_string(message.started->epoch.value));
+    if (message.ended)
+        add(message.ended->run, "ended at " + message.ended->upstream + ' ' + nameOf(message.ended->outcome));
+    if (message.returned)
+        add(message.returned->run, std::string("returned ") + nameOf(message.returned->reason));
+    if (message.withdrawal)
+        add(message.withdrawal->run, "withdrawal at " + message.withdrawal->upstream + (message.withdrawal->onlyIfWaiting ? " if waiting" : "") + (message.withdrawal->endBy ? " end by " + std::to_string(toMilliseconds(message.withdrawal->endBy->time_since_epoch() - simulationBegin).count()) : ""));
+    if (message.claim)
+        add(message.claim->run, "claim at " + message.claim->upstream + " epoch " + std::to_string(message.claim->epoch.value));
+}
+
+void DispatchSimulation::noteOrder(const Upstream& target, const char* order, const TaskRun& run, FencingToken token, const OrderReply& reply) const
+{
+    if (m_traceOutput)
+        note(run.task.job, target.info.id + ' ' + order + ' ' + textOf(run) + " token " + std::to_string(token.value) + ": " + nameOf(reply.outcome) + ", lease left " + std::to_string((target.leaseEnd - clockOf(target)).count()));
+}
+
 void DispatchSimulation::after(Milliseconds delay, Action action)
 {
     m_scheduled.push({ m_now + delay, ++m_lastEventNumber, std::move(action), std::nullopt });
@@ -377,6 +507,7 @@
     if (!vm.up)
         return;
     vm.up = false;
+    note(vmId(number) + " crashes");
     for (const std::shared_ptr<Submission>& submission : m_submissionsInProgress) {
         if (submission->vm != number || submission->answered || submission->left)
             continue;
@@ -410,6 +541,7 @@
     if (!vm.up)
         return;
     vm.partitioned = true;
+    note(vmId(number) + " is partitioned");
     const std::uint64_t processIncarnation = vm.processIncarnation;
     after(randomDuration(700, 1'500), [this, number, processIncarnation] {
         const Member* member = findMember(m_view, vmId(number));
@@ -425,6 +557,7 @@
         if (!reconnected)
             return;
         reconnected->partitioned = false;
+        note(vmId(number) + " is reconnected");
         const View view = m_view;
         after(randomDuration(1, static_cast<int>(maxViewDelay.count())), [this, number, processIncarnation, view] {
             Vm* process = aliveProcess(number, processIncarnation);
@@ -448,8 +581,11 @@
 void DispatchSimulation::starveVm(int number)
 {
     Vm& vm = *m_vms[static_cast<std::size_t>(number)];
-    if (vm.up)
-        vm.starvedUntil = m_now + randomDuration(1'000, 4'000);
+    if (!vm.up)
+        return;
+    const Milliseconds duration = randomDuration(1'000, 4'000);
+    vm.starvedUntil = m_now + duration;
+    note(vmId(number) + " is starved for " + std::to_string(duration.count()));
 }
 
 void DispatchSimulation::freezeVm(int number)
@@ -484,6 +620,7 @@
     if (inputHandledUntil(number) == m_now)
         m_behindSince[number] = m_now;
     m_frozenUntil[number] = std::max(m_frozenUntil[number], m_now + duration);
+    note(vmId(number) + " stands still for " + std::to_string(duration.count()));
 }
 
 void DispatchSimulation::stallInSeries(int number, int stalls)
@@ -505,6 +642,10 @@
 void DispatchSimulation::publishView(const View& view)
 {
     m_view = view;
+    std::string members;
+    for (const Member& member : view.members)
+        members += ' ' + member.id;
+    note("view " + std::to_string(view.epoch.value) + members);
     for (int number = 0; number < vmCount; ++number) {
         if (!m_vms[static_cast<std::size_t>(number)])
             continue;
@@ -514,6 +655,7 @@
             if (!vm || vm->partitioned || view.epoch <= vm->epoch)
                 return;
             vm->epoch = view.epoch;
+            note(vmId(number) + " adopts view " + std::to_string(view.epoch.value));
             vm->dispatcher.setView(view, m_now);
         });
     }
@@ -554,6 +696,10 @@
     const PeerChannel::BatchResult batchResult = receiver.channel(from).onBatch(batch.stamp, batch.messages.size(), m_now);
     if (batchResult.peerRestarted)
         receiver.dispatcher.onPeerRestarted(from, m_now);
+    for (const PeerMessage& message : batch.messages)
+        noteMessage(batch, message);
+    if (!batchResult.accepted && !batch.messages.empty())
+        note(vmId(batch.to) + " rejects a batch of " + std::to_string(batch.messages.size()) + " from " + from);
     if (batchResult.accepted)
         receiver.dispatcher.onPeerMessages(from, { batch.messages.begin() + static_cast<std::ptrdiff_t>(batchResult.duplicates), batch.messages.end() }, batch.capacity, m_now);
     if (receiver.starvedUntil > m_now)
@@ -734,6 +880,7 @@
 void DispatchSimulation::endRun(Upstream& upstream, std::size_t index, RunOutcome outcome)
 {
     const TaskRun run = upstream.running[index].run;
+    note(run.task.job, upstream.info.id + " ends " + textOf(run) + ' ' + nameOf(outcome));
     upstream.running.erase(upstream.running.begin() + static_cast<std::ptrdiff_t>(index));
     upstream.ended.push_back({ ++upstream.endedCount, run, outcome });
     RunNumber& highestRun = upstream.highestEnded[run.task];
@@ -784,6 +931,7 @@
         ++m_crashingTasks[running.run.task].crashes;
         ++m_result.crashesUnderTasks;
     }
+    note(crashed.info.id + " crashes");
     crashed.down = true;
     crashed.running.clear();
     crashed.ended.clear();
@@ -809,6 +957,7 @@
     const Milliseconds cut = randomDuration(50, 2'000);
     restarted.restarting = true;
     restarted.silentUntil = m_now + cut;
+    note(restarted.info.id + " is cut off for " + std::to_string(cut.count()) + " and then restarts");
     after(cut, [this, &restarted] {
         restarted.restarting = false;
         for (const Upstream::ActiveRun& running : restarted.running) {
@@ -939,6 +1088,10 @@
     reply.outcome = OrderOutcome::Accepted;
     if (order.leaseEnd)
         target.leaseEnd = std::max(target.leaseEnd, std::min(*order.leaseEnd, clock + maxLease));
+    if (m_traceOutput && order.leaseEnd) {
+        for (const Upstream::ActiveRun& running : target.running)
+            noteOrder(target, "lease", running.run, order.token, { OrderOutcome::Accepted, clock });
+    }
     target.ended.erase(std::remove_if(target.ended.begin(), target.ended.end(), [&order](const RunEndRecord& end) { return end.sequenceNumber <= order.acknowledged; }), target.ended.end());
     for (const Upstream::ActiveRun& running : target.running)
         reply.running.push_back(running.run);
@@ -960,6 +1113,7 @@
         const std::shared_ptr<Submission> submission = std::make_shared<Submission>(Submission { id, vm });
         m_submissionsInProgress.push_back(submission);
         ++m_submissions[id];
+        note(id, "job " + id + " is submitted to " + vmId(vm));
         afterOn(vm, randomDuration(0, 2), [this, submission] { receiveSubmission(submission); });
         after(callerTimeout(), [this, submission] { leave(submission, false); });
         if (m_faults.brokenConnectionProbability > 0 && chance(m_faults.brokenConnectionProbability))
@@ -969,6 +1123,7 @@
     const CallerTicket ticket = ++target.lastTicket;
     target.tickets[ticket] = id;
     ++m_submissions[id];
+    note(id, "job " + id + " is submitted to " + vmId(vm));
     target.dispatcher.submit(ticket, jobFor(id), proofRoute(), m_now, m_now);
 }
 
@@ -1039,6 +1194,7 @@
     if (submission->answered)
         return;
     submission->left = true;
+    note(submission->job, "the caller of job " + submission->job + " at " + vmId(submission->vm) + (connectionBroken ? " loses its connection" : " leaves"));
     m_submissionsInProgress.push_back(submission);
     if (m_faults.stallSeries > 0 && !connectionBroken && chance(lingeringCallerShare))
         after(resubmissionDelay, [this, submission] { disconnect(submission); });
@@ -1053,6 +1209,7 @@
     Vm& vm = *m_vms[static_cast<std::size_t>(number)];
     const std::string job = vm.tickets[ticket];
     vm.tickets.erase(ticket);
+    note(job, vmId(number) + " answers job " + job + ": " + result.reason);
     for (const std::shared_ptr<Submission>& submission : m_submissionsInProgress) {
         if (submission->vm != number || submission->processIncarnation != vm.processIncarnation || submission->ticket != ticket)
             continue;
@@ -1133,6 +1290,7 @@
         after(randomDuration(1'500, 10'000), [this, upstreams] {
             Upstream& late = *m_upstreams[static_cast<std::size_t>(randomDuration(0, upstreams - 1).count())];
             late.lateStopsUntil = m_now + lateStopPeriod;
+            note(late.info.id + " executes stops late");
         });
     }
     for (int outage = 0; outage < m_faults.fullOutages; ++outage) {
@@ -1148,7 +1306,9 @@
     for (int period = 0; period < m_faults.silentPeriods; ++period) {
         after(randomDuration(1'500, 10'000), [this, upstreams] {
             Upstream& silent = *m_upstreams[static_cast<std::size_t>(randomDuration(0, upstreams - 1).count())];
-            silent.silentUntil = m_now + randomDuration(200, 2'000);
+            const Milliseconds duration = randomDuration(200, 2'000);
+            silent.silentUntil = m_now + duration;
+            note(silent.info.id + " is silent for " + std::to_string(duration.count()));
         });
     }
     const TimePoint end = m_now + simulatedTime;
--- a/tests/model/dispatch_simulation.hpp
+++ b/tests/model/dispatch_simulation.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <functional>
+#include <iosfwd>
 #include <map>
 #include <memory>
 #include <optional>
@@ -120,6 +121,10 @@
     DispatchSimulation(std::uint64_t seed, DispatchFaults faults, DispatchRules rules = {}, ContactLimits contacts = {});
     ~DispatchSimulation();
 
+    /// Writes what happens to one job, beside the faults and the views, to a stream. Has to be called before run(), and does
+    /// not change the schedule.
+    void trace(std::string job, std::ostream& output);
+
     /// Runs the schedule to its end.
     DispatchResult run();
 
@@ -189,10 +194,18 @@
     Milliseconds callerTimeout() const;
     DispatchJob jobFor(const std::string& id);
     void onReply(int vm, CallerTicket ticket, const JobResult& result);
+    /// Writes a line about a fault or a view to the trace.
+    void note(const std::string& text) const;
+    /// Writes a line about a job to the trace if that job is traced.
+    void note(const std::string& job, const std::string& text) const;
+    void noteMessage(const Batch& batch, const PeerMessage& message) const;
+    void noteOrder(const Upstream& upstream, const char* order, const TaskRun& run, FencingToken token, const OrderReply& reply) const;
     Upstream& upstream(const UpstreamId& id);
     Vm* aliveProcess(int number, std::uint64_t processIncarnation);
 
     std::mt19937_64 m_random;
+    std::string m_tracedJob;
+    std::ostream* m_traceOutput = nullptr;
     DispatchFaults m_faults;
     DispatchRules m_rules;
     ContactLimits m_contacts;
