Explore VMs that handle their events late

Too little processor time shows as a queue: a VM handles every event, but each some 100 ms late, in order. The exploration had VMs that stand still, and VMs whose replies come too late, but none that lags.

--- a/tests/model/dispatch_simulation.cpp
+++ b/tests/model/dispatch_simulation.cpp
@@ -33,6 +33,7 @@
     // Time in which a VM that has stood still reads what has arrived.
     constexpr int maxCatchUpTime = 10;
     constexpr int maxStallsOfSeries = 12;
+    constexpr int maxLag = 600;
     // Share of the stalls, and of the gaps between them, that are short.
     constexpr double shortStallShare = 0.7;
     // Share of the callers without a reply that keep their connection until they submit their job again.
@@ -408,12 +409,12 @@
 
 void DispatchSimulation::after(Milliseconds delay, Action action)
 {
-    m_scheduled.push({ m_now + delay, ++m_lastEventNumber, std::move(action), std::nullopt });
+    m_scheduled.push({ m_now + delay, ++m_lastEventNumber, std::move(action), std::nullopt, false });
 }
 
 void DispatchSimulation::afterOn(int vm, Milliseconds delay, Action action)
 {
-    m_scheduled.push({ m_now + delay, ++m_lastEventNumber, std::move(action), vm });
+    m_scheduled.push({ m_now + delay, ++m_lastEventNumber, std::move(action), vm, false });
 }
 
 /// Executes an action, or delays it until its VM no longer stands still.
@@ -430,6 +431,13 @@
         m_scheduled.push(std::move(next));
         return;
     }
+    const auto lag = m_lag.find(*next.vm);
+    if (lag != m_lag.end() && !next.lagged) {
+        next.at = m_now + lag->second;
+        next.lagged = true;
+        m_scheduled.push(std::move(next));
+        return;
+    }
     Vm& vm = *m_vms[static_cast<std::size_t>(*next.vm)];
     if (vm.up && m_rules.pauseCheck && vm.dispatcher.onActivity(m_now, inputHandledUntil(*next.vm)))
         after(Milliseconds { 0 }, [this, number = *next.vm, processIncarnation = vm.processIncarnation] { checkCallers(number, processIncarnation); });
@@ -636,9 +644,21 @@
     after(stall + randomDuration(1, chance(shortStallShare) ? 15 : 300), [this, number, stalls] { stallInSeries(number, stalls - 1); });
 }
 
+void DispatchSimulation::lagVm(int number)
+{
+    const Milliseconds lag = randomDuration(50, maxLag);
+    if (!m_lag.emplace(number, lag).second)
+        return;
+    note(vmId(number) + " lags by " + std::to_string(lag.count()));
+    after(randomDuration(1'000, 4'000), [this, number] { m_lag.erase(number); });
+}
+
 /// All input of a VM that had arrived by then has been handled.
 TimePoint DispatchSimulation::inputHandledUntil(int number)
 {
+    const auto lag = m_lag.find(number);
+    if (lag != m_lag.end())
+        return m_now - lag->second;
     const bool behind = m_now <= m_frozenUntil[number] + Milliseconds { maxCatchUpTime };
     return behind ? m_behindSince[number] : m_now;
 }
@@ -1114,6 +1134,9 @@
         return;
     }
     if (m_faults.callersLeave()) {
+        // A caller submits a job again only after its earlier submission was answered, or it has stopped waiting for it.
+        if (std::any_of(m_submissionsInProgress.begin(), m_submissionsInProgress.end(), [&id](const auto& earlier) { return earlier->job == id && !earlier->answered && !earlier->left; }))
+            throw std::logic_error("job " + id + " is submitted while an earlier submission of it is waited for");
         const std::shared_ptr<Submission> submission = std::make_shared<Submission>(Submission { id, vm });
         m_submissionsInProgress.push_back(submission);
         ++m_submissions[id];
@@ -1134,9 +1157,6 @@
 Milliseconds DispatchSimulation::callerTimeout() const
 {
     if (m_faults.brokenConnectionProbability > 0)
-        // A caller submits a job again only after its earlier submission was answered, or it has stopped waiting for it.
-        if (std::any_of(m_submissionsInProgress.begin(), m_submissionsInProgress.end(), [&id](const auto& earlier) { return earlier->job == id && !earlier->answered && !earlier->left; }))
-            throw std::logic_error("job " + id + " is submitted while an earlier submission of it is waited for");
         return longCallerTimeout;
     return m_faults.callersLeave() ? shortCallerTimeout : Milliseconds { 3'000 };
 }
@@ -1288,6 +1308,8 @@
         after(randomDuration(1'500, 9'000), [this] { starveVm(static_cast<int>(randomDuration(0, vmCount - 1).count())); });
     for (int freeze = 0; freeze < m_faults.freezes; ++freeze)
         after(randomDuration(1'500, 9'000), [this] { freezeVm(static_cast<int>(randomDuration(0, vmCount - 1).count())); });
+    for (int period = 0; period < m_faults.lagPeriods; ++period)
+        after(randomDuration(1'500, 9'000), [this] { lagVm(static_cast<int>(randomDuration(0, vmCount - 1).count())); });
     for (int series = 0; series < m_faults.stallSeries; ++series) {
         after(randomDuration(1'500, 9'000), [this] {
             const int number = static_cast<int>(randomDuration(0, vmCount - 1).count());
--- a/tests/model/dispatch_simulation.hpp
+++ b/tests/model/dispatch_simulation.hpp
@@ -63,8 +63,11 @@
     /// Number of times that an upstream is cut off for up to 2 s, crashes behind the cut and starts again under its id. Jobs
     /// then have many small tasks, and the orders to an upstream wait until fewer than four are in flight.
     int restartsBehindCuts = 0;
+    /// Number of times that a VM handles its events up to 0.6 s late for 1 to 4 s, in their order, as with too little processor
+    /// time for its load.
+    int lagPeriods = 0;
 
-    bool vmsStandStill() const { return freezes > 0 || stallSeries > 0; }
+    bool vmsStandStill() const { return freezes > 0 || stallSeries > 0 || lagPeriods > 0; }
     bool callersLeave() const { return vmsStandStill() || lateStopPeriods > 0 || longTaskProbability > 0; }
 };
 
@@ -141,6 +144,8 @@
         Action action;
         /// The VM that executes the action; it is delayed while that VM stands still. Empty for actions outside VMs.
         std::optional<int> vm;
+        /// Whether it has waited behind the earlier events of a VM that lags.
+        bool lagged = false;
         bool operator<(const Scheduled& other) const { return at != other.at ? at > other.at : eventNumber > other.eventNumber; }
     };
 
@@ -157,6 +162,7 @@
     void freezeVm(int number);
     void standStill(int number, Milliseconds duration);
     void stallInSeries(int number, int stalls);
+    void lagVm(int number);
     TimePoint inputHandledUntil(int number);
     void disconnect(const std::shared_ptr<Submission>& submission);
     void publishView(const View& view);
@@ -233,6 +239,8 @@
     std::map<int, TimePoint> m_frozenUntil;
     /// Since when input of a VM may have been waiting, as long as it has not caught up.
     std::map<int, TimePoint> m_behindSince;
+    /// How late a VM handles its events; none for one that does not lag.
+    std::map<int, Milliseconds> m_lag;
     std::vector<std::shared_ptr<Submission>> m_submissionsInProgress;
     std::set<std::string> m_unluckyJobs;
 };
