Keep a withdrawal until the owner knows what the upstream is running

What callers saw: a job that they submitted again, 1.3 s after they had left, ran on a second upstream while a run of the first submission was at work (TWICE).

Cause: a withdrawal that reached an owner before it knew the run was lost or answered wrongly. With a claim kept for later (the owner had not adopted the view yet) the withdrawal was dropped, and the run went on under extended leases until the executor learned of the claim and repeated it. Without such a claim, with the upstream not owned yet, not polled, or the run found by a poll and not claimed yet, the owner answered that the run is lost, which says that it is not running and never will be; the executor then started the task elsewhere, or took the job for over.

Fix: the owner keeps the withdrawal with the claim, and applies it when it owns the upstream; at an upstream that it has not polled it takes the run for running, limits its lease and stops it; a run found by a poll is withdrawn by the executor that names its upstream. 'Lost' is left for an upstream whose polls would have shown the run.

--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -236,6 +236,13 @@
         TimePoint since;
     };
 
+    /// A withdrawal of a run at an upstream that this VM does not own yet, or whose claim is an early one.
+    struct EarlyWithdrawal {
+        VmId executor;
+        RunWithdrawal withdrawal;
+        TimePoint since;
+    };
+
     /// Whether the executor has been in contact within the executor timeout. True for an executor never heard from.
     bool isResponsive(const VmId& executor, TimePoint now) const;
     /// Whether a lease granted now may cover all runs at the upstream: their executors are responsive, and none of them has
@@ -376,9 +383,14 @@
     void addPlaces(const OwnedUpstream& upstream, std::vector<SizedCapacity>& places) const;
     /// Has a poll show what is running at an upstream before anything is decided about it, as after its acquisition.
     void requireSync(OwnedUpstream& upstream, TimePoint now);
-    /// Processes the claims that arrived before this VM owned the upstream.
+    /// Withdraws a run that this VM holds nowhere, and of whose end it does not know. Says that the run is lost only if the
+    /// upstream's polls would have shown it.
+    void withdrawUnknownRun(const VmId& executor, const RunWithdrawal& withdrawal, TimePoint now);
+    /// Records a run as running at an upstream whose first poll has yet to show whether it is there.
+    OwnedRun& assumeRunning(OwnedUpstream& upstream, const VmId& executor, const TaskRun& run, const Resources& need, TimePoint now);
+    /// Processes the claims and withdrawals that arrived before this VM owned the upstream.
     void processEarlyClaims(const UpstreamId& upstream, TimePoint now);
-    /// Drops the claims that have waited too long.
+    /// Drops the claims and withdrawals that have waited too long.
     void expireEarlyClaims(TimePoint now);
     void recordClaim(const RunClaim& claim, const char* outcome, TimePoint receivedAt, TimePoint now);
     /// When the runs of an executor that was lost or has restarted must have ended.
@@ -403,6 +415,7 @@
     /// An owner without upstreams that has not released any waits for its first ones.
     bool m_hasReleasedUpstreams = false;
     std::vector<EarlyClaim> m_earlyClaims;
+    std::vector<EarlyWithdrawal> m_earlyWithdrawals;
     VmId m_self;
     std::uint64_t m_lastPlacement = 0;
     std::map<VmId, TimePoint> m_lastContact;
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -192,6 +192,15 @@
         else
             m_earlyClaims.push_back(std::move(earlyClaim));
     }
+    // After the claims, since each run may have both.
+    std::vector<EarlyWithdrawal> withdrawals;
+    withdrawals.swap(m_earlyWithdrawals);
+    for (EarlyWithdrawal& early : withdrawals) {
+        if (early.withdrawal.upstream == upstream)
+            withdraw(early.executor, early.withdrawal, now);
+        else
+            m_earlyWithdrawals.push_back(std::move(early));
+    }
 }
 
 void UpstreamOwner::release(const UpstreamId& upstream, TimePoint now)
@@ -291,19 +300,24 @@
     const auto matchesUpstream = [&withdrawal](const UpstreamId& upstream) { return withdrawal.upstream.empty() || withdrawal.upstream == upstream; };
     for (auto& entry : m_upstreams) {
         const auto found = entry.second.runs.find(run);
-        if (found == entry.second.runs.end() || !matchesUpstream(entry.first) || found->second.executor != executor)
+        if (found == entry.second.runs.end() || !matchesUpstream(entry.first))
+            continue;
+        // The run may have been found by a poll, and its claim be on the way.
+        const bool unclaimed = found->second.executor.empty() && withdrawal.upstream == entry.first;
+        if (found->second.executor != executor && !unclaimed)
             continue;
         if (withdrawal.onlyIfWaiting)
             return;
+        found->second.executor = executor;
         limitRun(found->second, withdrawal.endBy);
         stopRun(entry.second, found->second, StopCause::Withdrawn, now);
         return;
     }
-    // The run may be at an upstream that this VM does not yet know it owns. The executor repeats the claim, and the
-    // withdrawal with it.
     const bool claimed = std::any_of(m_earlyClaims.begin(), m_earlyClaims.end(), [&](const EarlyClaim& earlyClaim) { return earlyClaim.claim.run == run && earlyClaim.executor == executor; });
-    if (claimed)
+    if (claimed) {
+        m_earlyWithdrawals.push_back({ executor, withdrawal, now });
         return;
+    }
     const RunEnded* ended = withdrawal.upstream.empty() ? m_recentEnds.find(executor, run) : m_recentEnds.findAt(withdrawal.upstream, run);
     const RunStarted* released = withdrawal.upstream.empty() ? m_released.find(executor, run) : m_released.findAt(withdrawal.upstream, run);
     if (ended)
@@ -311,8 +325,24 @@
     else if (released)
         m_port.notify(executor, { {}, *released, {}, {}, {}, {} });
     else
+        withdrawUnknownRun(executor, withdrawal, now);
+}
+
+void UpstreamOwner::withdrawUnknownRun(const VmId& executor, const RunWithdrawal& withdrawal, TimePoint now)
+{
+    OwnedUpstream* upstream = findUpstream(withdrawal.upstream);
+    if (!upstream && !withdrawal.upstream.empty()) {
+        m_earlyWithdrawals.push_back({ executor, withdrawal, now });
+        return;
+    }
+    if (!upstream || upstream->synced) {
         // It may have run: ends are forgotten after a time, and a report of the end may not have reached the executor.
-        returnRun(executor, run, ReturnReason::Lost);
+        returnRun(executor, withdrawal.run, ReturnReason::Lost);
+        return;
+    }
+    OwnedRun& run = assumeRunning(*upstream, executor, withdrawal.run, {}, now);
+    limitRun(run, withdrawal.endBy);
+    stopRun(*upstream, run, StopCause::Withdrawn, now);
 }
 
 void UpstreamOwner::claim(const VmId& executor, const RunClaim& claim, TimePoint now)
@@ -342,21 +372,25 @@
         returnRun(executor, claim.run, ReturnReason::Lost);
         return;
     }
-    // The first poll shows whether the run is there; until then it is assumed to be running.
-    OwnedRun run;
-    run.request.run = claim.run;
-    run.request.need = claim.need == Resources {} ? m_typicalNeed : claim.need;
-    run.request.latestStart = now;
-    run.executor = executor;
-    run.state = RunState::Running;
-    run.startSentAt = now;
-    run.confirmedAt = upstream->ownedSince;
-    upstream->used = upstream->used + run.request.need;
-    upstream->runs.emplace(claim.run, std::move(run));
+    assumeRunning(*upstream, executor, claim.run, claim.need, now);
     recordClaim(claim, "running", now, now);
     m_port.notify(executor, { {}, RunStarted { claim.run, claim.upstream, upstream->token }, {}, {}, {}, {} });
 }
 
+OwnedRun& UpstreamOwner::assumeRunning(OwnedUpstream& upstream, const VmId& executor, const TaskRun& run, const Resources& need, TimePoint now)
+{
+    OwnedRun assumed;
+    assumed.request.run = run;
+    assumed.request.need = need == Resources {} ? m_typicalNeed : need;
+    assumed.request.latestStart = now;
+    assumed.executor = executor;
+    assumed.state = RunState::Running;
+    assumed.startSentAt = now;
+    assumed.confirmedAt = upstream.ownedSince;
+    upstream.used = upstream.used + assumed.request.need;
+    return upstream.runs.emplace(run, std::move(assumed)).first->second;
+}
+
 void UpstreamOwner::recordClaim(const RunClaim& claim, const char* outcome, TimePoint receivedAt, TimePoint now)
 {
     m_port.recordEvent({ EventKind::ClaimHandled, claim.upstream, claim.run, outcome, toMilliseconds(now - receivedAt), claim.epoch.value });
@@ -368,6 +402,7 @@
     for (auto earlyClaim = expired; earlyClaim != m_earlyClaims.end(); ++earlyClaim)
         recordClaim(earlyClaim->claim, "never-owned", earlyClaim->since, now);
     m_earlyClaims.erase(expired, m_earlyClaims.end());
+    m_earlyWithdrawals.erase(std::remove_if(m_earlyWithdrawals.begin(), m_earlyWithdrawals.end(), [this, now](const EarlyWithdrawal& early) { return now - early.since > m_limits.earlyClaimTimeout; }), m_earlyWithdrawals.end());
 }
 
 TimePoint UpstreamOwner::orphanedRunsEndBy(const VmId& executor, TimePoint now) const
--- a/tests/model/unit-dispatch-rules.cpp
+++ b/tests/model/unit-dispatch-rules.cpp
@@ -45,6 +45,33 @@
     }
 }
 
+// Guards against a run that goes on after its caller has submitted the job to another VM, because VMs with too little processor
+// time learn late of a withdrawal, of their ownership, or of what an upstream is running.
+TEST_CASE("VMs that handle their events late never run a task twice at the same time")
+{
+    DispatchFaults lags { 0.03, 0.03, 0.03, 3, 2, 3, 2, 0.05, 1 };
+    lags.lagPeriods = 4;
+    lags.longTaskProbability = 0.3;
+    DispatchFaults lagsAndCuts { 0.03, 0.03, 0.03, 1, 6, 3, 2, 0.05, 0 };
+    lagsAndCuts.lagPeriods = 6;
+    lagsAndCuts.longTaskProbability = 0.3;
+    lagsAndCuts.brokenConnectionProbability = 0.8;
+    lagsAndCuts.lateStopPeriods = 4;
+    const FaultCase cases[] = {
+        { "VMs lag", lags, 180 },
+        { "VMs lag and are partitioned, callers leave early, stops are late", lagsAndCuts, 720 },
+    };
+    for (const FaultCase& example : cases) {
+        for (std::uint64_t seed = example.firstSeed; seed < example.firstSeed + schedulesPerCase; ++seed) {
+            const DispatchResult result = DispatchSimulation(seed, example.faults).run();
+            CAPTURE(example.name, seed, result.concurrentRuns, result.falseRefusals);
+            CHECK(result.started > 0);
+            CHECK(result.concurrentRuns.empty());
+            CHECK(result.falseRefusals.empty());
+        }
+    }
+}
+
 // Between VMs that are no regular contacts, the time-stamps of both sides are old when a first task or claim is sent.
 TEST_CASE("dispatchers without regular contact to all others never run a task twice at the same time")
 {
--- a/tests/unit/unit-upstream-owner.cpp
+++ b/tests/unit/unit-upstream-owner.cpp
@@ -1,3 +1,5 @@
+#include <algorithm>
+
 #include <catch2/catch.hpp>
 
 #include <egrettrestle/decision/job_executor.hpp>
@@ -317,6 +319,87 @@
     }
 }
 
+// Guards against a run that goes on, under leases that are extended, after its executor has withdrawn it: the withdrawal
+// reached the owner before the owner had learned of its ownership, and only the claim before it was kept.
+TEST_CASE("owner applies a withdrawal that arrives together with an early claim")
+{
+    RecordingOwnerPort port;
+    CrashTable crashes;
+    UpstreamOwner owner(port, crashes, {});
+    TimePoint now { std::chrono::hours { 1 } };
+    const TaskRun run { { "j", 0, 0 }, 1 };
+    const TimePoint endBy = now + Milliseconds { 1'050 };
+
+    owner.claim("x", { run, "u1", token }, now);
+    owner.withdraw("x", { run, false, "u1", endBy }, now);
+    CHECK(port.notifications.empty());
+    owner.acquire(upstreamNamed("u1"), token, now);
+
+    REQUIRE(port.stops.size() == 1);
+    CHECK(port.stops[0].run == run);
+    PollReply pollReply;
+    pollReply.outcome = OrderOutcome::Accepted;
+    pollReply.clock = Milliseconds { 1 };
+    pollReply.running = { run };
+    owner.onPollReply("u1", *owner.nextPoll("u1", now), pollReply, now, now);
+    now = endBy - OwnerLimits {}.leaseExpiryMargin;
+    CHECK_FALSE(owner.nextPoll("u1", now)->leaseEnd);
+}
+
+// Guards against a run that its executor starts elsewhere, or takes for over, while it is at work: the owner had not polled
+// the upstream, or did not own it yet, and answered a withdrawal with "lost".
+TEST_CASE("owner does not return a withdrawn run as lost before it knows what its upstream is running")
+{
+    RecordingOwnerPort port;
+    CrashTable crashes;
+    UpstreamOwner owner(port, crashes, {});
+    TimePoint now { std::chrono::hours { 1 } };
+    const TaskRun run { { "j", 0, 0 }, 1 };
+    const RunWithdrawal withdrawal { run, false, "u1", now + Milliseconds { 1'050 } };
+
+    SECTION("the upstream has not been polled")
+    {
+        owner.acquire(upstreamNamed("u1"), token, now);
+        owner.withdraw("x", withdrawal, now);
+    }
+
+    SECTION("the upstream is not owned yet")
+    {
+        owner.withdraw("x", withdrawal, now);
+        CHECK(port.notifications.empty());
+        owner.acquire(upstreamNamed("u1"), token, now);
+    }
+
+    SECTION("a poll has found the run, and no executor has claimed it")
+    {
+        owner.acquire(upstreamNamed("u1"), token, now);
+        PollReply firstReply;
+        firstReply.outcome = OrderOutcome::Accepted;
+        firstReply.clock = Milliseconds { 1 };
+        firstReply.running = { run };
+        owner.onPollReply("u1", *owner.nextPoll("u1", now), firstReply, now, now);
+        owner.withdraw("x", withdrawal, now);
+    }
+
+    CHECK(port.notifications.empty());
+    REQUIRE(port.stops.size() == 1);
+    CHECK(port.stops[0].run == run);
+
+    PollReply pollReply;
+    pollReply.outcome = OrderOutcome::Accepted;
+    pollReply.clock = Milliseconds { 1 };
+    pollReply.running = { run };
+    owner.onPollReply("u1", *owner.nextPoll("u1", now), pollReply, now, now);
+    CHECK(port.notifications.empty());
+    owner.onStopReply(port.stops[0], { OrderOutcome::Accepted, std::nullopt }, now);
+    pollReply.running = {};
+    pollReply.ended = { { 1, run, RunOutcome::Stopped } };
+    owner.onPollReply("u1", *owner.nextPoll("u1", now), pollReply, now, now);
+    REQUIRE(port.notifications.size() == 1);
+    CHECK(port.notifications[0].vm == "x");
+    CHECK(port.notifications[0].message.ended);
+}
+
 TEST_CASE("owner that releases an upstream reports the location of unconfirmed starts")
 {
     OwnerFixture fixture;
@@ -443,7 +526,8 @@
     SECTION("nor is a withdrawal")
     {
         fixture.owner.withdraw("y", { run, false, "u2" }, fixture.now);
-        CHECK_FALSE(fixture.lastMessage().ended);
+        const auto isEndForY = [](const SentMessage& sent) { return sent.vm == "y" && sent.message.ended; };
+        CHECK(std::none_of(fixture.port.notifications.begin(), fixture.port.notifications.end(), isEndForY));
     }
 }
 
