Explore VMs that end as planned

The exploration had VMs that crash and are removed from the view by others, but none that leaves the view first, goes on as an owner until it knows that it has left, finishes its jobs as an executor for up to 6 s, answers what is left and only then ends, and whose next process joins 1 to 2 s later. Maintenance does this to all VMs in turn, and the next may begin before the former one has ended.

--- a/tests/model/dispatch_simulation.cpp
+++ b/tests/model/dispatch_simulation.cpp
@@ -34,6 +34,12 @@
     constexpr int maxCatchUpTime = 10;
     constexpr int maxStallsOfSeries = 12;
     constexpr int maxLag = 600;
+    // Of a VM that ends as planned: until the load balancer sends it no new connections, the latest end of its jobs, the interval
+    // at which it looks whether they have ended, and the time that it waits for the owners' replies at the end.
+    constexpr Milliseconds balancerDetectionTime { 2'300 };
+    constexpr Milliseconds replyDeadline { 5'100 };
+    constexpr Milliseconds stopPollInterval { 50 };
+    constexpr Milliseconds ownerReplyTime { 200 };
     // Share of the stalls, and of the gaps between them, that are short.
     constexpr double shortStallShare = 0.7;
     // Share of the callers without a reply that keep their connection until they submit their job again.
@@ -312,6 +318,8 @@
     Dispatcher dispatcher;
     bool up = true;
     bool partitioned = false;
+    /// When it got the signal to end.
+    std::optional<TimePoint> endsSince;
     TimePoint starvedUntil;
     Epoch epoch;
     std::map<VmId, PeerChannel> channels;
@@ -515,8 +523,29 @@
     Vm& vm = *m_vms[static_cast<std::size_t>(number)];
     if (!vm.up)
         return;
-    vm.up = false;
     note(vmId(number) + " crashes");
+    endProcess(number);
+    after(randomDuration(300, 1'500), [this, number] {
+        if (m_vms[static_cast<std::size_t>(number)]->up)
+            return;
+        const Member* member = findMember(m_view, vmId(number));
+        if (!member)
+            return;
+        View next = withRemoved(m_view, member->incarnation);
+        next.past.clear();
+        publishView(next);
+    });
+    after(randomDuration(100, 2'500), [this, number] {
+        if (!m_vms[static_cast<std::size_t>(number)]->up)
+            startVm(number);
+    });
+}
+
+/// The process of a VM ends; its callers lose their connections.
+void DispatchSimulation::endProcess(int number)
+{
+    Vm& vm = *m_vms[static_cast<std::size_t>(number)];
+    vm.up = false;
     for (const std::shared_ptr<Submission>& submission : m_submissionsInProgress) {
         if (submission->vm != number || submission->answered || submission->left)
             continue;
@@ -531,19 +560,73 @@
             after(resubmissionDelay, [this, job = ticket.second, number] { submitJob(std::stoi(job), (number + 1) % vmCount); });
     }
     vm.tickets.clear();
-    after(randomDuration(300, 1'500), [this, number] {
-        if (m_vms[static_cast<std::size_t>(number)]->up)
-            return;
-        const Member* member = findMember(m_view, vmId(number));
-        if (!member)
+}
+
+/// The VMs get the signal to end one after another, some before the former one has ended.
+void DispatchSimulation::endInTurn(std::vector<int> numbers)
+{
+    if (numbers.empty())
+        return;
+    const int number = numbers.back();
+    numbers.pop_back();
+    endAsPlanned(number);
+    after(randomDuration(300, 4'000), [this, numbers] { endInTurn(numbers); });
+}
+
+/// A VM gets the signal to end. It leaves the view, goes on as an owner until it knows that it has left, and as the executor of
+/// its jobs until they have ended or its time is over.
+void DispatchSimulation::endAsPlanned(int number)
+{
+    Vm& vm = *m_vms[static_cast<std::size_t>(number)];
+    if (!vm.up || vm.endsSince)
+        return;
+    vm.endsSince = m_now;
+    note(vmId(number) + " gets the signal to end");
+    const std::uint64_t processIncarnation = vm.processIncarnation;
+    afterOn(number, randomDuration(0, static_cast<int>(stopPollInterval.count())), [this, number, processIncarnation] { leaveView(number, processIncarnation); });
+    afterOn(number, balancerDetectionTime, [this, number, processIncarnation, signalledAt = m_now] { finishJobs(number, processIncarnation, signalledAt); });
+}
+
+/// Repeated until the store has accepted it.
+void DispatchSimulation::leaveView(int number, std::uint64_t processIncarnation)
+{
+    const Vm* vm = aliveProcess(number, processIncarnation);
+    const Member* member = findMember(m_view, vmId(number));
+    if (!vm || !member)
+        return;
+    if (vm->partitioned) {
+        afterOn(number, stopPollInterval, [this, number, processIncarnation] { leaveView(number, processIncarnation); });
+        return;
+    }
+    View next = withRemoved(m_view, member->incarnation);
+    next.past.clear();
+    publishView(next);
+}
+
+/// Ends the process once no caller waits, or at its deadline with an answer to those that are left.
+void DispatchSimulation::finishJobs(int number, std::uint64_t processIncarnation, TimePoint signalledAt)
+{
+    Vm* vm = aliveProcess(number, processIncarnation);
+    if (!vm)
+        return;
+    if ((vm->dispatcher.jobs() > 0 || !vm->tickets.empty()) && m_now < signalledAt + replyDeadline) {
+        afterOn(number, stopPollInterval, [this, number, processIncarnation, signalledAt] { finishJobs(number, processIncarnation, signalledAt); });
+        return;
+    }
+    note(vmId(number) + " ends its jobs");
+    vm->dispatcher.endJobs(m_now);
+    afterOn(number, ownerReplyTime, [this, number, processIncarnation] {
+        Vm* ending = aliveProcess(number, processIncarnation);
+        if (!ending)
             return;
-        View next = withRemoved(m_view, member->incarnation);
-        next.past.clear();
-        publishView(next);
-    });
-    after(randomDuration(100, 2'500), [this, number] {
-        if (!m_vms[static_cast<std::size_t>(number)]->up)
-            startVm(number);
+        ending->dispatcher.abandonJobs(m_now);
+        note(vmId(number) + " ends");
+        endProcess(number);
+        after(randomDuration(1'000, 2'000), [this, number, processIncarnation] {
+            const Vm& ended = *m_vms[static_cast<std::size_t>(number)];
+            if (!ended.up && ended.processIncarnation == processIncarnation)
+                startVm(number);
+        });
     });
 }
 
@@ -579,7 +662,7 @@
                 process->epoch = view.epoch;
                 process->dispatcher.setView(view, m_now);
             }
-            if (findMember(m_view, vmId(number)))
+            if (process->endsSince || findMember(m_view, vmId(number)))
                 return;
             View next = withJoined(m_view, vmId(number), "p", "c");
             next.past.clear();
@@ -616,7 +699,8 @@
         next.past.clear();
         publishView(next);
         afterOn(number, maxViewDelay, [this, number, processIncarnation] {
-            if (!aliveProcess(number, processIncarnation) || findMember(m_view, vmId(number)))
+            const Vm* process = aliveProcess(number, processIncarnation);
+            if (!process || process->endsSince || findMember(m_view, vmId(number)))
                 return;
             View joined = withJoined(m_view, vmId(number), "p", "c");
             joined.past.clear();
@@ -1129,7 +1213,9 @@
     if (m_answeredJobs.count(id) > 0)
         return;
     Vm& target = *m_vms[static_cast<std::size_t>(vm)];
-    if (!target.up) {
+    // The load balancer sends no new connections to a VM that is about to end.
+    const bool takesConnections = target.up && !(target.endsSince && m_now - *target.endsSince > balancerDetectionTime);
+    if (!takesConnections) {
         after(randomDuration(50, 200), [this, number, vm] { submitJob(number, (vm + 1) % vmCount); });
         return;
     }
@@ -1323,6 +1409,15 @@
             note(late.info.id + " executes stops late");
         });
     }
+    for (int series = 0; series < m_faults.plannedLeaves; ++series) {
+        after(randomDuration(1'000, 6'000), [this] {
+            std::vector<int> numbers;
+            for (int number = 0; number < vmCount; ++number)
+                numbers.push_back(number);
+            std::shuffle(numbers.begin(), numbers.end(), m_random);
+            endInTurn(numbers);
+        });
+    }
     for (int outage = 0; outage < m_faults.fullOutages; ++outage) {
         after(randomDuration(2'000, 9'000), [this] {
             for (int number = 0; number < vmCount; ++number)
--- a/tests/model/dispatch_simulation.hpp
+++ b/tests/model/dispatch_simulation.hpp
@@ -66,6 +66,9 @@
     /// Number of times that a VM handles its events up to 0.6 s late for 1 to 4 s, in their order, as with too little processor
     /// time for its load.
     int lagPeriods = 0;
+    /// Number of times that all VMs end as planned, one after another: each leaves the view first, finishes its jobs for up to
+    /// 6 s, and a new process joins 1 to 2 s after it has ended. The next VM begins before the former one has ended, or later.
+    int plannedLeaves = 0;
 
     bool vmsStandStill() const { return freezes > 0 || stallSeries > 0 || lagPeriods > 0; }
     bool callersLeave() const { return vmsStandStill() || lateStopPeriods > 0 || longTaskProbability > 0; }
@@ -157,6 +160,11 @@
 
     void startVm(int number);
     void crashVm(int number);
+    void endProcess(int number);
+    void endInTurn(std::vector<int> numbers);
+    void endAsPlanned(int number);
+    void leaveView(int number, std::uint64_t processIncarnation);
+    void finishJobs(int number, std::uint64_t processIncarnation, TimePoint signalledAt);
     void partitionVm(int number);
     void starveVm(int number);
     void freezeVm(int number);
