Explore cuts between two VMs, and between a VM and some upstreams

The exploration had VMs that lose all other VMs and the store at once, and upstreams that lose all VMs. On a site a cut may lie between two VMs while both reach the store, so that nobody is removed, and lose only one direction, or only the replies: batches are handled and their sender does not learn of it. A VM may also lose its orders to some upstreams, or the replies to orders that are executed, while other VMs reach these upstreams.

--- a/tests/model/dispatch_simulation.cpp
+++ b/tests/model/dispatch_simulation.cpp
@@ -673,6 +673,48 @@
     });
 }
 
+void DispatchSimulation::cutPair()
+{
+    const int first = static_cast<int>(randomDuration(0, vmCount - 1).count());
+    const int second = (first + static_cast<int>(randomDuration(1, vmCount - 1).count())) % vmCount;
+    const Milliseconds duration = randomDuration(300, 5'000);
+    const TimePoint until = m_now + duration;
+    const auto lose = [until](TimePoint& known) { known = std::max(known, until); };
+    const int kind = static_cast<int>(randomDuration(0, 2).count());
+    lose(m_repliesLostUntil[{ vmId(first), vmId(second) }]);
+    if (kind < 2)
+        lose(m_requestsLostUntil[{ vmId(first), vmId(second) }]);
+    if (kind == 0) {
+        lose(m_requestsLostUntil[{ vmId(second), vmId(first) }]);
+        lose(m_repliesLostUntil[{ vmId(second), vmId(first) }]);
+    }
+    const char* const names[] = { "everything between ", "everything that is sent by ", "the replies of " };
+    note(std::string("a cut loses ") + names[kind] + vmId(first) + " to " + vmId(second) + " for " + std::to_string(duration.count()));
+}
+
+void DispatchSimulation::cutFromUpstreams()
+{
+    const VmId vm = vmId(static_cast<int>(randomDuration(0, vmCount - 1).count()));
+    const Milliseconds duration = randomDuration(300, 5'000);
+    const bool repliesOnly = chance(0.5);
+    const double share = chance(0.5) ? 0.4 : 1;
+    std::string ids;
+    for (const auto& entry : m_upstreams) {
+        if (share < 1 && !chance(share))
+            continue;
+        TimePoint& until = repliesOnly ? m_repliesLostUntil[{ entry->info.id, vm }] : m_requestsLostUntil[{ vm, entry->info.id }];
+        until = std::max(until, m_now + duration);
+        ids += ' ' + entry->info.id;
+    }
+    note(vm + (repliesOnly ? " gets no replies of" : " does not reach") + ids + " for " + std::to_string(duration.count()));
+}
+
+bool DispatchSimulation::isLost(const std::map<std::pair<std::string, std::string>, TimePoint>& cuts, const std::string& from, const std::string& to) const
+{
+    const auto cut = cuts.find({ from, to });
+    return cut != cuts.end() && cut->second > m_now;
+}
+
 void DispatchSimulation::starveVm(int number)
 {
     Vm& vm = *m_vms[static_cast<std::size_t>(number)];
@@ -801,6 +843,8 @@
     if (!receiver.up || receiver.partitioned || m_vms[static_cast<std::size_t>(batch.from)]->partitioned)
         return;
     const VmId from = vmId(batch.from);
+    if (isLost(m_requestsLostUntil, from, vmId(batch.to)))
+        return;
     const PeerChannel::BatchResult batchResult = receiver.channel(from).onBatch(batch.stamp, batch.messages.size(), m_now);
     if (batchResult.peerRestarted)
         receiver.dispatcher.onPeerRestarted(from, m_now);
@@ -819,10 +863,10 @@
 void DispatchSimulation::deliverReply(const Batch& batch, const BatchReply& reply)
 {
     Vm* sender = aliveProcess(batch.from, batch.senderIncarnation);
-    if (!sender || *batch.completed || sender->partitioned)
+    const VmId to = vmId(batch.to);
+    if (!sender || *batch.completed || sender->partitioned || isLost(m_repliesLostUntil, to, vmId(batch.from)))
         return;
     *batch.completed = true;
-    const VmId to = vmId(batch.to);
     sender->batchesInFlight.erase(to);
     const PeerChannel::ReplyResult answered = sender->channel(to).onReply(batch.stamp, batch.messages.size(), reply);
     if (answered.peerRestarted)
@@ -897,7 +941,7 @@
         if (aliveProcess(number, processIncarnation))
             onOrderReply(reply);
     };
-    const bool silent = upstream(id).silentUntil > m_now;
+    const bool silent = upstream(id).silentUntil > m_now || isLost(m_requestsLostUntil, vmId(number), id);
     const bool late = chance(m_faults.lateOrderProbability);
     if (late || silent || chance(m_faults.lostOrderProbability)) {
         if (late && !silent)
@@ -908,7 +952,7 @@
         afterOn(number, orderTimeout, [respond] { respond({}); });
         return;
     }
-    const bool lost = chance(m_faults.lostReplyProbability);
+    const bool lost = chance(m_faults.lostReplyProbability) || isLost(m_repliesLostUntil, id, vmId(number));
     after(randomDuration(1, 5), [this, number, id, execute, respond, lost] {
         if (const std::optional<OrderReply> failure = connectionFailure(id)) {
             respond(*failure);
@@ -928,12 +972,12 @@
             vm->dispatcher.onPollReply(order, reply, sentAt, m_now);
         done(reply.outcome == OrderOutcome::Accepted);
     };
-    const bool silent = upstream(order.upstream).silentUntil > m_now;
+    const bool silent = upstream(order.upstream).silentUntil > m_now || isLost(m_requestsLostUntil, vmId(number), order.upstream);
     if (silent || chance(m_faults.lostOrderProbability)) {
         afterOn(number, order.wait + pollReplyTimeout, [respond] { respond(PollReply {}); });
         return;
     }
-    const bool lost = chance(m_faults.lostReplyProbability);
+    const bool lost = chance(m_faults.lostReplyProbability) || isLost(m_repliesLostUntil, order.upstream, vmId(number));
     const TimePoint clockBegin = upstream(order.upstream).clockBegin;
     // A cut loses the polls that wait at the upstream.
     const auto loseInCut = [this, number, order, respond, clockBegin] {
@@ -1418,6 +1462,10 @@
             endInTurn(numbers);
         });
     }
+    for (int cut = 0; cut < m_faults.pairCuts; ++cut)
+        after(randomDuration(1'500, 9'000), [this] { cutPair(); });
+    for (int cut = 0; cut < m_faults.upstreamCuts; ++cut)
+        after(randomDuration(1'500, 9'000), [this] { cutFromUpstreams(); });
     for (int outage = 0; outage < m_faults.fullOutages; ++outage) {
         after(randomDuration(2'000, 9'000), [this] {
             for (int number = 0; number < vmCount; ++number)
--- a/tests/model/dispatch_simulation.hpp
+++ b/tests/model/dispatch_simulation.hpp
@@ -69,6 +69,12 @@
     /// Number of times that all VMs end as planned, one after another: each leaves the view first, finishes its jobs for up to
     /// 6 s, and a new process joins 1 to 2 s after it has ended. The next VM begins before the former one has ended, or later.
     int plannedLeaves = 0;
+    /// Number of times that two VMs lose all messages between them, those of one of them, or only its replies, for up to 5 s.
+    /// Both reach the others, the store, callers and upstreams.
+    int pairCuts = 0;
+    /// Number of times that a VM loses its orders to some upstreams, or the replies to them, for up to 5 s. The upstreams
+    /// execute the orders whose replies are lost, and other VMs reach them.
+    int upstreamCuts = 0;
 
     bool vmsStandStill() const { return freezes > 0 || stallSeries > 0 || lagPeriods > 0; }
     bool callersLeave() const { return vmsStandStill() || lateStopPeriods > 0 || longTaskProbability > 0; }
@@ -166,6 +172,9 @@
     void leaveView(int number, std::uint64_t processIncarnation);
     void finishJobs(int number, std::uint64_t processIncarnation, TimePoint signalledAt);
     void partitionVm(int number);
+    void cutPair();
+    void cutFromUpstreams();
+    bool isLost(const std::map<std::pair<std::string, std::string>, TimePoint>& cuts, const std::string& from, const std::string& to) const;
     void starveVm(int number);
     void freezeVm(int number);
     void standStill(int number, Milliseconds duration);
@@ -249,6 +258,9 @@
     std::map<int, TimePoint> m_behindSince;
     /// How late a VM handles its events; none for one that does not lag.
     std::map<int, Milliseconds> m_lag;
+    /// Until when batches, orders, or replies to either, are lost, by the ids of their sender and receiver.
+    std::map<std::pair<std::string, std::string>, TimePoint> m_requestsLostUntil;
+    std::map<std::pair<std::string, std::string>, TimePoint> m_repliesLostUntil;
     std::vector<std::shared_ptr<Submission>> m_submissionsInProgress;
     std::set<std::string> m_unluckyJobs;
 };
