--- a/tests/model/dispatch_simulation.cpp
+++ b/tests/model/dispatch_simulation.cpp
@@ -34,6 +34,7 @@
     constexpr int maxCatchUpTime = 10;
     constexpr int maxStallsOfSeries = 12;
     constexpr int maxLag = 600;
+    constexpr double slowestClockRate = 0.98;
     // Of a VM that ends as planned: until the load balancer sends it no new connections, the latest end of its jobs, the interval
     // at which it looks whether they have ended, and the time that it waits for the owners' replies at the end.
     constexpr Milliseconds balancerDetectionTime { 2'300 };
@@ -153,6 +154,7 @@
     bool restarting = false;
     /// When its clock began.
     TimePoint clockBegin;
+    double clockRate = 1;
     /// Set while the upstream is down after a crash: it rejects connections.
     bool down = false;
     std::vector<UpstreamId> formerIds;
@@ -1148,7 +1150,8 @@
 
 UpstreamClock DispatchSimulation::clockOf(const Upstream& target) const
 {
-    return toMilliseconds(m_now - target.clockBegin);
+    const Milliseconds time = toMilliseconds(m_now - target.clockBegin);
+    return m_faults.slowClocks ? Milliseconds { static_cast<std::int64_t>(static_cast<double>(time.count()) * target.clockRate) } : time;
 }
 
 /// Discovery lists a new incarnation at once, and stops listing the former one after some time.
@@ -1422,6 +1425,8 @@
         info.dataCentre = "dc1";
         info.capacity = { 64'000, 100'000, 0 };
         info.kind = "a";
+        if (m_faults.slowClocks)
+            m_upstreams.back()->clockRate = std::uniform_real_distribution<double>(slowestClockRate, 1)(m_random);
         if (m_faults.hotRack)
             info.rack = number % 2 == 0 ? hotRack : "r2";
     }
--- a/tests/model/dispatch_simulation.hpp
+++ b/tests/model/dispatch_simulation.hpp
@@ -75,6 +75,8 @@
     /// Number of times that a VM loses its orders to some upstreams, or the replies to them, for up to 5 s. The upstreams
     /// execute the orders whose replies are lost, and other VMs reach them.
     int upstreamCuts = 0;
+    /// Whether the upstreams' clocks are up to 2% slow.
+    bool slowClocks = false;
 
     bool vmsStandStill() const { return freezes > 0 || stallSeries > 0 || lagPeriods > 0; }
     bool callersLeave() const { return vmsStandStill() || lateStopPeriods > 0 || longTaskProbability > 0; }
