--- a/tests/model/dispatch_simulation.cpp
+++ b/tests/model/dispatch_simulation.cpp
@@ -312,7 +312,11 @@
                 simulation.updatePolledUpstreams(number);
         });
     }
-    void onPeerLost(const VmId& vm) override { channel(vm).withdrawPendingRequests(); }
+    void onPeerLost(const VmId& vm) override
+    {
+        simulation.note(vmId(number) + " considers " + vm + " lost");
+        channel(vm).withdrawPendingRequests();
+    }
 
     DispatchSimulation& simulation;
     int number;
