--- a/tests/model/dispatch_simulation.cpp
+++ b/tests/model/dispatch_simulation.cpp
@@ -34,6 +34,13 @@
     constexpr int maxCatchUpTime = 10;
     constexpr int maxStallsOfSeries = 12;
     constexpr int maxLag = 600;
+    constexpr double slowestClockRate = 0.98;
+    // Of a VM that ends as planned: until the load balancer sends it no new connections, the latest end of its jobs, the interval
+    // at which it looks whether they have ended, and the time that it waits for the owners' replies at the end.
+    constexpr Milliseconds balancerDetectionTime { 2'300 };
+    constexpr Milliseconds replyDeadline { 5'100 };
+    constexpr Milliseconds stopPollInterval { 50 };
+    constexpr Milliseconds ownerReplyTime { 200 };
     // Share of the stalls, and of the gaps between them, that are short.
     constexpr double shortStallShare = 0.7;
     // Share of the callers without a reply that keep their connection until they submit their job again.
@@ -147,6 +154,7 @@
     bool restarting = false;
     /// When its clock began.
     TimePoint clockBegin;
+    double clockRate = 1;
     /// Set while the upstream is down after a crash: it rejects connections.
     bool down = false;
     std::vector<UpstreamId> formerIds;
@@ -304,7 +312,11 @@
                 simulation.updatePolledUpstreams(number);
         });
     }
-    void onPeerLost(const VmId& vm) override { channel(vm).withdrawPendingRequests(); }
+    void onPeerLost(const VmId& vm) override
+    {
+        simulation.note(vmId(number) + " considers " + vm + " lost");
+        channel(vm).withdrawPendingRequests();
+    }
 
     DispatchSimulation& simulation;
     int number;
@@ -312,6 +324,8 @@
     Dispatcher dispatcher;
     bool up = true;
     bool partitioned = false;
+    /// When it got the signal to end.
+    std::optional<TimePoint> endsSince;
     TimePoint starvedUntil;
     Epoch epoch;
     std::map<VmId, PeerChannel> channels;
@@ -515,8 +529,29 @@
     Vm& vm = *m_vms[static_cast<std::size_t>(number)];
     if (!vm.up)
         return;
-    vm.up = false;
     note(vmId(number) + " crashes");
+    endProcess(number);
+    after(randomDuration(300, 1'500), [this, number] {
+        if (m_vms[static_cast<std::size_t>(number)]->up)
+            return;
+        const Member* member = findMember(m_view, vmId(number));
+        if (!member)
+            return;
+        View next = withRemoved(m_view, member->incarnation);
+        next.past.clear();
+        publishView(next);
+    });
+    after(randomDuration(100, 2'500), [this, number] {
+        if (!m_vms[static_cast<std::size_t>(number)]->up)
+            startVm(number);
+    });
+}
+
+/// The process of a VM ends; its callers lose their connections.
+void DispatchSimulation::endProcess(int number)
+{
+    Vm& vm = *m_vms[static_cast<std::size_t>(number)];
+    vm.up = false;
     for (const std::shared_ptr<Submission>& submission : m_submissionsInProgress) {
         if (submission->vm != number || submission->answered || submission->left)
             continue;
@@ -531,19 +566,73 @@
             after(resubmissionDelay, [this, job = ticket.second, number] { submitJob(std::stoi(job), (number + 1) % vmCount); });
     }
     vm.tickets.clear();
-    after(randomDuration(300, 1'500), [this, number] {
-        if (m_vms[static_cast<std::size_t>(number)]->up)
-            return;
-        const Member* member = findMember(m_view, vmId(number));
-        if (!member)
+}
+
+/// The VMs get the signal to end one after another, some before the former one has ended.
+void DispatchSimulation::endInTurn(std::vector<int> numbers)
+{
+    if (numbers.empty())
+        return;
+    const int number = numbers.back();
+    numbers.pop_back();
+    endAsPlanned(number);
+    after(randomDuration(300, 4'000), [this, numbers] { endInTurn(numbers); });
+}
+
+/// A VM gets the signal to end. It leaves the view, goes on as an owner until it knows that it has left, and as the executor of
+/// its jobs until they have ended or its time is over.
+void DispatchSimulation::endAsPlanned(int number)
+{
+    Vm& vm = *m_vms[static_cast<std::size_t>(number)];
+    if (!vm.up || vm.endsSince)
+        return;
+    vm.endsSince = m_now;
+    note(vmId(number) + " gets the signal to end");
+    const std::uint64_t processIncarnation = vm.processIncarnation;
+    afterOn(number, randomDuration(0, static_cast<int>(stopPollInterval.count())), [this, number, processIncarnation] { leaveView(number, processIncarnation); });
+    afterOn(number, balancerDetectionTime, [this, number, processIncarnation, signalledAt = m_now] { finishJobs(number, processIncarnation, signalledAt); });
+}
+
+/// Repeated until the store has accepted it.
+void DispatchSimulation::leaveView(int number, std::uint64_t processIncarnation)
+{
+    const Vm* vm = aliveProcess(number, processIncarnation);
+    const Member* member = findMember(m_view, vmId(number));
+    if (!vm || !member)
+        return;
+    if (vm->partitioned) {
+        afterOn(number, stopPollInterval, [this, number, processIncarnation] { leaveView(number, processIncarnation); });
+        return;
+    }
+    View next = withRemoved(m_view, member->incarnation);
+    next.past.clear();
+    publishView(next);
+}
+
+/// Ends the process once no caller waits, or at its deadline with an answer to those that are left.
+void DispatchSimulation::finishJobs(int number, std::uint64_t processIncarnation, TimePoint signalledAt)
+{
+    Vm* vm = aliveProcess(number, processIncarnation);
+    if (!vm)
+        return;
+    if ((vm->dispatcher.jobs() > 0 || !vm->tickets.empty()) && m_now < signalledAt + replyDeadline) {
+        afterOn(number, stopPollInterval, [this, number, processIncarnation, signalledAt] { finishJobs(number, processIncarnation, signalledAt); });
+        return;
+    }
+    note(vmId(number) + " ends its jobs");
+    vm->dispatcher.endJobs(m_now);
+    afterOn(number, ownerReplyTime, [this, number, processIncarnation] {
+        Vm* ending = aliveProcess(number, processIncarnation);
+        if (!ending)
             return;
-        View next = withRemoved(m_view, member->incarnation);
-        next.past.clear();
-        publishView(next);
-    });
-    after(randomDuration(100, 2'500), [this, number] {
-        if (!m_vms[static_cast<std::size_t>(number)]->up)
-            startVm(number);
+        ending->dispatcher.abandonJobs(m_now);
+        note(vmId(number) + " ends");
+        endProcess(number);
+        after(randomDuration(1'000, 2'000), [this, number, processIncarnation] {
+            const Vm& ended = *m_vms[static_cast<std::size_t>(number)];
+            if (!ended.up && ended.processIncarnation == processIncarnation)
+                startVm(number);
+        });
     });
 }
 
@@ -579,7 +668,7 @@
                 process->epoch = view.epoch;
                 process->dispatcher.setView(view, m_now);
             }
-            if (findMember(m_view, vmId(number)))
+            if (process->endsSince || findMember(m_view, vmId(number)))
                 return;
             View next = withJoined(m_view, vmId(number), "p", "c");
             next.past.clear();
@@ -590,6 +679,48 @@
     });
 }
 
+void DispatchSimulation::cutPair()
+{
+    const int first = static_cast<int>(randomDuration(0, vmCount - 1).count());
+    const int second = (first + static_cast<int>(randomDuration(1, vmCount - 1).count())) % vmCount;
+    const Milliseconds duration = randomDuration(300, 5'000);
+    const TimePoint until = m_now + duration;
+    const auto lose = [until](TimePoint& known) { known = std::max(known, until); };
+    const int kind = static_cast<int>(randomDuration(0, 2).count());
+    lose(m_repliesLostUntil[{ vmId(first), vmId(second) }]);
+    if (kind < 2)
+        lose(m_requestsLostUntil[{ vmId(first), vmId(second) }]);
+    if (kind == 0) {
+        lose(m_requestsLostUntil[{ vmId(second), vmId(first) }]);
+        lose(m_repliesLostUntil[{ vmId(second), vmId(first) }]);
+    }
+    const char* const names[] = { "everything between ", "everything that is sent by ", "the replies of " };
+    note(std::string("a cut loses ") + names[kind] + vmId(first) + " to " + vmId(second) + " for " + std::to_string(duration.count()));
+}
+
+void DispatchSimulation::cutFromUpstreams()
+{
+    const VmId vm = vmId(static_cast<int>(randomDuration(0, vmCount - 1).count()));
+    const Milliseconds duration = randomDuration(300, 5'000);
+    const bool repliesOnly = chance(0.5);
+    const double share = chance(0.5) ? 0.4 : 1;
+    std::string ids;
+    for (const auto& entry : m_upstreams) {
+        if (share < 1 && !chance(share))
+            continue;
+        TimePoint& until = repliesOnly ? m_repliesLostUntil[{ entry->info.id, vm }] : m_requestsLostUntil[{ vm, entry->info.id }];
+        until = std::max(until, m_now + duration);
+        ids += ' ' + entry->info.id;
+    }
+    note(vm + (repliesOnly ? " gets no replies of" : " does not reach") + ids + " for " + std::to_string(duration.count()));
+}
+
+bool DispatchSimulation::isLost(const std::map<std::pair<std::string, std::string>, TimePoint>& cuts, const std::string& from, const std::string& to) const
+{
+    const auto cut = cuts.find({ from, to });
+    return cut != cuts.end() && cut->second > m_now;
+}
+
 void DispatchSimulation::starveVm(int number)
 {
     Vm& vm = *m_vms[static_cast<std::size_t>(number)];
@@ -616,7 +747,8 @@
         next.past.clear();
         publishView(next);
         afterOn(number, maxViewDelay, [this, number, processIncarnation] {
-            if (!aliveProcess(number, processIncarnation) || findMember(m_view, vmId(number)))
+            const Vm* process = aliveProcess(number, processIncarnation);
+            if (!process || process->endsSince || findMember(m_view, vmId(number)))
                 return;
             View joined = withJoined(m_view, vmId(number), "p", "c");
             joined.past.clear();
@@ -717,6 +849,8 @@
     if (!receiver.up || receiver.partitioned || m_vms[static_cast<std::size_t>(batch.from)]->partitioned)
         return;
     const VmId from = vmId(batch.from);
+    if (isLost(m_requestsLostUntil, from, vmId(batch.to)))
+        return;
     const PeerChannel::BatchResult batchResult = receiver.channel(from).onBatch(batch.stamp, batch.messages.size(), m_now);
     if (batchResult.peerRestarted)
         receiver.dispatcher.onPeerRestarted(from, m_now);
@@ -735,10 +869,10 @@
 void DispatchSimulation::deliverReply(const Batch& batch, const BatchReply& reply)
 {
     Vm* sender = aliveProcess(batch.from, batch.senderIncarnation);
-    if (!sender || *batch.completed || sender->partitioned)
+    const VmId to = vmId(batch.to);
+    if (!sender || *batch.completed || sender->partitioned || isLost(m_repliesLostUntil, to, vmId(batch.from)))
         return;
     *batch.completed = true;
-    const VmId to = vmId(batch.to);
     sender->batchesInFlight.erase(to);
     const PeerChannel::ReplyResult answered = sender->channel(to).onReply(batch.stamp, batch.messages.size(), reply);
     if (answered.peerRestarted)
@@ -813,7 +947,7 @@
         if (aliveProcess(number, processIncarnation))
             onOrderReply(reply);
     };
-    const bool silent = upstream(id).silentUntil > m_now;
+    const bool silent = upstream(id).silentUntil > m_now || isLost(m_requestsLostUntil, vmId(number), id);
     const bool late = chance(m_faults.lateOrderProbability);
     if (late || silent || chance(m_faults.lostOrderProbability)) {
         if (late && !silent)
@@ -824,7 +958,7 @@
         afterOn(number, orderTimeout, [respond] { respond({}); });
         return;
     }
-    const bool lost = chance(m_faults.lostReplyProbability);
+    const bool lost = chance(m_faults.lostReplyProbability) || isLost(m_repliesLostUntil, id, vmId(number));
     after(randomDuration(1, 5), [this, number, id, execute, respond, lost] {
         if (const std::optional<OrderReply> failure = connectionFailure(id)) {
             respond(*failure);
@@ -844,12 +978,12 @@
             vm->dispatcher.onPollReply(order, reply, sentAt, m_now);
         done(reply.outcome == OrderOutcome::Accepted);
     };
-    const bool silent = upstream(order.upstream).silentUntil > m_now;
+    const bool silent = upstream(order.upstream).silentUntil > m_now || isLost(m_requestsLostUntil, vmId(number), order.upstream);
     if (silent || chance(m_faults.lostOrderProbability)) {
         afterOn(number, order.wait + pollReplyTimeout, [respond] { respond(PollReply {}); });
         return;
     }
-    const bool lost = chance(m_faults.lostReplyProbability);
+    const bool lost = chance(m_faults.lostReplyProbability) || isLost(m_repliesLostUntil, order.upstream, vmId(number));
     const TimePoint clockBegin = upstream(order.upstream).clockBegin;
     // A cut loses the polls that wait at the upstream.
     const auto loseInCut = [this, number, order, respond, clockBegin] {
@@ -1020,7 +1154,8 @@
 
 UpstreamClock DispatchSimulation::clockOf(const Upstream& target) const
 {
-    return toMilliseconds(m_now - target.clockBegin);
+    const Milliseconds time = toMilliseconds(m_now - target.clockBegin);
+    return m_faults.slowClocks ? Milliseconds { static_cast<std::int64_t>(static_cast<double>(time.count()) * target.clockRate) } : time;
 }
 
 /// Discovery lists a new incarnation at once, and stops listing the former one after some time.
@@ -1129,7 +1264,9 @@
     if (m_answeredJobs.count(id) > 0)
         return;
     Vm& target = *m_vms[static_cast<std::size_t>(vm)];
-    if (!target.up) {
+    // The load balancer sends no new connections to a VM that is about to end.
+    const bool takesConnections = target.up && !(target.endsSince && m_now - *target.endsSince > balancerDetectionTime);
+    if (!takesConnections) {
         after(randomDuration(50, 200), [this, number, vm] { submitJob(number, (vm + 1) % vmCount); });
         return;
     }
@@ -1292,6 +1429,8 @@
         info.dataCentre = "dc1";
         info.capacity = { 64'000, 100'000, 0 };
         info.kind = "a";
+        if (m_faults.slowClocks)
+            m_upstreams.back()->clockRate = std::uniform_real_distribution<double>(slowestClockRate, 1)(m_random);
         if (m_faults.hotRack)
             info.rack = number % 2 == 0 ? hotRack : "r2";
     }
@@ -1323,6 +1462,19 @@
             note(late.info.id + " executes stops late");
         });
     }
+    for (int series = 0; series < m_faults.plannedLeaves; ++series) {
+        after(randomDuration(1'000, 6'000), [this] {
+            std::vector<int> numbers;
+            for (int number = 0; number < vmCount; ++number)
+                numbers.push_back(number);
+            std::shuffle(numbers.begin(), numbers.end(), m_random);
+            endInTurn(numbers);
+        });
+    }
+    for (int cut = 0; cut < m_faults.pairCuts; ++cut)
+        after(randomDuration(1'500, 9'000), [this] { cutPair(); });
+    for (int cut = 0; cut < m_faults.upstreamCuts; ++cut)
+        after(randomDuration(1'500, 9'000), [this] { cutFromUpstreams(); });
     for (int outage = 0; outage < m_faults.fullOutages; ++outage) {
         after(randomDuration(2'000, 9'000), [this] {
             for (int number = 0; number < vmCount; ++number)
