Keep pending claims when the owner counts as lost

Cause: when an owner counted as lost, its pending claims were turned into withdrawals, like its pending requests. The executor starts the tasks of requests elsewhere, but not those of claims: it goes on claiming them, since the earlier owner may keep their runs. So one batch withdrew and claimed the same run, and the owner answered the first with 'lost' and the second with 'running'.

Fix: only requests are turned into withdrawals. A claim of a run that is not wanted any more is followed by its withdrawal in the same channel. The unit test that expected claims to be withdrawn was wrong for that reason; it now expects them to be kept, and failed before.

--- a/packages/decision/include/egrettrestle/decision/peer_channel.hpp
+++ b/packages/decision/include/egrettrestle/decision/peer_channel.hpp
@@ -57,9 +57,9 @@
     /// Discards the pending messages and returns their number. Those that were already sent may still be processed, until
     /// they are too old.
     std::size_t discardPending();
-    /// Replaces the pending requests and claims by withdrawals of the same runs, because the peer does not reply and the tasks are
-    /// started elsewhere. The numbers of the messages stay. All other messages are kept, since the peer cannot learn otherwise
-    /// what has become of its runs here: that it does not reply does not mean that it has lost them.
+    /// Replaces the pending requests by withdrawals of the same runs, because the peer does not reply and the tasks are started
+    /// elsewhere. The numbers of the messages stay. All other messages are kept, since the peer cannot learn otherwise what has
+    /// become of its runs here, and which runs this VM claims: that it does not reply does not mean that it has lost them.
     void withdrawPendingRequests();
     /// The header for a batch of all pending messages.
     BatchHeader batchHeader() const;
--- a/packages/decision/src/peer_channel.cpp
+++ b/packages/decision/src/peer_channel.cpp
@@ -15,12 +15,10 @@
 void PeerChannel::withdrawPendingRequests()
 {
     for (PeerMessage& message : m_pending) {
-        if (!message.request && !message.claim)
+        if (!message.request)
             continue;
         RunWithdrawal withdrawal;
-        withdrawal.run = message.request ? message.request->run : message.claim->run;
-        if (message.claim)
-            withdrawal.upstream = message.claim->upstream;
+        withdrawal.run = message.request->run;
         message = { {}, {}, {}, {}, std::move(withdrawal), {} };
     }
 }
