Wait for the lease of a run that a lost owner has just taken over

Cause: 1.87 s after an owner's last reply none of the leases that it has granted is left. That says nothing of a run that came to it by a change of the view meanwhile: its last lease is the earlier owner's. A pending claim kept the executor from counting such a run as lost, the confirmation of the claim, which arrives in a message and not in a reply, removed that protection at once.

The new unit test fails without the change.

Fix: a claimed run is given up only when the time in which an owner counts as lost has passed since the confirmation of its claim.

--- a/packages/decision/include/egrettrestle/decision/job_executor.hpp
+++ b/packages/decision/include/egrettrestle/decision/job_executor.hpp
@@ -275,6 +275,8 @@
         TimePoint movedAt;
         /// When the last claim was sent to a new owner; empty once the owner has replied.
         std::optional<TimePoint> claimSentAt;
+        /// When the present owner has confirmed that it has taken the run over; empty if it has started the run.
+        std::optional<TimePoint> claimConfirmedAt;
         /// When a run started by an earlier incarnation of the owner must have ended.
         std::optional<TimePoint> orphanedUntil;
         /// Upstreams on which a run of the task has ended without completing.
--- a/packages/decision/src/job_executor.cpp
+++ b/packages/decision/src/job_executor.cpp
@@ -323,6 +323,7 @@
     task.upstream.clear();
     task.startEpoch = {};
     task.claimSentAt.reset();
+    task.claimConfirmedAt.reset();
     task.orphanedUntil.reset();
     task.sentAt = now;
     task.movingTo.clear();
@@ -433,6 +434,8 @@
     task->orphanedUntil.reset();
     const bool claimConfirmed = task->claimSentAt.has_value();
     task->claimSentAt.reset();
+    if (claimConfirmed)
+        task->claimConfirmedAt = now;
     if (claimConfirmed && task->state == TaskState::Withdrawn && job->ending)
         withdrawTask(*job, *task, false);
     const bool startedBeforeWithdrawal = task->state == TaskState::Withdrawn && !job->ending;
@@ -567,6 +570,7 @@
 void JobExecutor::sendClaim(Job& job, Task& task, TimePoint now)
 {
     task.claimSentAt = now;
+    task.orphanedUntil.reset();
     recordJobEvent(JobEvent::Kind::ClaimSent, job, task.upstream, now);
     m_port.send(task.owner, { {}, {}, {}, {}, {}, RunClaim { runOf(job, task), task.upstream, m_epoch, job.request.steps[task.step].need } });
     if (task.state == TaskState::Withdrawn)
@@ -582,8 +586,14 @@
             // A run with a pending claim was started by another owner, which may still keep it running.
             if (!isOutstanding(task) || task.owner != owner || task.claimSentAt)
                 continue;
-            task.state = TaskState::Unsent;
             job.anyStarted = true;
+            // The owner's silence says nothing about the time before it had the run: the last lease may be one that the earlier
+            // owner has granted.
+            if (task.claimConfirmedAt && now < *task.claimConfirmedAt + m_limits.ownerLossTimeout) {
+                task.orphanedUntil = *task.claimConfirmedAt + m_limits.ownerLossTimeout;
+                continue;
+            }
+            task.state = TaskState::Unsent;
             affectedJobs.push_back(entry.first);
             if (!job.ending)
                 resend(job, task, now);
--- a/tests/unit/unit-job-executor.cpp
+++ b/tests/unit/unit-job-executor.cpp
@@ -428,6 +428,30 @@
     }
 }
 
+// Guards against a second run beside the first one: the new owner was silent before it took the run over, which says nothing of
+// the lease that the previous owner had granted.
+TEST_CASE("executor waits for the lease of a run whose new owner is lost right after it has confirmed the claim")
+{
+    ExecutorFixture fixture;
+    DispatchJob job = jobOf("j", 1);
+    job.callerTimeout = Seconds { 10 };
+    fixture.submit(job);
+    const TaskRun run = fixture.request(0).run;
+    fixture.executor.onStarted("x", { run, "u", { 1 } }, fixture.now);
+    fixture.executor.onOwnersChanged({ { "u", "y" } }, { 2 }, {}, fixture.now);
+    fixture.executor.onStarted("y", { run, "u", { 2 } }, fixture.now);
+    REQUIRE(fixture.port.sent.size() == 2);
+
+    fixture.executor.onOwnerLost("y", fixture.now);
+    fixture.now += fixture.limits.ownerLossTimeout;
+    fixture.executor.tick(fixture.now);
+    CHECK(fixture.port.sent.size() == 2);
+    fixture.now += Milliseconds { 1 };
+    fixture.executor.tick(fixture.now);
+    REQUIRE(fixture.port.sent.size() == 3);
+    CHECK(fixture.port.sent.back().message.request);
+}
+
 TEST_CASE("executor has an older view than an owner")
 {
     ExecutorFixture fixture;
