Bound leases by the age of what an owner knows of the executors

Cause: an owner extended the lease of a run by 600 ms at each poll, as long as a message of the run's executor had been handled in the last 600 ms. A message may be 600 ms old when it is handled, and an executor may learn of its caller's departure or of the end of its time 250 ms late, or later while its callers are unchecked. So nothing kept a lease from reaching 0.8 s beyond the moment of the second submission: the bound was an assumption about the time that messages take.

Fix: a batch says how long ago its sender last knew which of its callers are connected and whose time is over, and it is younger than the reply whose time-stamp it echoes. A lease never ends later than 1.05 s after that time, for other executors' runs and for the VM's own; a run is started only if half a lease is left. The same limit replaces the choice between a whole lease and none for runs that have to end by a certain time. An owner that finds a run which nobody has claimed in time grants it nothing. A claim is answered by the first poll under the owner's token, since the owner before may extend the lease until then.

--- a/packages/decision/include/egrettrestle/decision/dispatcher.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatcher.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <deque>
 #include <map>
 #include <string>
@@ -43,6 +44,14 @@
 /// lease then has to expire.
 Milliseconds ownerLossTimeout(const DispatcherLimits& limits);
 
+/// How old the contents of a batch may be.
+struct BatchAge {
+    /// The batch was made at most this long ago.
+    Milliseconds maxAge { 0 };
+    /// How long before that its sender last knew which of its callers are connected, and whose time is over.
+    Milliseconds executorLag { 0 };
+};
+
 /// Executes the decisions of a Dispatcher. The functions are called from within calls to the dispatcher and must not
 /// call it back.
 class DispatcherPort {
@@ -119,6 +128,9 @@
     /// Whether callers may have left without this VM's knowledge. Messages to other VMs must then be held back.
     bool hasUncheckedCallers() const { return m_pauseGuard.uncheckedSince().has_value(); }
 
+    /// How long ago this VM last knew which of its callers are connected, and whose time is over.
+    Milliseconds executorLag(TimePoint now) const { return toMilliseconds(now - callersKnownAt(now)); }
+
     /// @}
     /// @name callers
     /// @{
@@ -143,9 +155,9 @@
     /// @name peers
     /// @{
 
-    /// Processes a batch of messages from a VM, and its capacity report. The batch was made at most `maxAge` ago; by as much
-    /// earlier, the runs that it withdraws must have ended.
-    void onPeerMessages(const VmId& vm, const std::vector<PeerMessage>& messages, const CapacityReport& capacity, TimePoint now, Milliseconds maxAge = Milliseconds { 0 });
+    /// Processes a batch of messages from a VM, and its capacity report. By as much as it may be old, the time that its
+    /// withdrawals leave to runs is shorter, and so are the leases of the sender's runs.
+    void onPeerMessages(const VmId& vm, const std::vector<PeerMessage>& messages, const CapacityReport& capacity, TimePoint now, BatchAge age = {});
 
     /// Handles the reply to a batch of messages; `accepted` is whether the VM accepted them. A reply also postpones the
     /// time at which the VM is considered lost if the messages arrived too late to be accepted, because it enables the
@@ -243,6 +255,7 @@
     /// Determines the owner of an upstream, and acquires or releases the upstream accordingly.
     const VmId* assignOwner(const UpstreamInfo& upstream, TimePoint now);
     void assignOwners(const std::set<VmId>& stableOwners, TimePoint now);
+    TimePoint callersKnownAt(TimePoint now) const { return std::min(m_lastTick.value_or(now), m_connectionsKnownAt.value_or(now)); }
     void handle(const VmId& from, const PeerMessage& message, TimePoint now, Milliseconds maxAge = Milliseconds { 0 });
     /// Delivers the messages that the owner and the executor on this VM have sent to each other.
     void deliverLocalMessages(TimePoint now);
@@ -275,6 +288,10 @@
     std::set<VmId> m_contacts;
     /// When the warm-up began, at the first tick or submission.
     std::optional<TimePoint> m_warmUpSince;
+    /// When the time-outs of callers were last handled.
+    std::optional<TimePoint> m_lastTick;
+    /// When it was last known which callers are connected.
+    std::optional<TimePoint> m_connectionsKnownAt;
     /// When the first view with this VM in it was adopted.
     std::optional<TimePoint> m_memberSince;
     std::map<UpstreamId, UpstreamInfo> m_upstreams;
--- a/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
+++ b/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
@@ -30,8 +30,8 @@
     Milliseconds leaseExpiryMargin { 60 };
     /// Fraction by which an upstream's clock may be slower than this VM's.
     double clockDrift = 0.02;
-    /// The runs of an executor that has restarted must have ended this long after its last contact, when its callers may
-    /// submit their jobs to other VMs.
+    /// A run must have ended this long after the last time at which its executor is known to have wanted it, since its callers
+    /// may have left right after that and submit their job to another VM.
     Milliseconds orphanedRunLimit { 1'050 };
     /// An upstream without a successful poll for this long gets no new runs.
     Milliseconds upstreamTimeout { 450 };
@@ -56,6 +56,9 @@
     double crashingRouteShare = 0.4;
     /// Factor on the duration of a task that runs outside the rack of its data.
     double remoteDataFactor = 1;
+
+    /// The shortest lease with which a run is started: the polls that follow extend it in time.
+    Milliseconds minStartLease() const { return leaseDuration / 2; }
 };
 
 /// Why a run is stopped.
--- a/packages/decision/include/egrettrestle/decision/pause_guard.hpp
+++ b/packages/decision/include/egrettrestle/decision/pause_guard.hpp
@@ -54,6 +54,9 @@
         m_uncheckedSince.reset();
     }
 
+    /// The last time at which it was known which callers are connected.
+    TimePoint callersKnownAt() const { return m_uncheckedSince.value_or(m_callersKnownAt); }
+
     /// Since when callers may have left without this VM's knowledge; empty if it knows who is connected.
     const std::optional<TimePoint>& uncheckedSince() const { return m_uncheckedSince; }
 
--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -121,10 +121,16 @@
     /// without a reply.
     void claim(const VmId& executor, const RunClaim& claim, TimePoint now);
 
-    /// Records contact with an executor. Leases are extended only while every executor with runs under them has been in
-    /// contact within the executor timeout. The time for which runs of an unresponsive executor can continue is
-    /// therefore bounded, whenever this VM detects the loss.
-    void onExecutorContact(const VmId& executor, TimePoint now) { m_lastContact[executor] = now; }
+    /// Records contact with an executor, all whose decisions up to `informedAt` are known here now. Leases are extended only
+    /// while every executor with runs under them has been in contact within the executor timeout, and never beyond
+    /// `orphanedRunLimit` after `informedAt`: the executor may have withdrawn its runs since, and the withdrawal be delayed.
+    /// The time for which unwanted runs can continue is therefore bounded, whenever this VM learns of it.
+    void onExecutorContact(const VmId& executor, TimePoint now, TimePoint informedAt);
+    void onExecutorContact(const VmId& executor, TimePoint now) { onExecutorContact(executor, now, now); }
+
+    /// Sets the last time at which this VM knew which of its callers are connected. It limits the leases of the VM's own runs
+    /// as `informedAt` does those of other executors.
+    void setCallersKnownAt(TimePoint time) { m_callersKnownAt = time; }
 
     /// Stops all runs of an executor that has been lost, and returns its queued requests to it.
     void onExecutorLost(const VmId& executor, TimePoint now);
@@ -243,11 +249,24 @@
         TimePoint since;
     };
 
-    /// Whether the executor has been in contact within the executor timeout. True for an executor never heard from.
-    bool isResponsive(const VmId& executor, TimePoint now) const;
-    /// Whether a lease granted now may cover all runs at the upstream: their executors are responsive, and none of them has
-    /// to end before the lease does.
-    bool mayExtendLease(const OwnedUpstream& upstream, TimePoint now) const;
+    /// The last contact with another executor.
+    struct ExecutorContact {
+        TimePoint at;
+        /// All decisions of the executor up to then are known here.
+        TimePoint informedAt;
+    };
+
+    /// The last contact with an executor; null for this VM and for executors never in contact.
+    const ExecutorContact* contactOf(const VmId& executor) const;
+    /// Whether an executor has been in contact within the executor timeout. True for one never in contact.
+    bool isResponsive(const ExecutorContact* contact, TimePoint now) const;
+    /// By when the runs of an executor have to end unless more is known of it by then.
+    std::optional<TimePoint> runsEndBy(const VmId& executor, const ExecutorContact* contact) const;
+    /// Whether a run of the executor may be started now: it is responsive, and the lease can be long enough.
+    bool mayStartRunsOf(const VmId& executor, TimePoint now) const;
+    /// When a lease granted now ends: after the usual duration, or earlier if one of the runs at the upstream has to end before
+    /// that. Empty if an executor is not responsive, or if the lease would be shorter than `least`.
+    std::optional<TimePoint> grantableLease(const OwnedUpstream& upstream, TimePoint now, Milliseconds least) const;
     PlacementPass beginPlacement(TimePoint now) const;
     /// The upstream on which a queued run is started now. Null if there is none, or if the run waits for a better one.
     OwnedUpstream* placeFor(QueuedRun& queuedRun, PlacementPass& pass, TimePoint now);
@@ -386,6 +405,8 @@
     /// Withdraws a run that this VM holds nowhere, and of whose end it does not know. Says that the run is lost only if the
     /// upstream's polls would have shown it.
     void withdrawUnknownRun(const VmId& executor, const RunWithdrawal& withdrawal, TimePoint now);
+    /// Tells the executors that have claimed runs at an upstream before its first poll which of them are there.
+    void answerClaims(const OwnedUpstream& upstream);
     /// Records a run as running at an upstream whose first poll has yet to show whether it is there.
     OwnedRun& assumeRunning(OwnedUpstream& upstream, const VmId& executor, const TaskRun& run, const Resources& need, TimePoint now);
     /// Processes the claims and withdrawals that arrived before this VM owned the upstream.
@@ -418,7 +439,8 @@
     std::vector<EarlyWithdrawal> m_earlyWithdrawals;
     VmId m_self;
     std::uint64_t m_lastPlacement = 0;
-    std::map<VmId, TimePoint> m_lastContact;
+    std::map<VmId, ExecutorContact> m_contacts;
+    std::optional<TimePoint> m_callersKnownAt;
     /// Moving average of the needs of requested tasks, without accelerators; all zero until one has been seen.
     Resources m_typicalNeed;
     /// Needs of requested tasks. Empty until one has been requested that fits an owned upstream.
--- a/packages/decision/src/dispatcher.cpp
+++ b/packages/decision/src/dispatcher.cpp
@@ -241,6 +241,8 @@
 bool Dispatcher::onActivity(TimePoint now, TimePoint inputHandledUntil)
 {
     const bool resumed = m_pauseGuard.onActivity(now, inputHandledUntil);
+    m_connectionsKnownAt = m_pauseGuard.callersKnownAt();
+    m_owner.setCallersKnownAt(callersKnownAt(now));
     if (resumed) {
         m_executor.setCallersUncheckedSince(m_pauseGuard.uncheckedSince());
         m_owner.setOwnStartsEnabled(false);
@@ -251,6 +253,7 @@
 void Dispatcher::onCallersChecked(TimePoint now)
 {
     m_pauseGuard.onCallersChecked(now);
+    m_connectionsKnownAt = m_pauseGuard.callersKnownAt();
     m_executor.setCallersUncheckedSince({});
     m_owner.setOwnStartsEnabled(true);
     tick(now);
@@ -291,12 +294,12 @@
     deliverLocalMessages(now);
 }
 
-void Dispatcher::onPeerMessages(const VmId& vm, const std::vector<PeerMessage>& messages, const CapacityReport& capacity, TimePoint now, Milliseconds maxAge)
+void Dispatcher::onPeerMessages(const VmId& vm, const std::vector<PeerMessage>& messages, const CapacityReport& capacity, TimePoint now, BatchAge age)
 {
     PeerState& peer = m_peers.emplace(vm, PeerState { now, now, now }).first->second;
     peer.lastMessageAt = now;
     peer.executorDropped = false;
-    m_owner.onExecutorContact(vm, now);
+    m_owner.onExecutorContact(vm, now, now - age.maxAge - age.executorLag);
     m_owner.seedTypicalNeed(capacity.typicalNeed);
     m_capacities.update(vm, capacity);
     // The end or return of a run may cause tasks to be sent, preferably to this VM if it has capacity.
@@ -309,7 +312,7 @@
         for (const PeerMessage& message : messages) {
             if (message.request)
                 ++peer.requestsReceived;
-            handle(vm, message, now, maxAge);
+            handle(vm, message, now, age.maxAge);
         }
     }
     m_owner.startQueuedRuns(now);
@@ -386,6 +389,8 @@
     updateOwnCapacity(now);
     m_executor.setWarmingUp(isWarmingUp(now));
     m_executor.tick(now);
+    m_lastTick = now;
+    m_owner.setCallersKnownAt(callersKnownAt(now));
     deliverLocalMessages(now);
     checkEvacuations();
 }
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -79,17 +79,22 @@
         upstream.clockReadAt = now;
     }
 
-    /// When all runs under a lease that is granted now have ended.
-    TimePoint leaseExpiredBy(const OwnedUpstream& upstream, const OwnerLimits& limits, TimePoint now)
+    /// Time after the end of a lease, by this VM's clock, until all runs under it have ended.
+    Duration leaseExpiryTime(const OwnedUpstream& upstream, const OwnerLimits& limits, TimePoint now)
     {
         const Duration sampleAge = upstream.clockOffset ? now - upstream.clockReadAt : Duration { 0 };
-        const Duration drift = std::chrono::duration_cast<Duration>((limits.leaseDuration + sampleAge) * limits.clockDrift);
-        return now + limits.leaseDuration + drift + limits.leaseExpiryMargin;
+        return std::chrono::duration_cast<Duration>((limits.leaseDuration + sampleAge) * limits.clockDrift) + limits.leaseExpiryMargin;
+    }
+
+    /// When all runs under a lease that is granted now, for the longest time, have ended.
+    TimePoint leaseExpiredBy(const OwnedUpstream& upstream, const OwnerLimits& limits, TimePoint now)
+    {
+        return now + limits.leaseDuration + leaseExpiryTime(upstream, limits, now);
     }
 
-    void recordLease(OwnedUpstream& upstream, const OwnerLimits& limits, TimePoint now)
+    void recordLease(OwnedUpstream& upstream, const OwnerLimits& limits, TimePoint leaseEnd, TimePoint now)
     {
-        upstream.leasesExpiredBy = std::max(upstream.leasesExpiredBy, leaseExpiredBy(upstream, limits, now));
+        upstream.leasesExpiredBy = std::max(upstream.leasesExpiredBy, leaseEnd + leaseExpiryTime(upstream, limits, now));
     }
 
     void limitRun(OwnedRun& run, const std::optional<TimePoint>& endBy)
@@ -113,21 +118,58 @@
 {
 }
 
-bool UpstreamOwner::isResponsive(const VmId& executor, TimePoint now) const
+void UpstreamOwner::onExecutorContact(const VmId& executor, TimePoint now, TimePoint informedAt)
+{
+    ExecutorContact& contact = m_contacts[executor];
+    contact.at = now;
+    contact.informedAt = std::max(contact.informedAt, informedAt);
+}
+
+const UpstreamOwner::ExecutorContact* UpstreamOwner::contactOf(const VmId& executor) const
 {
-    const auto lastContact = m_lastContact.find(executor);
-    return executor == m_self || lastContact == m_lastContact.end() || now - lastContact->second <= m_limits.executorTimeout;
+    const auto contact = executor == m_self ? m_contacts.end() : m_contacts.find(executor);
+    return contact == m_contacts.end() ? nullptr : &contact->second;
 }
 
-// A lease covers all runs at an upstream, so a single run that has to end prevents its extension. The other runs expire
-// with it only if every repetition of the stop gets no reply until then.
-bool UpstreamOwner::mayExtendLease(const OwnedUpstream& upstream, TimePoint now) const
+bool UpstreamOwner::isResponsive(const ExecutorContact* contact, TimePoint now) const
 {
-    const TimePoint leaseEnd = leaseExpiredBy(upstream, m_limits, now);
-    return std::all_of(upstream.runs.begin(), upstream.runs.end(), [this, now, leaseEnd](const auto& entry) {
+    return !contact || now - contact->at <= m_limits.executorTimeout;
+}
+
+std::optional<TimePoint> UpstreamOwner::runsEndBy(const VmId& executor, const ExecutorContact* contact) const
+{
+    const std::optional<TimePoint> informedAt = contact ? contact->informedAt : executor == m_self ? m_callersKnownAt
+                                                                                                   : std::nullopt;
+    return informedAt ? std::optional<TimePoint>(*informedAt + m_limits.orphanedRunLimit) : std::nullopt;
+}
+
+bool UpstreamOwner::mayStartRunsOf(const VmId& executor, TimePoint now) const
+{
+    const ExecutorContact* contact = contactOf(executor);
+    const std::optional<TimePoint> endBy = runsEndBy(executor, contact);
+    const Duration drift = std::chrono::duration_cast<Duration>((m_limits.leaseDuration + m_limits.upstreamTimeout) * m_limits.clockDrift);
+    return isResponsive(contact, now) && (!endBy || now + m_limits.minStartLease() + drift + m_limits.leaseExpiryMargin <= *endBy);
+}
+
+// A lease covers all runs at an upstream, so a single run that has to end limits it. The other runs expire with it only if
+// every repetition of the stop gets no reply until then.
+std::optional<TimePoint> UpstreamOwner::grantableLease(const OwnedUpstream& upstream, TimePoint now, Milliseconds least) const
+{
+    TimePoint leaseEnd = now + m_limits.leaseDuration;
+    const Duration expiryTime = leaseExpiryTime(upstream, m_limits, now);
+    for (const auto& entry : upstream.runs) {
         const OwnedRun& run = entry.second;
-        return run.stopAcceptedAt || (isResponsive(run.executor, now) && (!run.endBy || leaseEnd <= *run.endBy));
-    });
+        if (run.stopAcceptedAt)
+            continue;
+        const ExecutorContact* contact = contactOf(run.executor);
+        if (!isResponsive(contact, now))
+            return std::nullopt;
+        for (const std::optional<TimePoint>& endBy : { run.endBy, runsEndBy(run.executor, contact) }) {
+            if (endBy)
+                leaseEnd = std::min(leaseEnd, *endBy - expiryTime);
+        }
+    }
+    return leaseEnd - now >= least ? std::optional<TimePoint>(leaseEnd) : std::nullopt;
 }
 
 void UpstreamOwner::acquire(const UpstreamInfo& info, FencingToken token, TimePoint now)
@@ -168,7 +210,7 @@
     upstream.token = token;
     upstream.ownedSince = now;
     upstream.lastSuccessfulPoll = now;
-    recordLease(upstream, m_limits, now);
+    recordLease(upstream, m_limits, now + m_limits.leaseDuration, now);
     m_upstreams.emplace(info.id, std::move(upstream));
     m_port.recordEvent({ EventKind::Owned, info.id, {}, {}, {}, token.value });
     processEarlyClaims(info.id, now);
@@ -363,7 +405,10 @@
     if (found != upstream->runs.end()) {
         found->second.executor = executor;
         setNeed(*upstream, found->second, claim.need);
-        recordClaim(claim, "running", now, now);
+        // Until a poll has carried the present token, the owner before may extend the lease, and the run may be gone.
+        recordClaim(claim, upstream->synced ? "running" : "not-polled", now, now);
+        if (!upstream->synced)
+            return;
         m_port.notify(executor, { {}, RunStarted { claim.run, claim.upstream, upstream->token }, {}, {}, {}, {} });
         return;
     }
@@ -373,8 +418,7 @@
         return;
     }
     assumeRunning(*upstream, executor, claim.run, claim.need, now);
-    recordClaim(claim, "running", now, now);
-    m_port.notify(executor, { {}, RunStarted { claim.run, claim.upstream, upstream->token }, {}, {}, {}, {} });
+    recordClaim(claim, "not-polled", now, now);
 }
 
 OwnedRun& UpstreamOwner::assumeRunning(OwnedUpstream& upstream, const VmId& executor, const TaskRun& run, const Resources& need, TimePoint now)
@@ -407,8 +451,7 @@
 
 TimePoint UpstreamOwner::orphanedRunsEndBy(const VmId& executor, TimePoint now) const
 {
-    const auto lastContact = m_lastContact.find(executor);
-    return (lastContact == m_lastContact.end() ? now : lastContact->second) + m_limits.orphanedRunLimit;
+    return runsEndBy(executor, contactOf(executor)).value_or(now + m_limits.orphanedRunLimit);
 }
 
 void UpstreamOwner::onExecutorLost(const VmId& executor, TimePoint now)
@@ -453,11 +496,13 @@
     order.upstream = upstream;
     order.token = owned->token;
     order.acknowledged = owned->acknowledgedEnd;
-    const bool extendsLease = owned->synced && owned->claimsResolved && owned->failedPolls == 0 && owned->clockOffset && mayExtendLease(*owned, now);
-    order.wait = extendsLease ? m_limits.pollWait : Milliseconds { 0 };
-    if (extendsLease) {
-        order.leaseEnd = upstreamTimeAt(*owned, now) + m_limits.leaseDuration;
-        recordLease(*owned, m_limits, now);
+    const bool knowsRuns = owned->synced && owned->claimsResolved && owned->failedPolls == 0 && owned->clockOffset;
+    const std::optional<TimePoint> leaseEnd = knowsRuns ? grantableLease(*owned, now, Milliseconds { 1 }) : std::nullopt;
+    // A short lease is extended as soon as more is known of the executors.
+    order.wait = leaseEnd && *leaseEnd - now >= m_limits.minStartLease() ? m_limits.pollWait : Milliseconds { 0 };
+    if (leaseEnd) {
+        order.leaseEnd = upstreamTimeAt(*owned, *leaseEnd);
+        recordLease(*owned, m_limits, *leaseEnd, now);
     }
     owned->pollReplyDueAt = now + order.wait + m_limits.pollReplyTimeout;
     return order;
@@ -502,8 +547,10 @@
     owned->startsBlocked = false;
     processEndedRuns(*owned, reply, now);
     reconcileRuns(*owned, reply, sentAt, now);
-    if (!owned->synced)
+    if (!owned->synced) {
         owned->syncedAt = now;
+        answerClaims(*owned);
+    }
     owned->synced = true;
     resolveUnclaimedRuns(*owned, now);
     startQueuedRuns(now);
@@ -693,12 +740,24 @@
     adopted.state = RunState::Running;
     adopted.startSentAt = now;
     adopted.confirmedAt = now;
+    // Its executor has had the time to claim it, or it was started by an order that this VM has given up.
+    if (upstream.claimsResolved)
+        adopted.endBy = now;
     upstream.used = upstream.used + adopted.request.need;
     OwnedRun& stored = upstream.runs.emplace(run, std::move(adopted)).first->second;
     if (upstream.claimsResolved)
         stopRun(upstream, stored, StopCause::Unclaimed, now);
 }
 
+void UpstreamOwner::answerClaims(const OwnedUpstream& upstream)
+{
+    for (const auto& entry : upstream.runs) {
+        const OwnedRun& run = entry.second;
+        if (run.state == RunState::Running && !run.executor.empty())
+            m_port.notify(run.executor, { {}, RunStarted { entry.first, upstream.info.id, upstream.token }, {}, {}, {}, {} });
+    }
+}
+
 void UpstreamOwner::resolveUnclaimedRuns(OwnedUpstream& upstream, TimePoint now)
 {
     if (upstream.claimsResolved || !upstream.synced)
@@ -782,7 +841,8 @@
         return std::nullopt;
     OwnedRun& run = found->second;
     const bool wanted = run.state == RunState::Starting && run.request.latestStart >= now && (m_ownStartsEnabled || run.executor != m_self);
-    const bool leaseStands = order.leaseEnd > upstreamTimeAt(*upstream, now) && mayExtendLease(*upstream, now);
+    const std::optional<TimePoint> leaseEnd = grantableLease(*upstream, now, m_limits.minStartLease());
+    const bool leaseStands = leaseEnd && order.leaseEnd > upstreamTimeAt(*upstream, now);
     if (!wanted || !leaseStands || !acceptsPlacedRuns(*upstream, m_limits, now)) {
         takeBackRun(*upstream, order.run, now);
         return std::nullopt;
@@ -790,6 +850,7 @@
     run.startSent = true;
     run.startSentAt = now;
     StartOrder current = order;
+    current.leaseEnd = std::min(order.leaseEnd, upstreamTimeAt(*upstream, *leaseEnd));
     current.token = upstream->token;
     return current;
 }
@@ -955,7 +1016,7 @@
             m_queue.removeOffered();
             continue;
         }
-        const bool canStart = request.latestStart >= now && isResponsive(queuedRun->executor, now) && (m_ownStartsEnabled || queuedRun->executor != m_self);
+        const bool canStart = request.latestStart >= now && mayStartRunsOf(queuedRun->executor, now) && (m_ownStartsEnabled || queuedRun->executor != m_self);
         OwnedUpstream* upstream = canStart && request.need.milliCores <= largestFree ? placeFor(*queuedRun, pass, now) : nullptr;
         if (upstream) {
             startRun(*upstream, *queuedRun, now);
@@ -1010,8 +1071,9 @@
     run.startSentAt = now;
     upstream.used = upstream.used + run.request.need;
     upstream.runs.emplace(queuedRun.request.run, run);
-    recordLease(upstream, m_limits, now);
-    m_port.start({ upstream.info.id, queuedRun.request.run, queuedRun.request.spec, upstream.token, upstreamTimeAt(upstream, now) + m_limits.leaseDuration, run.placement });
+    const TimePoint leaseEnd = grantableLease(upstream, now, m_limits.minStartLease()).value_or(now);
+    recordLease(upstream, m_limits, leaseEnd, now);
+    m_port.start({ upstream.info.id, queuedRun.request.run, queuedRun.request.spec, upstream.token, upstreamTimeAt(upstream, leaseEnd), run.placement });
 }
 
 void UpstreamOwner::stopRun(OwnedUpstream& upstream, OwnedRun& run, StopCause cause, TimePoint now)
--- a/packages/decision/src/upstream_owner_placement.cpp
+++ b/packages/decision/src/upstream_owner_placement.cpp
@@ -45,7 +45,7 @@
     const bool matches = upstream.info.service == request.service && hasLabel(upstream.info, request.requiredLabel);
     // The upstream may still hold a run with the same number from an earlier submission of the job.
     const bool avoided = std::find(request.avoid.begin(), request.avoid.end(), upstream.info.id) != request.avoid.end() || upstream.runs.count(request.run) > 0;
-    return matches && !avoided && acceptsRuns(upstream, m_limits, now) && mayExtendLease(upstream, now);
+    return matches && !avoided && acceptsRuns(upstream, m_limits, now) && grantableLease(upstream, now, m_limits.minStartLease());
 }
 
 UpstreamOwner::PlacementRules UpstreamOwner::rulesFor(const RunRequest& request, TimePoint now) const
--- a/packages/fleet/src/peer_links.cpp
+++ b/packages/fleet/src/peer_links.cpp
@@ -234,6 +234,7 @@
     bool held = false;
     dispatch.withDispatcher([&](Dispatcher& dispatcher, TimePoint now) {
         held = dispatcher.hasUncheckedCallers();
+        batch.executorLag = dispatcher.executorLag(now);
         sharesTasks = dispatcher.sharesTasks(peer.id);
         batch.capacity = dispatcher.capacityReport(now);
         batch.capacity.requestsReceived = dispatcher.requestsReceived(peer.id);
@@ -463,7 +464,7 @@
         if (!batchResult.accepted)
             return;
         batch.messages.erase(batch.messages.begin(), batch.messages.begin() + static_cast<std::ptrdiff_t>(batchResult.duplicates));
-        dispatcher.onPeerMessages(batch.sender, batch.messages, batch.capacity, now, batchResult.maxAge);
+        dispatcher.onPeerMessages(batch.sender, batch.messages, batch.capacity, now, { batchResult.maxAge, batch.executorLag });
     });
     reply.channel.accepted = batchResult.accepted;
     if (batchResult.peerRestarted)
--- a/packages/wire/include/egrettrestle/wire/dispatch_messages.hpp
+++ b/packages/wire/include/egrettrestle/wire/dispatch_messages.hpp
@@ -24,6 +24,8 @@
     std::vector<PeerMessage> messages;
     /// The data centres that are being evacuated. Empty if the sender has never known of any evacuation.
     std::optional<Evacuations> evacuations = {};
+    /// How long ago the sender last knew which of its callers are connected, and whose time is over.
+    Milliseconds executorLag { 0 };
 };
 
 /// The reply to a batch.
--- a/packages/wire/src/dispatch_messages.cpp
+++ b/packages/wire/src/dispatch_messages.cpp
@@ -341,6 +341,7 @@
     writer.field("epoch", batch.epoch.value);
     writer.field("configuration", batch.configurationVersion);
     writer.field("mark", batch.stamp.echoedTimestamp);
+    writer.field("lagMs", static_cast<std::uint64_t>(std::max<std::int64_t>(0, batch.executorLag.count())));
     writeCapacity(writer, batch.capacity);
     if (batch.evacuations) {
         writer.beginObject("evacuations");
@@ -510,7 +511,7 @@
         /// The fields of an object; all but the last of a kind's capacity are required.
         static const std::vector<const char*>& fieldsOf(Kind kind)
         {
-            static const std::vector<const char*> batch { "from", "life", "toLife", "first", "address", "epoch", "configuration", "mark", "room", "messages" };
+            static const std::vector<const char*> batch { "from", "life", "toLife", "first", "address", "epoch", "configuration", "mark", "lagMs", "room", "messages" };
             static const std::vector<const char*> room { "need", "kinds", "queues", "seen", "completeUnder" };
             static const std::vector<const char*> need { "cpu", "memory", "accelerators" };
             static const std::vector<const char*> kindCapacity { "service", "kind", "free", "total", "slowness", "places" };
@@ -600,10 +601,12 @@
             return true;
         }
 
-        /// Sets a number of a kind's capacity or of a queue.
+        /// Sets the sender's lag, or a number of a kind's capacity or of a queue.
         bool setCount(std::uint64_t value)
         {
-            if (isAt(Kind::KindCapacity, "free"))
+            if (isAt(Kind::Batch, "lagMs") && value <= detail::maxMilliseconds)
+                m_batch.executorLag = Milliseconds { static_cast<std::int64_t>(value) };
+            else if (isAt(Kind::KindCapacity, "free"))
                 m_batch.capacity.kinds.back().freeTasks = static_cast<std::uint32_t>(value);
             else if (isAt(Kind::KindCapacity, "total"))
                 m_batch.capacity.kinds.back().totalTasks = static_cast<std::uint32_t>(value);
@@ -646,6 +649,8 @@
         batch.epoch.value = reader.number("epoch");
         batch.configurationVersion = reader.number("configuration");
         batch.stamp.echoedTimestamp = reader.number("mark");
+        // An earlier build does not send it.
+        batch.executorLag = Milliseconds { static_cast<std::int64_t>(reader.numberOr("lagMs", 0, detail::maxMilliseconds)) };
         if (const json* capacity = reader.value("room")) {
             ObjectReader item(*capacity, reader.pointer("room"), dispatchErrorCodes, errors);
             batch.capacity = readCapacity(item, errors);
--- a/tests/unit/unit-evacuations.cpp
+++ b/tests/unit/unit-evacuations.cpp
@@ -475,6 +475,7 @@
     SECTION("and like the others when it is warm")
     {
         fixture.now += Seconds { 2 };
+        fixture.x.dispatcher.tick(fixture.now);
         fixture.x.confirmStarts(fixture.now);
         fixture.x.poll(fixture.now, std::vector<TaskRun>(fixture.x.running["u2"]));
         fixture.submit("b", 1);
