Use an upstream on after an order under an earlier token of the same owner was refused

What callers saw: less capacity. When a view changes, an owner that keeps its upstream polls it under a higher token. A start or stop that left before can arrive after that poll and is refused by its token. The owner took this for a later owner and marked the upstream as fenced: nothing more was started there until the next change of the view.

Cause: onStartReply and onStopReply did not compare the token of the refused order with the present one. Replies to polls were compared already.

Found by reading, not seen in a run of the dispatchers.

Now only a refused order under the present token marks the upstream.

--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -280,6 +280,9 @@
     void takeBackRun(OwnedUpstream& upstream, const TaskRun& run, TimePoint now);
     /// The same for all such runs at an upstream.
     void takeBackUnsentRuns(OwnedUpstream& upstream, TimePoint now);
+    /// Handles the refusal of an order by its token: an order under the present one means that the upstream has a later owner,
+    /// which is reported with the run if the order was a start.
+    void noteFenced(OwnedUpstream& upstream, FencingToken token, const TaskRun& started);
     /// Removes a run from an upstream and frees its resources, without a message to its executor.
     void eraseRun(OwnedUpstream& upstream, const TaskRun& run);
     /// Tells the executor, if there is one, that the run is not running and never will be.
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -723,8 +723,7 @@
         m_port.pollNow(order.upstream);
         break;
     case OrderOutcome::Fenced:
-        upstream->fenced = true;
-        m_port.recordEvent({ EventKind::Fenced, order.upstream, order.run, "start", {}, order.token.value });
+        noteFenced(*upstream, order.token, order.run);
         break;
     default:
         pause(*upstream, order.run, "start-refused", now);
@@ -802,7 +801,17 @@
     if (reply.outcome == OrderOutcome::Accepted)
         found->second.stopAcceptedAt = now + m_limits.maxStopDuration;
     else if (reply.outcome == OrderOutcome::Fenced)
-        upstream->fenced = true;
+        noteFenced(*upstream, order.token, {});
+}
+
+void UpstreamOwner::noteFenced(OwnedUpstream& upstream, FencingToken token, const TaskRun& started)
+{
+    // The upstream has seen the owner's own present token.
+    if (token < upstream.token)
+        return;
+    upstream.fenced = true;
+    if (!started.task.job.empty())
+        m_port.recordEvent({ EventKind::Fenced, upstream.info.id, started, "start", {}, token.value });
 }
 
 void UpstreamOwner::tick(TimePoint now)
