Use neither the clock nor an accepted stop of an earlier process of an upstream

What callers saw: nothing that was traced; found by reading. By PROTOCOL.md, replies on different connections may overtake each other. A reply to a start or stop that the earlier process of an upstream gave, and that arrives after the first poll of the next one, set the estimate of the upstream's clock back to the earlier clock. The next poll and the next starts then asked for a lease that by the new clock ends far in the future, so the upstream granted its longest, 1,000 ms, where the owner counts 672 ms. An accepted stop counted as accepted by the next process as well, so that the next poll returned a run as lost whose start that process may still carry out.

Cause: onStartReply and onStopReply used the clock and the acceptance whatever process had replied. The replies name none. The token does: it is raised when a new process is found, or may be there.

Now such replies count only if the order carried the present token. A stop whose acceptance is not used is repeated after 80 ms. Also after a change of the view under the same owner, where it was not needed.

--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -697,7 +697,9 @@
     OwnedUpstream* upstream = findUpstream(order.upstream);
     if (!upstream)
         return;
-    updateClockOffset(*upstream, reply.clock, now);
+    // An order under an earlier token may have reached an earlier process, which had another clock.
+    if (order.token >= upstream->token)
+        updateClockOffset(*upstream, reply.clock, now);
     const auto found = upstream->runs.find(order.run);
     // The run may have been placed here again since, or be one that was found here.
     if (found == upstream->runs.end() || found->second.state == RunState::Running || found->second.placement != order.placement)
@@ -806,11 +808,14 @@
     OwnedUpstream* upstream = findUpstream(order.upstream);
     if (!upstream)
         return;
-    updateClockOffset(*upstream, reply.clock, now);
+    // An order under an earlier token may have reached an earlier process, whose acceptance the present one knows nothing of.
+    const bool presentToken = order.token >= upstream->token;
+    if (presentToken)
+        updateClockOffset(*upstream, reply.clock, now);
     const auto found = upstream->runs.find(order.run);
     if (found == upstream->runs.end())
         return;
-    if (reply.outcome == OrderOutcome::Accepted)
+    if (reply.outcome == OrderOutcome::Accepted && presentToken)
         found->second.stopAcceptedAt = now + m_limits.maxStopDuration;
     else if (reply.outcome == OrderOutcome::Fenced)
         noteFenced(*upstream, order.token, {});
--- a/tests/unit/unit-upstream-owner-restarts.cpp
+++ b/tests/unit/unit-upstream-owner-restarts.cpp
@@ -147,3 +147,49 @@
         CHECK(fixture.lastMessage().started->epoch == token);
     }
 }
+
+// Guards against replies of an earlier process of an upstream that arrive after those of the next one. By the earlier clock the
+// owner asked for a lease that the upstream grants for its longest time, and by the earlier numbers it acknowledged ends of the
+// next process that it had not seen.
+TEST_CASE("owner does not use replies of an earlier process of an upstream after those of the next one")
+{
+    RestartFixture fixture;
+    fixture.poll(fixture.reply());
+    const StartOrder order = fixture.orderStart("j");
+    const PollOrder earlierPoll = *fixture.owner.nextPoll("u1", fixture.now);
+    const PollReply earlierReply = fixture.reply({}, { { 40, { { "j", 0, 0 }, 1 }, RunOutcome::Done } });
+    const TimePoint earlierPollSentAt = fixture.now;
+    fixture.advance(Milliseconds { 10 });
+    fixture.poll(fixture.replyOfNextProcess());
+    const UpstreamClock nextClock { 10 };
+    const auto leaseEnd = [&fixture] { return *fixture.owner.nextPoll("u1", fixture.now)->leaseEnd; };
+
+    SECTION("the clock of a start's reply")
+    {
+        fixture.owner.onStartReply(order, { OrderOutcome::Superseded, fixture.reply().clock }, fixture.now);
+        CHECK(leaseEnd() == nextClock + fixture.limits.leaseDuration);
+    }
+
+    SECTION("the clock of a stop's reply")
+    {
+        fixture.owner.onStopReply({ "u1", order.run, order.token }, { OrderOutcome::Accepted, fixture.reply().clock }, fixture.now);
+        CHECK(leaseEnd() == nextClock + fixture.limits.leaseDuration);
+    }
+
+    SECTION("the clock, the ends and the runs of a poll's reply")
+    {
+        fixture.owner.onPollReply("u1", earlierPoll, earlierReply, earlierPollSentAt, fixture.now);
+        const PollOrder next = *fixture.owner.nextPoll("u1", fixture.now);
+        CHECK(next.leaseEnd == nextClock + fixture.limits.leaseDuration);
+        CHECK(next.acknowledged == 0);
+    }
+
+    SECTION("the acceptance of a stop, which the next process knows nothing of")
+    {
+        fixture.owner.withdraw("x", { order.run, false, "u1" }, fixture.now);
+        fixture.owner.onStopReply({ "u1", order.run, order.token }, { OrderOutcome::Accepted, fixture.reply().clock }, fixture.now);
+        fixture.advance(Milliseconds { 100 });
+        fixture.poll(fixture.replyOfNextProcess());
+        CHECK(fixture.owner.running() == 1);
+    }
+}
