Count the earlier owner's leases up to the first poll that a new owner gets answered

What callers saw: nothing that was traced; found by reading. A new owner gave up the runs of an upstream that was cut off right after its first answered poll while they were still at work: it counted their lease from the moment at which it acquired the upstream, but the earlier owner can extend it until that poll has fenced it, which may be some 100 ms later.

The lease is now counted from that poll too.

--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -472,8 +472,11 @@
     owned->startsBlocked = false;
     processEndedRuns(*owned, reply, now);
     reconcileRuns(*owned, reply, sentAt, now);
-    if (!owned->synced)
+    if (!owned->synced) {
         owned->syncedAt = now;
+        // Until this poll an earlier owner may have extended the lease.
+        recordLease(*owned, m_limits, now);
+    }
     owned->synced = true;
     resolveUnclaimedRuns(*owned, now);
     startQueuedRuns(now);
--- a/tests/unit/unit-upstream-owner-restarts.cpp
+++ b/tests/unit/unit-upstream-owner-restarts.cpp
@@ -193,3 +193,35 @@
         CHECK(fixture.owner.running() == 1);
     }
 }
+
+// Guards against runs that are given up before their lease is over: the earlier owner, or an order of before the restart, may have
+// extended it until the first poll under the owner's token was answered.
+TEST_CASE("owner counts the leases that orders under earlier tokens may have granted until its first poll was answered")
+{
+    RestartFixture fixture;
+    const TaskRun run { { "j", 0, 0 }, 1 };
+    const auto loseContact = [&fixture] {
+        fixture.failPoll();
+        fixture.failPoll();
+    };
+    const auto tickAfter = [&fixture](Milliseconds time) {
+        fixture.advance(time);
+        fixture.owner.tick(fixture.now);
+    };
+
+    SECTION("those of the earlier owner")
+    {
+        // The lease is not extended while one run is unclaimed.
+        const TaskRun unclaimed { { "k", 0, 0 }, 1 };
+        fixture.owner.claim("x", { run, "u1", token }, fixture.now);
+        fixture.advance(Milliseconds { 400 });
+        fixture.poll(fixture.reply({ run, unclaimed }));
+        fixture.port.notifications.clear();
+        loseContact();
+        tickAfter(fixture.limits.leaseDuration);
+        CHECK(fixture.port.notifications.empty());
+        tickAfter(Milliseconds { 100 });
+        REQUIRE(fixture.port.notifications.size() == 1);
+        CHECK(fixture.lastMessage().returned);
+    }
+}
