Count the longest lease after a restart of an upstream

What callers saw: nothing that was traced; found by reading. An order to the earlier process of an upstream that the next one carries out before it is polled asks for a lease by the earlier clock, which ends far in the future by the new one. The upstream grants its longest lease, 1,000 ms, to all that runs there. The owner counted 672 ms from its own orders, so if the upstream was cut off then, it gave runs up that could go on for some 300 ms more.

Now, when a poll finds a new process, leases count as over only after the longest lease by a slow clock, and the margin. Cost: the runs of an upstream that is cut off within a second of its restart are started elsewhere up to 408 ms later.

--- a/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
+++ b/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
@@ -13,6 +13,8 @@
 struct OwnerLimits {
     /// Duration of a lease from the time it is granted; at most the longest lease that the platform allows.
     Milliseconds leaseDuration { 600 };
+    /// The longest lease that the platform allows. An upstream may have been asked for it by the clock of an earlier process.
+    Milliseconds longestLease { 1'000 };
     /// How long the upstream may wait for a run to end before it replies to a regular poll. It is short enough for
     /// several polls within a lease.
     Milliseconds pollWait { 200 };
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -92,6 +92,14 @@
         upstream.leasesExpiredBy = std::max(upstream.leasesExpiredBy, leaseExpiredBy(upstream, limits, now));
     }
 
+    /// Counts the leases that orders to an earlier process of an upstream may have been granted by the present one until now:
+    /// by the earlier clock they end so late that the longest lease applies.
+    void recordLeasesOfEarlierOrders(OwnedUpstream& upstream, const OwnerLimits& limits, TimePoint now)
+    {
+        const Duration drift = std::chrono::duration_cast<Duration>(limits.longestLease * limits.clockDrift);
+        upstream.leasesExpiredBy = std::max(upstream.leasesExpiredBy, now + limits.longestLease + drift + limits.leaseExpiryMargin);
+    }
+
     void limitRun(OwnedRun& run, const std::optional<TimePoint>& endBy)
     {
         if (endBy)
@@ -472,6 +480,8 @@
     owned->startsBlocked = false;
     processEndedRuns(*owned, reply, now);
     reconcileRuns(*owned, reply, sentAt, now);
+    if (restarted)
+        recordLeasesOfEarlierOrders(*owned, m_limits, now);
     if (!owned->synced) {
         owned->syncedAt = now;
         // Until this poll an earlier owner may have extended the lease.
--- a/packages/fleet/src/dispatch_service.cpp
+++ b/packages/fleet/src/dispatch_service.cpp
@@ -24,6 +24,7 @@
     {
         DispatcherLimits limits;
         limits.owner.leaseDuration = Milliseconds { static_cast<std::int64_t>(static_cast<double>(settings.maxLeaseDuration.count()) * leaseFraction) };
+        limits.owner.longestLease = settings.maxLeaseDuration;
         limits.owner.maxStopDuration = settings.maxStopDuration;
         limits.owner.remoteDataFactor = settings.remoteDataFactor;
         limits.owner.orphanedRunLimit = std::max(Milliseconds { 0 }, settings.resubmissionDelay - disconnectNoticeTime);
--- a/tests/unit/unit-upstream-owner-restarts.cpp
+++ b/tests/unit/unit-upstream-owner-restarts.cpp
@@ -224,4 +224,19 @@
         REQUIRE(fixture.port.notifications.size() == 1);
         CHECK(fixture.lastMessage().returned);
     }
+
+    SECTION("those that the next process of the upstream granted by the clock of the one before, for its longest time")
+    {
+        fixture.poll(fixture.reply());
+        fixture.advance(Milliseconds { 10 });
+        fixture.poll(fixture.replyOfNextProcess());
+        fixture.startOne("j");
+        fixture.port.notifications.clear();
+        loseContact();
+        tickAfter(fixture.limits.longestLease);
+        CHECK(fixture.port.notifications.empty());
+        tickAfter(Milliseconds { 100 });
+        REQUIRE(fixture.port.notifications.size() == 1);
+        CHECK(fixture.lastMessage().returned);
+    }
 }
