--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -97,6 +97,14 @@
         upstream.leasesExpiredBy = std::max(upstream.leasesExpiredBy, leaseEnd + leaseExpiryTime(upstream, limits, now));
     }
 
+    /// Counts the leases that orders to an earlier process of an upstream may have been granted by the present one until now:
+    /// by the earlier clock they end so late that the longest lease applies.
+    void recordLeasesOfEarlierOrders(OwnedUpstream& upstream, const OwnerLimits& limits, TimePoint now)
+    {
+        const Duration drift = std::chrono::duration_cast<Duration>(limits.longestLease * limits.clockDrift);
+        upstream.leasesExpiredBy = std::max(upstream.leasesExpiredBy, now + limits.longestLease + drift + limits.leaseExpiryMargin);
+    }
+
     void limitRun(OwnedRun& run, const std::optional<TimePoint>& endBy)
     {
         if (endBy)
@@ -172,7 +180,7 @@
     return leaseEnd - now >= least ? std::optional<TimePoint>(leaseEnd) : std::nullopt;
 }
 
-void UpstreamOwner::acquire(const UpstreamInfo& info, FencingToken token, TimePoint now)
+void UpstreamOwner::acquire(const UpstreamInfo& info, FencingToken epoch, TimePoint now)
 {
     const auto found = m_upstreams.find(info.id);
     if (found != m_upstreams.end()) {
@@ -194,11 +202,13 @@
         }
         upstream.unlisted = false;
         upstream.evacuated = isEvacuated(upstream.info);
-        if (token > upstream.token) {
+        if (epoch > upstream.epoch) {
             // In a view that was skipped another VM may have owned the upstream.
-            if (token.value > upstream.token.value + 1)
+            if (epoch.value > upstream.epoch.value + 1)
                 requireSync(upstream, now);
-            upstream.token = token;
+            upstream.epoch = epoch;
+            upstream.tokenRaises = 0;
+            upstream.token = tokenOf(epoch, 0);
             upstream.fenced = false;
             processEarlyClaims(info.id, now);
         }
@@ -207,12 +217,13 @@
     OwnedUpstream upstream;
     upstream.info = info;
     upstream.evacuated = isEvacuated(info);
-    upstream.token = token;
+    upstream.epoch = epoch;
+    upstream.token = tokenOf(epoch, 0);
     upstream.ownedSince = now;
     upstream.lastSuccessfulPoll = now;
     recordLease(upstream, m_limits, now + m_limits.leaseDuration, now);
     m_upstreams.emplace(info.id, std::move(upstream));
-    m_port.recordEvent({ EventKind::Owned, info.id, {}, {}, {}, token.value });
+    m_port.recordEvent({ EventKind::Owned, info.id, {}, {}, {}, epoch.value });
     processEarlyClaims(info.id, now);
 }
 
@@ -253,7 +264,7 @@
     takeBackUnsentRuns(*owned, now);
     m_port.recordEvent({ EventKind::Released, upstream, {}, {}, toMilliseconds(now - owned->ownedSince), owned->runs.size() });
     for (const auto& entry : owned->runs) {
-        const RunStarted started { entry.first, upstream, owned->token };
+        const RunStarted started { entry.first, upstream, owned->epoch };
         m_released.add(entry.second.executor, started, now);
         if (entry.second.state == RunState::Starting)
             m_port.notify(entry.second.executor, { {}, started, {}, {}, {}, {} });
@@ -396,7 +407,7 @@
         return;
     }
     OwnedUpstream* upstream = findUpstream(claim.upstream);
-    if (!upstream || upstream->token < claim.epoch) {
+    if (!upstream || upstream->epoch < claim.epoch) {
         recordClaim(claim, "early", now, now);
         m_earlyClaims.push_back({ executor, claim, now });
         return;
@@ -409,7 +420,7 @@
         recordClaim(claim, upstream->synced ? "running" : "not-polled", now, now);
         if (!upstream->synced)
             return;
-        m_port.notify(executor, { {}, RunStarted { claim.run, claim.upstream, upstream->token }, {}, {}, {}, {} });
+        m_port.notify(executor, { {}, RunStarted { claim.run, claim.upstream, upstream->epoch }, {}, {}, {}, {} });
         return;
     }
     if (upstream->synced) {
@@ -515,7 +526,7 @@
         return;
     if (reply.outcome == OrderOutcome::Fenced) {
         if (!owned->fenced)
-            m_port.recordEvent({ EventKind::Fenced, upstream, {}, "look", {}, owned->token.value });
+            m_port.recordEvent({ EventKind::Fenced, upstream, {}, "look", {}, owned->epoch.value });
         owned->fenced = true;
         return;
     }
@@ -531,6 +542,8 @@
         takeBackUnsentRuns(*owned, now);
         confirmRestart(*owned, "look");
         returnRunsOfFormerIncarnation(*owned, reply, sentAt);
+        raiseToken(*owned);
+        m_port.pollNow(upstream);
         owned->acknowledgedEnd = 0;
         owned->clockOffset.reset();
     } else {
@@ -547,8 +560,12 @@
     owned->startsBlocked = false;
     processEndedRuns(*owned, reply, now);
     reconcileRuns(*owned, reply, sentAt, now);
+    if (restarted)
+        recordLeasesOfEarlierOrders(*owned, m_limits, now);
     if (!owned->synced) {
         owned->syncedAt = now;
+        // Until this poll an earlier owner may have extended the lease.
+        recordLease(*owned, m_limits, now + m_limits.leaseDuration, now);
         answerClaims(*owned);
     }
     owned->synced = true;
@@ -566,6 +583,11 @@
     onCrashConfirmed(upstream);
 }
 
+void UpstreamOwner::raiseToken(OwnedUpstream& upstream)
+{
+    upstream.token = tokenOf(upstream.epoch, ++upstream.tokenRaises);
+}
+
 void UpstreamOwner::returnRunsOfFormerIncarnation(OwnedUpstream& upstream, const PollReply& reply, TimePoint sentAt)
 {
     std::set<TaskRun> known(reply.running.begin(), reply.running.end());
@@ -600,6 +622,8 @@
     if (cause == upstream.unreachableCause)
         return;
     upstream.unreachableCause = cause;
+    // Whichever process replies next refuses the orders sent so far from then on.
+    raiseToken(upstream);
     m_port.recordEvent({ EventKind::Unreachable, upstream.info.id, {}, cause, toMilliseconds(now - upstream.lastSuccessfulPoll), upstream.runs.size(), runsAt(upstream) });
     if (reply.outcome == OrderOutcome::WrongUpstream) {
         onCrashConfirmed(upstream);
@@ -691,7 +715,7 @@
             owned.state = RunState::Running;
             owned.unconfirmed = false;
             owned.confirmedAt = now;
-            m_port.notify(owned.executor, { {}, RunStarted { run, upstream.info.id, upstream.token }, {}, {}, {}, {}, true });
+            m_port.notify(owned.executor, { {}, RunStarted { run, upstream.info.id, upstream.epoch }, {}, {}, {}, {}, true });
         }
     }
     if (reply.ended.size() >= endedRunsPageSize)
@@ -754,7 +778,7 @@
     for (const auto& entry : upstream.runs) {
         const OwnedRun& run = entry.second;
         if (run.state == RunState::Running && !run.executor.empty())
-            m_port.notify(run.executor, { {}, RunStarted { entry.first, upstream.info.id, upstream.token }, {}, {}, {}, {} });
+            m_port.notify(run.executor, { {}, RunStarted { entry.first, upstream.info.id, upstream.epoch }, {}, {}, {}, {} });
     }
 }
 
@@ -779,7 +803,9 @@
     OwnedUpstream* upstream = findUpstream(order.upstream);
     if (!upstream)
         return;
-    updateClockOffset(*upstream, reply.clock, now);
+    // An order under an earlier token may have reached an earlier process, which had another clock.
+    if (order.token >= upstream->token)
+        updateClockOffset(*upstream, reply.clock, now);
     const auto found = upstream->runs.find(order.run);
     // The run may have been placed here again since, or be one that was found here.
     if (found == upstream->runs.end() || found->second.state == RunState::Running || found->second.placement != order.placement)
@@ -791,7 +817,7 @@
         if (run.state == RunState::Stopping)
             return;
         run.state = RunState::Running;
-        m_port.notify(run.executor, { {}, RunStarted { order.run, order.upstream, upstream->token }, {}, {}, {}, {}, true });
+        m_port.notify(run.executor, { {}, RunStarted { order.run, order.upstream, upstream->epoch }, {}, {}, {}, {}, true });
         return;
     }
     if (reply.outcome == OrderOutcome::Unknown) {
@@ -817,8 +843,7 @@
         m_port.pollNow(order.upstream);
         break;
     case OrderOutcome::Fenced:
-        upstream->fenced = true;
-        m_port.recordEvent({ EventKind::Fenced, order.upstream, order.run, "start", {}, order.token.value });
+        noteFenced(*upstream, order.token, order.run);
         break;
     default:
         pause(*upstream, order.run, "start-refused", now);
@@ -891,14 +916,27 @@
     OwnedUpstream* upstream = findUpstream(order.upstream);
     if (!upstream)
         return;
-    updateClockOffset(*upstream, reply.clock, now);
+    // An order under an earlier token may have reached an earlier process, whose acceptance the present one knows nothing of.
+    const bool presentToken = order.token >= upstream->token;
+    if (presentToken)
+        updateClockOffset(*upstream, reply.clock, now);
     const auto found = upstream->runs.find(order.run);
     if (found == upstream->runs.end())
         return;
-    if (reply.outcome == OrderOutcome::Accepted)
+    if (reply.outcome == OrderOutcome::Accepted && presentToken)
         found->second.stopAcceptedAt = now + m_limits.maxStopDuration;
     else if (reply.outcome == OrderOutcome::Fenced)
-        upstream->fenced = true;
+        noteFenced(*upstream, order.token, {});
+}
+
+void UpstreamOwner::noteFenced(OwnedUpstream& upstream, FencingToken token, const TaskRun& started)
+{
+    // The upstream has seen the owner's own present token.
+    if (token < upstream.token)
+        return;
+    upstream.fenced = true;
+    if (!started.task.job.empty())
+        m_port.recordEvent({ EventKind::Fenced, upstream.info.id, started, "start", {}, upstream.epoch.value });
 }
 
 void UpstreamOwner::tick(TimePoint now)
