--- a/packages/base/include/egrettrestle/base/metrics.hpp
+++ b/packages/base/include/egrettrestle/base/metrics.hpp
@@ -43,6 +43,15 @@
     /// Counts a run that was lost with its upstream; `cause` says how the upstream failed.
     void countLostRun(const std::string& route, const std::string& cause);
 
+    /// Counts a task that was sent again; `statement` says why its earlier run is considered over.
+    void countResentRun(const std::string& statement);
+
+    /// Counts runs that had to be over and were not; `seen` is `listed` or `ended`.
+    void countRunsPastEnd(const std::string& seen, std::uint64_t count);
+
+    /// Counts runs found at an upstream that its owner does not know; `found` is `first-poll`, `later-poll` or `restarted`.
+    void countUnclaimedRuns(const std::string& found, std::uint64_t count);
+
     /// Counts runs that waited for a better place; `outcome` is `better-place` or `free-place`.
     void countWaits(const std::string& outcome, std::uint64_t count);
 
--- a/packages/base/src/metrics.cpp
+++ b/packages/base/src/metrics.cpp
@@ -30,6 +30,9 @@
         , discardedMessages(counterFamily(registry, "discarded_messages_total", "Messages to other VMs that were discarded, by cause"))
         , withheldStarts(counterFamily(registry, "withheld_starts_total", "Start orders that no longer stood when they were to be sent"))
         , lostRuns(counterFamily(registry, "lost_runs_total", "Runs lost with their upstream, by route and cause"))
+        , resentRuns(counterFamily(registry, "runs_sent_again_total", "Tasks that were sent again, by the statement that their earlier run is over"))
+        , runsPastEnd(counterFamily(registry, "runs_past_end_total", "Runs that had to be over and were found at work or have ended later"))
+        , unclaimedRuns(counterFamily(registry, "unclaimed_runs_total", "Runs found at an upstream that its owner does not know"))
         , waits(counterFamily(registry, "placement_waits_total", "Runs that waited for a better place, by outcome"))
         , inputRefused(counterFamily(registry, "input_refused_total", "Requests and connections refused or closed because of a server's limits, by port and reason"))
         , unansweredRequests(counterFamily(registry, "unanswered_requests_total", "Connections that ended without a complete reply to a request, by port and cause"))
@@ -49,6 +52,9 @@
     prometheus::Family<prometheus::Counter>& discardedMessages;
     prometheus::Family<prometheus::Counter>& withheldStarts;
     prometheus::Family<prometheus::Counter>& lostRuns;
+    prometheus::Family<prometheus::Counter>& resentRuns;
+    prometheus::Family<prometheus::Counter>& runsPastEnd;
+    prometheus::Family<prometheus::Counter>& unclaimedRuns;
     prometheus::Family<prometheus::Counter>& waits;
     prometheus::Family<prometheus::Counter>& inputRefused;
     prometheus::Family<prometheus::Counter>& unansweredRequests;
@@ -104,6 +110,21 @@
     m_families->lostRuns.Add({ { "class", route }, { "cause", cause } }).Increment();
 }
 
+void Metrics::countResentRun(const std::string& statement)
+{
+    m_families->resentRuns.Add({ { "statement", statement } }).Increment();
+}
+
+void Metrics::countRunsPastEnd(const std::string& seen, std::uint64_t count)
+{
+    m_families->runsPastEnd.Add({ { "seen", seen } }).Increment(static_cast<double>(count));
+}
+
+void Metrics::countUnclaimedRuns(const std::string& found, std::uint64_t count)
+{
+    m_families->unclaimedRuns.Add({ { "found", found } }).Increment(static_cast<double>(count));
+}
+
 void Metrics::countWaits(const std::string& outcome, std::uint64_t count)
 {
     m_families->waits.Add({ { "outcome", outcome } }).Increment(static_cast<double>(count));
--- a/packages/decision/include/egrettrestle/decision/dispatch_types.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatch_types.hpp
@@ -5,6 +5,7 @@
 #include <optional>
 #include <string>
 #include <tuple>
+#include <utility>
 #include <vector>
 
 #include <egrettrestle/base/clock.hpp>
@@ -344,6 +345,19 @@
     FencingToken completeAtEpoch = {};
 };
 
+/// A run that an event concerns, and what is known about it, for the log.
+struct RunNote {
+    TaskRun run;
+    /// For an event of an executor the run's owner, for one of an owner the run's executor; empty if not known.
+    VmId vm;
+    /// Where the run is or was; empty if not known, or if the event names it.
+    UpstreamId upstream;
+    /// What the event stands on for this run, or the run's state.
+    std::string basis;
+    /// How long ago something happened that matters for the event, by name.
+    std::vector<std::pair<const char*, Milliseconds>> ages;
+};
+
 /// A message from one VM to another; exactly one of the optional fields is set.
 struct PeerMessage {
     std::optional<RunRequest> request;
--- a/packages/decision/include/egrettrestle/decision/job_executor.hpp
+++ b/packages/decision/include/egrettrestle/decision/job_executor.hpp
@@ -80,6 +80,41 @@
     Milliseconds runNumberRetention { 10'000 };
 };
 
+/// On what an executor considers a run of a task over, so that the task may be sent again.
+enum class RunStatement {
+    /// The upstream reported its end.
+    EndedDone,
+    EndedFailed,
+    EndedStopped,
+    EndedLapsed,
+    /// Its owner returned it.
+    ReturnedExpired,
+    ReturnedLost,
+    ReturnedSuperseded,
+    ReturnedUnschedulable,
+    ReturnedWithdrawn,
+    /// Its owner has not replied for ExecutorLimits::ownerLossTimeout.
+    OwnerLost,
+    /// Its owner has restarted, and ExecutorLimits::orphanedRunTimeout has passed.
+    OrphanTimeOver,
+    /// Its withdrawal was not confirmed for ExecutorLimits::ownerLossTimeout after the deadline of its job.
+    WithdrawalUnconfirmed,
+};
+
+/// The name of a statement in the log and the metrics.
+const char* statementName(RunStatement statement);
+
+/// A task that was sent again.
+struct ResentRun {
+    /// The run before, with its owner and upstream as known. Its basis is the name of the statement that it is over.
+    RunNote earlier;
+    /// The VM that made the statement.
+    VmId statedBy;
+    /// The new run and the owner that it was requested from.
+    RunNumber run = 0;
+    VmId owner;
+};
+
 /// A decision about a job, reported for the log.
 struct JobEvent {
     enum class Kind {
@@ -89,6 +124,10 @@
         Resent,
         CallerDisconnected,
         ClaimSent,
+        /// The job has ended while runs were outstanding, which were withdrawn.
+        RunsWithdrawn,
+        /// The last of the withdrawn runs is over, later than the time by which they had to have ended.
+        RunsOutlived,
     };
 
     Kind kind = Kind::Answered;
@@ -108,6 +147,24 @@
     std::size_t tasks = 0;
     /// How many times tasks of the job were sent again.
     std::size_t resentTasks = 0;
+    /// For Resent: the tasks that were sent again at one moment.
+    std::vector<ResentRun> resends;
+    /// For Resent: how long before this report that was.
+    Milliseconds reportDelay { 0 };
+    /// For Resent and RunsWithdrawn: the epoch of the executor's view.
+    FencingToken epoch;
+    /// For RunsWithdrawn: the withdrawn runs. For RunsOutlived: the one that was over last.
+    std::vector<RunNote> runs;
+    /// For RunsWithdrawn and RunsOutlived: number of withdrawn runs.
+    std::size_t withdrawnRuns = 0;
+    /// For RunsWithdrawn: how much time the runs have left; negative if they must have ended already.
+    Milliseconds endIn { 0 };
+    /// For RunsWithdrawn: how long callers may have been leaving without this VM's knowledge; empty if it knew who was
+    /// connected.
+    std::optional<Milliseconds> callersUncheckedFor;
+    /// For RunsOutlived: time since the end of the job, and since the time by which the runs had to have ended.
+    Milliseconds sinceEnd { 0 };
+    Milliseconds late { 0 };
 };
 
 /// Executes the decisions of a JobExecutor. Implementations must not call the executor back from these functions.
@@ -256,6 +313,15 @@
         Done,
     };
 
+    /// A statement that a run is over.
+    struct RunOver {
+        RunStatement statement = RunStatement::EndedDone;
+        VmId statedBy;
+        TimePoint statedAt;
+        RunNumber run = 0;
+        UpstreamId upstream;
+    };
+
     struct Task {
         std::uint32_t step = 0;
         std::uint32_t index = 0;
@@ -277,6 +343,8 @@
         std::optional<TimePoint> claimSentAt;
         /// When a run started by an earlier incarnation of the owner must have ended.
         std::optional<TimePoint> orphanedUntil;
+        /// On what the last run is considered over; set while the task waits to be sent again.
+        std::optional<RunOver> over;
         /// Upstreams on which a run of the task has ended without completing.
         std::vector<UpstreamId> avoid;
         /// Owners none of whose upstreams can run the task, until the view changes or they own another upstream.
@@ -312,6 +380,12 @@
         /// When the withdrawn runs must have ended; set with `ending`.
         std::optional<TimePoint> runsEndBy;
         std::size_t resent = 0;
+        /// Tasks that were sent again at one moment, not reported yet.
+        std::vector<ResentRun> resends;
+        TimePoint resendsAt;
+        /// When the outcome was decided, and how many runs were withdrawn then.
+        TimePoint endedAt;
+        std::size_t withdrawnRuns = 0;
         JobResult finalReply;
         bool replied = false;
         /// They are executed once the job has been stopped.
@@ -392,6 +466,17 @@
     bool cannotBePlaced(const Job& job) const;
     /// Whether every owner with capacity has returned one of the job's tasks as unschedulable.
     bool wasReturnedByAllOwners(const Job& job) const;
+    /// Keeps on what a task's run is considered over, for the log. To be called before the task's state changes.
+    void noteOver(const Job& job, Task& task, const RunOver& over);
+    /// Keeps for the log that a task was sent again.
+    void noteResend(Job& job, Task& task, const VmId& earlierOwner, TimePoint earlierSentAt, TimePoint now);
+    /// Reports the tasks of a job that were sent again.
+    void recordResends(Job& job, TimePoint now);
+    /// Reports the runs that are withdrawn at the end of a job.
+    void recordWithdrawnRuns(Job& job, TimePoint now);
+    /// Reports the withdrawn run of a job that is over last, if it is late.
+    void recordOutlivedRun(const Job& job, const Task& task, const RunOver& over);
+    JobEvent jobEvent(JobEvent::Kind kind, const Job& job, const std::string& reason, TimePoint now) const;
     void recordJobEvent(JobEvent::Kind kind, const Job& job, const std::string& reason, TimePoint now);
 
     ExecutorPort& m_port;
--- a/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
+++ b/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
@@ -108,6 +108,8 @@
     bool unconfirmed = false;
     /// Whether the upstream has restarted since the order was sent, so that the order's lease does not end by its clock.
     bool sentToFormerIncarnation = false;
+    /// For how long after `endBy` polls have shown it at work; empty if none that was sent after that time has listed it.
+    std::optional<Milliseconds> shownPastEnd;
 };
 
 /// An upstream that this VM owns.
@@ -195,6 +197,24 @@
     int crashes = 0;
 };
 
+/// What an owner's statement about the runs at an upstream stands on, for the log.
+struct UpstreamEvidence {
+    FencingToken token;
+    /// Unix time of the start of the upstream's process, as known to the owner; 0 if it is not.
+    Milliseconds startedAt { 0 };
+    /// Whether a poll has listed the runs since the upstream was acquired.
+    bool synced = false;
+    /// Time since the last successful poll, or since the acquisition if there was none.
+    Milliseconds pollAge { 0 };
+    /// Time since the upstream's clock was read; empty if it is not known.
+    std::optional<Milliseconds> clockAge;
+    /// Time since the last lease that this owner granted must have expired; negative while it may last.
+    Milliseconds leaseExpiredFor { 0 };
+};
+
+/// The evidence that there is about an upstream now.
+UpstreamEvidence evidenceOf(const OwnedUpstream& upstream, TimePoint now);
+
 /// A decision of an owner, reported for the log.
 struct OwnerEvent {
     enum class Kind {
@@ -214,6 +234,12 @@
         ClaimHandled,
         /// Summary of runs that waited for a better place.
         WaitsEnded,
+        /// Runs that had to be over are at work, or have ended late.
+        RunsPastEnd,
+        /// A poll has listed runs that this owner does not know.
+        RunsUnclaimed,
+        /// Runs were returned as lost.
+        RunsReturnedLost,
     };
 
     Kind kind = Kind::Owned;
@@ -231,6 +257,10 @@
     std::uint64_t count = 0;
     /// The runs that were at an upstream when it became unreachable or lost them.
     std::vector<LostRun> runs = {};
+    /// What the statement stands on; empty for events that make none.
+    std::optional<UpstreamEvidence> evidence = {};
+    /// The runs concerned by RunsPastEnd, RunsUnclaimed and RunsReturnedLost.
+    std::vector<RunNote> notes = {};
 };
 
 } // namespace egrettrestle
--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -381,6 +381,18 @@
     /// Drops the claims that have waited too long.
     void expireEarlyClaims(TimePoint now);
     void recordClaim(const RunClaim& claim, const char* outcome, TimePoint receivedAt, TimePoint now);
+    /// Reports the runs that a poll shows past the time by which they had to end, and those that it lists and this owner does
+    /// not know. `restarted` says whether the poll has shown a restart of the upstream. To be called before the ends that the
+    /// poll reports are processed.
+    void reportFoundRuns(OwnedUpstream& upstream, const PollReply& reply, bool restarted, TimePoint sentAt, TimePoint now);
+    void reportRunsPastEnd(OwnedUpstream& upstream, const PollReply& reply, TimePoint sentAt, TimePoint now);
+    void reportUnclaimedRuns(const OwnedUpstream& upstream, const PollReply& reply, bool restarted, TimePoint sentAt, TimePoint now);
+    /// Reports runs that are returned as lost because of what a poll has shown that was sent at `sentAt`.
+    void reportReturnedRuns(const OwnedUpstream& upstream, const char* cause, std::vector<RunNote> notes, TimePoint sentAt, TimePoint now);
+    /// Keeps for reportUnknownRuns() that a withdrawn run is returned as lost because it is not known here.
+    void noteUnknownRun(const VmId& executor, const RunWithdrawal& withdrawal, TimePoint now);
+    /// Reports the withdrawn runs that were not known here.
+    void reportUnknownRuns();
     /// When the runs of an executor that was lost or has restarted must have ended.
     TimePoint orphanedRunsEndBy(const VmId& executor, TimePoint now) const;
     OwnedUpstream* findUpstream(const UpstreamId& upstream);
@@ -403,6 +415,8 @@
     /// An owner without upstreams that has not released any waits for its first ones.
     bool m_hasReleasedUpstreams = false;
     std::vector<EarlyClaim> m_earlyClaims;
+    /// Withdrawn runs that were not known here, not reported yet.
+    std::vector<RunNote> m_unknownRuns;
     VmId m_self;
     std::uint64_t m_lastPlacement = 0;
     std::map<VmId, TimePoint> m_lastContact;
--- a/packages/decision/src/job_executor.cpp
+++ b/packages/decision/src/job_executor.cpp
@@ -35,6 +35,29 @@
         return times.empty() ? Milliseconds { 0 } : *std::max_element(times.begin(), times.end());
     }
 
+    RunStatement statementOf(RunOutcome outcome)
+    {
+        static const std::map<RunOutcome, RunStatement> statements {
+            { RunOutcome::Done, RunStatement::EndedDone },
+            { RunOutcome::Failed, RunStatement::EndedFailed },
+            { RunOutcome::Stopped, RunStatement::EndedStopped },
+            { RunOutcome::LeaseExpired, RunStatement::EndedLapsed },
+        };
+        return statements.at(outcome);
+    }
+
+    RunStatement statementOf(ReturnReason reason)
+    {
+        static const std::map<ReturnReason, RunStatement> statements {
+            { ReturnReason::Expired, RunStatement::ReturnedExpired },
+            { ReturnReason::Withdrawn, RunStatement::ReturnedWithdrawn },
+            { ReturnReason::Lost, RunStatement::ReturnedLost },
+            { ReturnReason::Superseded, RunStatement::ReturnedSuperseded },
+            { ReturnReason::Unschedulable, RunStatement::ReturnedUnschedulable },
+        };
+        return statements.at(reason);
+    }
+
     std::uint32_t taskCount(const DispatchJob& request)
     {
         std::uint32_t count = 0;
@@ -45,6 +68,25 @@
 
 }
 
+const char* statementName(RunStatement statement)
+{
+    static const std::map<RunStatement, const char*> names {
+        { RunStatement::EndedDone, "ended-done" },
+        { RunStatement::EndedFailed, "ended-failed" },
+        { RunStatement::EndedStopped, "ended-stopped" },
+        { RunStatement::EndedLapsed, "ended-lapsed" },
+        { RunStatement::ReturnedExpired, "returned-expired" },
+        { RunStatement::ReturnedLost, "returned-lost" },
+        { RunStatement::ReturnedSuperseded, "returned-superseded" },
+        { RunStatement::ReturnedUnschedulable, "returned-unschedulable" },
+        { RunStatement::ReturnedWithdrawn, "returned-withdrawn" },
+        { RunStatement::OwnerLost, "owner-lost" },
+        { RunStatement::OrphanTimeOver, "orphan-time-over" },
+        { RunStatement::WithdrawalUnconfirmed, "withdrawal-unconfirmed" },
+    };
+    return names.at(statement);
+}
+
 JobExecutor::JobExecutor(ExecutorPort& port, CapacityTable& capacities, const CrashTable& crashes, VmId self, ExecutorLimits limits)
     : m_port(port)
     , m_capacities(capacities)
@@ -317,6 +359,8 @@
 void JobExecutor::sendTask(Job& job, Task& task, const VmId& owner, TimePoint now)
 {
     const JobStep& step = job.request.steps[task.step];
+    const VmId earlierOwner = task.owner;
+    const TimePoint earlierSentAt = task.sentAt;
     ++task.run;
     task.state = TaskState::Sent;
     task.owner = owner;
@@ -326,6 +370,7 @@
     task.orphanedUntil.reset();
     task.sentAt = now;
     task.movingTo.clear();
+    noteResend(job, task, earlierOwner, earlierSentAt, now);
     RunRequest request;
     request.run = runOf(job, task);
     request.spec = job.request.spec;
@@ -455,6 +500,7 @@
     if (ended.outcome != RunOutcome::Done && task->endedRun == ended.run.number)
         return;
     task->endedRun = ended.run.number;
+    noteOver(*job, *task, { statementOf(ended.outcome), owner, now, task->run, ended.upstream });
     job->anyStarted = true;
     const JobStep& step = job->request.steps[task->step];
     // The message about the start may not have been sent.
@@ -491,6 +537,7 @@
         return;
     if (returned.reason == ReturnReason::Expired)
         recordWait(*job, *task, toMilliseconds(now - task->sentAt), now);
+    noteOver(*job, *task, { statementOf(returned.reason), owner, now, task->run, task->upstream });
     task->state = TaskState::Unsent;
     // The start order may have been executed before the run was lost.
     if (returned.reason == ReturnReason::Lost)
@@ -582,6 +629,7 @@
             // A run with a pending claim was started by another owner, which may still keep it running.
             if (!isOutstanding(task) || task.owner != owner || task.claimSentAt)
                 continue;
+            noteOver(job, task, { RunStatement::OwnerLost, m_self, now, task.run, task.upstream });
             task.state = TaskState::Unsent;
             job.anyStarted = true;
             affectedJobs.push_back(entry.first);
@@ -623,6 +671,7 @@
     const TimePoint callersLeftBy = job.deadline + m_limits.replyMargin;
     job.runsEndBy = std::min(m_callersUncheckedSince.value_or(now), callersLeftBy) + m_limits.withdrawnRunLimit;
     job.finalReply = { outcome, outcome == JobOutcome::Refused ? m_limits.minRetryAfter : Milliseconds { 0 }, reason };
+    recordWithdrawnRuns(job, now);
     for (Task& task : job.tasks) {
         // An owner leaves a run alone that had started before it was to be moved.
         if (isOutstanding(task))
@@ -663,6 +712,7 @@
     if (job.finalReply.outcome == JobOutcome::Refused && job.anyStarted)
         job.finalReply = { JobOutcome::GaveUp, Milliseconds { 0 }, job.finalReply.reason };
     reply(job, job.finalReply, now);
+    recordResends(job, now);
     std::vector<Resubmission> resubmissions = std::move(job.resubmissions);
     const Route route = job.route;
     rememberRunNumbers(job, now);
@@ -741,14 +791,17 @@
         if (entry == m_jobs.end())
             continue;
         Job& job = entry->second;
+        recordResends(job, now);
         // An owner that has not confirmed a withdrawal this long after the deadline is lost, and none of its runs is
         // left.
         for (Task& task : job.tasks) {
             if (job.ending && task.state == TaskState::Withdrawn && now - job.deadline > m_limits.ownerLossTimeout) {
+                noteOver(job, task, { RunStatement::WithdrawalUnconfirmed, m_self, now, task.run, task.upstream });
                 task.state = TaskState::Unsent;
                 job.anyStarted = true;
             }
             if (task.orphanedUntil && isOutstanding(task) && now > *task.orphanedUntil) {
+                noteOver(job, task, { RunStatement::OrphanTimeOver, m_self, now, task.run, task.upstream });
                 job.anyStarted = true;
                 task.state = TaskState::Unsent;
             }
@@ -824,7 +877,81 @@
     return { { job.request.id, task.step, task.index }, task.run };
 }
 
+void JobExecutor::noteOver(const Job& job, Task& task, const RunOver& over)
+{
+    // Of several statements about one run the first one counts.
+    if (!task.over)
+        task.over = over;
+    if (job.ending)
+        recordOutlivedRun(job, task, over);
+}
+
+void JobExecutor::noteResend(Job& job, Task& task, const VmId& earlierOwner, TimePoint earlierSentAt, TimePoint now)
+{
+    if (!task.over)
+        return;
+    if (job.resendsAt != now)
+        recordResends(job, now);
+    job.resendsAt = now;
+    const RunOver over = *task.over;
+    task.over.reset();
+    TaskRun earlier = runOf(job, task);
+    earlier.number = over.run;
+    const RunNote note { earlier, earlierOwner, over.upstream, statementName(over.statement), { { "sent", toMilliseconds(now - earlierSentAt) }, { "stated", toMilliseconds(now - over.statedAt) } } };
+    job.resends.push_back({ note, over.statedBy, task.run, task.owner });
+}
+
+void JobExecutor::recordResends(Job& job, TimePoint now)
+{
+    if (job.resends.empty())
+        return;
+    JobEvent event = jobEvent(JobEvent::Kind::Resent, job, {}, now);
+    event.resends.swap(job.resends);
+    event.reportDelay = toMilliseconds(now - job.resendsAt);
+    event.epoch = m_epoch;
+    m_port.recordEvent(event);
+}
+
+void JobExecutor::recordWithdrawnRuns(Job& job, TimePoint now)
+{
+    job.endedAt = now;
+    JobEvent event = jobEvent(JobEvent::Kind::RunsWithdrawn, job, job.finalReply.reason, now);
+    for (const Task& task : job.tasks) {
+        if (isOutstanding(task))
+            event.runs.push_back({ runOf(job, task), task.owner, task.upstream, task.upstream.empty() ? "requested" : "started", { { "sent", toMilliseconds(now - task.sentAt) } } });
+    }
+    job.withdrawnRuns = event.runs.size();
+    if (event.runs.empty())
+        return;
+    event.withdrawnRuns = job.withdrawnRuns;
+    event.endIn = toMilliseconds(*job.runsEndBy - now);
+    if (m_callersUncheckedSince)
+        event.callersUncheckedFor = toMilliseconds(now - *m_callersUncheckedSince);
+    event.epoch = m_epoch;
+    m_port.recordEvent(event);
+}
+
+void JobExecutor::recordOutlivedRun(const Job& job, const Task& task, const RunOver& over)
+{
+    const TimePoint now = over.statedAt;
+    const auto outstanding = std::count_if(job.tasks.begin(), job.tasks.end(), [](const Task& other) { return isOutstanding(other); });
+    // The task itself still counts as outstanding.
+    if (outstanding > 1 || !isOutstanding(task) || !job.runsEndBy || now <= *job.runsEndBy)
+        return;
+    JobEvent event = jobEvent(JobEvent::Kind::RunsOutlived, job, job.finalReply.reason, now);
+    event.runs.push_back({ runOf(job, task), task.owner, over.upstream, statementName(over.statement), { { "sent", toMilliseconds(now - task.sentAt) } } });
+    event.withdrawnRuns = job.withdrawnRuns;
+    event.sinceEnd = toMilliseconds(now - job.endedAt);
+    event.late = toMilliseconds(now - *job.runsEndBy);
+    m_port.recordEvent(event);
+}
+
 void JobExecutor::recordJobEvent(JobEvent::Kind kind, const Job& job, const std::string& reason, TimePoint now)
+{
+    m_port.recordEvent(jobEvent(kind, job, reason, now));
+}
+
+JobEvent JobExecutor::jobEvent(JobEvent::Kind kind, const Job& job, const std::string& reason, TimePoint now) const
 {
     JobEvent event;
     event.kind = kind;
@@ -834,7 +961,7 @@
     event.age = toMilliseconds(now - job.receivedAt);
     event.tasks = job.tasks.size();
     event.resentTasks = job.resent;
-    m_port.recordEvent(event);
+    return event;
 }
 
 } // namespace egrettrestle
--- a/packages/decision/src/owned_upstream.cpp
+++ b/packages/decision/src/owned_upstream.cpp
@@ -42,4 +42,17 @@
     return acceptsPlacedRuns(upstream, limits, now) && !(upstream.probing && !upstream.runs.empty());
 }
 
+UpstreamEvidence evidenceOf(const OwnedUpstream& upstream, TimePoint now)
+{
+    UpstreamEvidence evidence;
+    evidence.token = upstream.token;
+    evidence.startedAt = upstream.info.startedAt;
+    evidence.synced = upstream.synced;
+    evidence.pollAge = toMilliseconds(now - upstream.lastSuccessfulPoll);
+    if (upstream.clockOffset)
+        evidence.clockAge = toMilliseconds(now - upstream.clockReadAt);
+    evidence.leaseExpiredFor = toMilliseconds(now - upstream.leasesExpiredBy);
+    return evidence;
+}
+
 } // namespace egrettrestle
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -98,6 +98,19 @@
             run.endBy = std::min(run.endBy.value_or(*endBy), *endBy);
     }
 
+    /// What is known about a run that a poll sent at `sentAt` has not listed; the ages are relative to that time.
+    RunNote noteOfAbsence(const OwnedRun& run, const char* basis, TimePoint sentAt)
+    {
+        RunNote note { run.request.run, run.executor, {}, basis, { { "startSent", toMilliseconds(sentAt - run.startSentAt) } } };
+        if (run.confirmedAt != TimePoint {})
+            note.ages.emplace_back("confirmed", toMilliseconds(sentAt - run.confirmedAt));
+        if (run.lastListedAt != TimePoint {})
+            note.ages.emplace_back("listed", toMilliseconds(sentAt - run.lastListedAt));
+        if (run.stopAcceptedAt)
+            note.ages.emplace_back("stopEffective", toMilliseconds(sentAt - *run.stopAcceptedAt));
+        return note;
+    }
+
     /// The need that capacity is counted in. Tasks with accelerators are few, and most upstreams have none.
     Resources withoutAccelerators(const Resources& need) { return { need.milliCores, need.memoryMb, 0 }; }
 
@@ -306,6 +319,8 @@
         return;
     const RunEnded* ended = withdrawal.upstream.empty() ? m_recentEnds.find(executor, run) : m_recentEnds.findAt(withdrawal.upstream, run);
     const RunStarted* released = withdrawal.upstream.empty() ? m_released.find(executor, run) : m_released.findAt(withdrawal.upstream, run);
+    if (!ended && !released)
+        noteUnknownRun(executor, withdrawal, now);
     if (ended)
         m_port.notify(executor, { {}, {}, *ended, {}, {}, {} });
     else if (released)
@@ -359,7 +374,9 @@
 
 void UpstreamOwner::recordClaim(const RunClaim& claim, const char* outcome, TimePoint receivedAt, TimePoint now)
 {
-    m_port.recordEvent({ EventKind::ClaimHandled, claim.upstream, claim.run, outcome, toMilliseconds(now - receivedAt), claim.epoch.value });
+    const OwnedUpstream* upstream = findUpstream(claim.upstream);
+    const std::optional<UpstreamEvidence> evidence = upstream ? std::optional<UpstreamEvidence>(evidenceOf(*upstream, now)) : std::nullopt;
+    m_port.recordEvent({ EventKind::ClaimHandled, claim.upstream, claim.run, outcome, toMilliseconds(now - receivedAt), claim.epoch.value, {}, evidence });
 }
 
 void UpstreamOwner::expireEarlyClaims(TimePoint now)
@@ -465,6 +482,7 @@
     owned->failedPolls = 0;
     owned->lastSuccessfulPoll = now;
     owned->startsBlocked = false;
+    reportFoundRuns(*owned, reply, restarted, sentAt, now);
     processEndedRuns(*owned, reply, now);
     reconcileRuns(*owned, reply, sentAt, now);
     if (!owned->synced)
@@ -490,6 +508,7 @@
     for (const RunEndRecord& end : reply.ended)
         known.insert(end.run);
     std::vector<TaskRun> lostRuns;
+    std::vector<RunNote> notes;
     for (auto& entry : upstream.runs) {
         OwnedRun& run = entry.second;
         if (known.count(entry.first) > 0)
@@ -497,11 +516,13 @@
         // A start that was confirmed before the poll was sent would be listed if the new incarnation had carried it out.
         if (run.confirmedAt != TimePoint {} && run.confirmedAt <= sentAt) {
             lostRuns.push_back(entry.first);
+            notes.push_back({ entry.first, run.executor, {}, "absent-after-restart", { { "confirmed", toMilliseconds(sentAt - run.confirmedAt) } } });
             continue;
         }
         run.sentToFormerIncarnation = true;
         run.stopAcceptedAt.reset();
     }
+    reportReturnedRuns(upstream, "restart", std::move(notes), sentAt, sentAt);
     for (const TaskRun& run : lostRuns) {
         const VmId executor = upstream.runs.at(run).executor;
         eraseRun(upstream, run);
@@ -518,7 +539,7 @@
     if (cause == upstream.unreachableCause)
         return;
     upstream.unreachableCause = cause;
-    m_port.recordEvent({ EventKind::Unreachable, upstream.info.id, {}, cause, toMilliseconds(now - upstream.lastSuccessfulPoll), upstream.runs.size(), runsAt(upstream) });
+    m_port.recordEvent({ EventKind::Unreachable, upstream.info.id, {}, cause, toMilliseconds(now - upstream.lastSuccessfulPoll), upstream.runs.size(), runsAt(upstream), evidenceOf(upstream, now) });
     if (reply.outcome == OrderOutcome::WrongUpstream) {
         onCrashConfirmed(upstream);
         returnLostRuns(upstream);
@@ -615,6 +636,7 @@
     if (reply.ended.size() >= endedRunsPageSize)
         return;
     std::vector<TaskRun> lostRuns;
+    std::vector<RunNote> notes;
     for (const auto& entry : upstream.runs) {
         const OwnedRun& run = entry.second;
         if (listed.count(entry.first) > 0)
@@ -623,9 +645,13 @@
         const bool stoppedBeforePoll = run.state == RunState::Stopping && run.stopAcceptedAt && *run.stopAcceptedAt < sentAt;
         // Its start order is refused from now on.
         const bool neverStarted = run.unconfirmed && !run.sentToFormerIncarnation && leaseExpiredBy(upstream, m_limits, run.startSentAt) < sentAt;
-        if (confirmedBeforePoll || stoppedBeforePoll || neverStarted)
-            lostRuns.push_back(entry.first);
+        if (!confirmedBeforePoll && !stoppedBeforePoll && !neverStarted)
+            continue;
+        lostRuns.push_back(entry.first);
+        const char* absenceBasis = confirmedBeforePoll ? "absent" : "start-lease-expired";
+        notes.push_back(noteOfAbsence(run, stoppedBeforePoll ? "absent-after-stop" : absenceBasis, sentAt));
     }
+    reportReturnedRuns(upstream, "poll", std::move(notes), sentAt, now);
     for (const TaskRun& run : lostRuns) {
         const VmId executor = upstream.runs.at(run).executor;
         eraseRun(upstream, run);
@@ -810,6 +836,7 @@
     updateCrashingRoutes();
     expireQueuedRuns(now);
     expireEarlyClaims(now);
+    reportUnknownRuns();
     std::vector<UpstreamId> expiredUpstreams;
     for (auto& entry : m_upstreams) {
         OwnedUpstream& upstream = entry.second;
@@ -820,7 +847,7 @@
         const bool unreachable = (upstream.synced && upstream.failedPolls >= failedPollsBeforeUnreachable) || upstream.unlisted;
         if (unreachable && now > upstream.leasesExpiredBy && !upstream.runs.empty()) {
             takeBackUnsentRuns(upstream, now);
-            m_port.recordEvent({ EventKind::RunsLost, entry.first, {}, upstream.unlisted ? "unlisted" : upstream.unreachableCause, toMilliseconds(now - upstream.lastSuccessfulPoll), upstream.runs.size(), runsAt(upstream) });
+            m_port.recordEvent({ EventKind::RunsLost, entry.first, {}, upstream.unlisted ? "unlisted" : upstream.unreachableCause, toMilliseconds(now - upstream.lastSuccessfulPoll), upstream.runs.size(), runsAt(upstream), evidenceOf(upstream, now) });
             reportSuspectedCrash(upstream);
             returnLostRuns(upstream);
         }
--- a/packages/fleet/src/dispatch_service.cpp
+++ b/packages/fleet/src/dispatch_service.cpp
@@ -4,6 +4,7 @@
 #include <map>
 
 #include <egrettrestle/fleet/caller_server.hpp>
+#include <egrettrestle/fleet/decision_log.hpp>
 #include <egrettrestle/fleet/peer_links.hpp>
 #include <egrettrestle/fleet/upstream_links.hpp>
 
@@ -31,79 +32,6 @@
         return limits;
     }
 
-    std::string runToString(const TaskRun& run)
-    {
-        if (run.task.job.empty())
-            return {};
-        return run.task.job + '.' + std::to_string(run.task.step) + '.' + std::to_string(run.task.index) + '#' + std::to_string(run.number);
-    }
-
-    /// Lists runs, each with its route and the number of earlier crashes under its task, separated by spaces.
-    std::string runsToString(const std::vector<LostRun>& runs)
-    {
-        std::string text;
-        for (const LostRun& lost : runs)
-            text += (text.empty() ? "" : " ") + runToString(lost.run) + '/' + lost.route + '/' + std::to_string(lost.crashes);
-        return text;
-    }
-
-    const Event& eventOf(OwnerEvent::Kind kind)
-    {
-        static const std::map<OwnerEvent::Kind, const Event*> events {
-            { OwnerEvent::Kind::Owned, &events::upstreamOwned },
-            { OwnerEvent::Kind::Released, &events::upstreamReleased },
-            { OwnerEvent::Kind::Paused, &events::upstreamPaused },
-            { OwnerEvent::Kind::Resumed, &events::upstreamResumed },
-            { OwnerEvent::Kind::Fenced, &events::upstreamFenced },
-            { OwnerEvent::Kind::Restarted, &events::upstreamRestarted },
-            { OwnerEvent::Kind::Unreachable, &events::upstreamUnreachable },
-            { OwnerEvent::Kind::Reachable, &events::upstreamReachable },
-            { OwnerEvent::Kind::RunsLost, &events::runsLost },
-            { OwnerEvent::Kind::StartUnanswered, &events::startUnanswered },
-            { OwnerEvent::Kind::RunStopped, &events::runStopped },
-            { OwnerEvent::Kind::RequestExpired, &events::requestExpired },
-            { OwnerEvent::Kind::ClaimHandled, &events::claimHandled },
-            { OwnerEvent::Kind::WaitsEnded, &events::waitsEnded },
-        };
-        return *events.at(kind);
-    }
-
-    const Event& eventOf(JobEvent::Kind kind)
-    {
-        static const std::map<JobEvent::Kind, const Event*> events {
-            { JobEvent::Kind::Answered, &events::jobAnswered },
-            { JobEvent::Kind::Refused, &events::jobRefused },
-            { JobEvent::Kind::GaveUp, &events::jobGivenUp },
-            { JobEvent::Kind::Resent, &events::jobAnswered },
-            { JobEvent::Kind::CallerDisconnected, &events::jobGivenUp },
-            { JobEvent::Kind::ClaimSent, &events::runClaimed },
-        };
-        return *events.at(kind);
-    }
-
-    const Event& eventOf(EvacuationEvent::Kind kind)
-    {
-        static const std::map<EvacuationEvent::Kind, const Event*> events {
-            { EvacuationEvent::Kind::Begun, &events::evacuationBegun },
-            { EvacuationEvent::Kind::Ended, &events::evacuationEnded },
-            { EvacuationEvent::Kind::Empty, &events::dataCentreEmpty },
-        };
-        return *events.at(kind);
-    }
-
-    const char* outcomeName(JobEvent::Kind kind)
-    {
-        switch (kind) {
-        case JobEvent::Kind::Refused:
-            return "refused";
-        case JobEvent::Kind::GaveUp:
-        case JobEvent::Kind::CallerDisconnected:
-            return "given-up";
-        default:
-            return "complete";
-        }
-    }
-
 }
 
 DispatchService::DispatchService(FleetContext& context)
@@ -255,25 +183,27 @@
     }
     if (event.kind == OwnerEvent::Kind::WaitsEnded)
         m_context.metrics.countWaits(event.cause, event.count);
-    m_context.log.write(eventOf(event.kind), { { "request", event.run.task.job }, { "run", runToString(event.run) }, { "upstream", event.upstream }, { "cause", event.cause }, { "ageMs", event.age.count() }, { "count", static_cast<std::int64_t>(event.count) }, { "runs", runsToString(event.runs) } });
+    if (event.kind == OwnerEvent::Kind::RunsPastEnd)
+        m_context.metrics.countRunsPastEnd(event.cause, event.count);
+    if (event.kind == OwnerEvent::Kind::RunsUnclaimed)
+        m_context.metrics.countUnclaimedRuns(event.cause, event.count);
+    writeEvent(m_context.log, event);
 }
 
 void DispatchService::recordEvent(const JobEvent& event)
 {
-    if (event.kind != JobEvent::Kind::ClaimSent)
+    if (isOutcome(event.kind))
         m_context.metrics.countJob(event.route, outcomeName(event.kind), event.reason);
     if (event.kind == JobEvent::Kind::Answered)
         m_context.metrics.observeResponse(event.route, event.age);
-    if (event.kind == JobEvent::Kind::Refused) {
-        m_context.log.write(eventOf(event.kind), { { "request", event.job }, { "route", event.route }, { "reason", event.reason }, { "expectedMs", event.expectedRunTime.count() }, { "expectedWaitMs", event.expectedWait.count() }, { "free", event.capacity.freeTasks }, { "total", event.capacity.totalTasks }, { "ahead", event.capacity.tasksAhead }, { "tasks", static_cast<std::int64_t>(event.tasks) } });
-        return;
-    }
-    m_context.log.write(eventOf(event.kind), { { "request", event.job }, { "route", event.route }, { "outcome", outcomeName(event.kind) }, { "reason", event.reason }, { "ageMs", event.age.count() }, { "tasks", static_cast<std::int64_t>(event.tasks) }, { "resent", static_cast<std::int64_t>(event.resentTasks) } });
+    for (const ResentRun& resend : event.resends)
+        m_context.metrics.countResentRun(resend.earlier.basis);
+    writeEvent(m_context.log, event);
 }
 
 void DispatchService::recordEvent(const EvacuationEvent& event)
 {
-    m_context.log.write(eventOf(event.kind), { { "dataCentre", event.dataCentre }, { "revision", static_cast<std::int64_t>(event.revision) }, { "source", event.source == EvacuationSource::Store ? "store" : "peer" }, { "upstreams", static_cast<std::int64_t>(event.upstreams) }, { "owned", static_cast<std::int64_t>(event.ownUpstreams) }, { "runs", static_cast<std::int64_t>(event.ownRuns) } });
+    writeEvent(m_context.log, event);
 }
 
 void DispatchService::onOwnedUpstreamsChanged()
--- a/tests/unit/unit-job-executor.cpp
+++ b/tests/unit/unit-job-executor.cpp
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <iterator>
+
 #include <catch2/catch.hpp>
 
 #include <egrettrestle/decision/job_executor.hpp>
@@ -887,3 +890,222 @@
     fixture.executor.onEnded("y", { run, "u", RunOutcome::Failed, {}, "a" }, fixture.now);
     CHECK(fixture.port.replies.empty());
 }
+
+namespace {
+
+/// The events of one kind that the executor has reported.
+std::vector<JobEvent> eventsOfKind(const ExecutorFixture& fixture, JobEvent::Kind kind)
+{
+    std::vector<JobEvent> found;
+    std::copy_if(fixture.port.events.begin(), fixture.port.events.end(), std::back_inserter(found), [kind](const JobEvent& event) { return event.kind == kind; });
+    return found;
+}
+
+Milliseconds ageNamed(const RunNote& note, const std::string& name)
+{
+    const auto found = std::find_if(note.ages.begin(), note.ages.end(), [&name](const auto& age) { return name == age.first; });
+    REQUIRE(found != note.ages.end());
+    return found->second;
+}
+
+}
+
+// Guards against a second run of a task of which no log says on what the first one was considered over.
+TEST_CASE("executor reports on what the earlier run of a task that is sent again is considered over")
+{
+    ExecutorFixture fixture;
+    const auto tick = [&fixture](Milliseconds time) {
+        fixture.now += time;
+        fixture.executor.tick(fixture.now);
+    };
+    const auto resends = [&fixture] { return eventsOfKind(fixture, JobEvent::Kind::Resent); };
+    fixture.executor.onOwnersChanged({ { "u1", "x" } }, FencingToken { 7 }, {}, fixture.now);
+
+    SECTION("with both runs, their owners, the upstream, the ages and the view")
+    {
+        fixture.submit(jobOf("j", 1));
+        const VmId owner = fixture.port.sent[0].vm;
+        const TaskRun first = fixture.request(0).run;
+        fixture.executor.onStarted(owner, { first, "u1", FencingToken { 7 } }, fixture.now);
+        fixture.now += Milliseconds { 30 };
+        fixture.executor.onReturned(owner, { first, ReturnReason::Lost }, fixture.now);
+        REQUIRE(fixture.port.sent.size() == 2);
+        tick(Milliseconds { 20 });
+        REQUIRE(resends().size() == 1);
+        const JobEvent event = resends()[0];
+        CHECK(event.job == "j");
+        CHECK(event.epoch == FencingToken { 7 });
+        CHECK(event.reportDelay == Milliseconds { 20 });
+        REQUIRE(event.resends.size() == 1);
+        const ResentRun& resend = event.resends[0];
+        CHECK(resend.earlier.run == first);
+        CHECK(resend.earlier.vm == owner);
+        CHECK(resend.earlier.upstream == "u1");
+        CHECK(resend.earlier.basis == "returned-lost");
+        CHECK(ageNamed(resend.earlier, "sent") == Milliseconds { 30 });
+        CHECK(ageNamed(resend.earlier, "stated") == Milliseconds { 0 });
+        CHECK(resend.statedBy == owner);
+        CHECK(resend.run == 2);
+        CHECK(resend.owner == fixture.port.sent[1].vm);
+    }
+
+    SECTION("in one line for the tasks of a job that are sent again at one moment, and in another for those of the next")
+    {
+        fixture.submit(jobOf("j", 3));
+        REQUIRE(fixture.port.sent.size() == 3);
+        for (std::size_t index = 0; index < 2; ++index)
+            fixture.executor.onEnded(fixture.port.sent[index].vm, { fixture.request(index).run, "u1", RunOutcome::LeaseExpired }, fixture.now);
+        fixture.now += Milliseconds { 1 };
+        fixture.executor.onEnded(fixture.port.sent[2].vm, { fixture.request(2).run, "u1", RunOutcome::Failed }, fixture.now);
+        tick(Milliseconds { 20 });
+        REQUIRE(resends().size() == 2);
+        CHECK(resends()[0].resends.size() == 2);
+        CHECK(resends()[0].resends[1].earlier.basis == "ended-lapsed");
+        REQUIRE(resends()[1].resends.size() == 1);
+        CHECK(resends()[1].resends[0].earlier.basis == "ended-failed");
+        tick(Milliseconds { 20 });
+        CHECK(resends().size() == 2);
+    }
+
+    SECTION("with the age of the statement, for a task that could not be sent at once")
+    {
+        fixture.submit(jobOf("j", 1));
+        fixture.executor.setCallersUncheckedSince(fixture.now);
+        fixture.executor.onEnded(fixture.port.sent[0].vm, { fixture.request(0).run, "u1", RunOutcome::Stopped }, fixture.now);
+        tick(Milliseconds { 50 });
+        CHECK(resends().empty());
+        fixture.executor.setCallersUncheckedSince({});
+        tick(Milliseconds { 50 });
+        tick(Milliseconds { 20 });
+        REQUIRE(resends().size() == 1);
+        CHECK(resends()[0].resends[0].earlier.basis == "ended-stopped");
+        CHECK(ageNamed(resends()[0].resends[0].earlier, "stated") == Milliseconds { 100 });
+    }
+
+    SECTION("with the VM that said so, if it is not the run's owner")
+    {
+        fixture.submit(jobOf("j", 1));
+        const TaskRun first = fixture.request(0).run;
+        fixture.executor.onStarted(fixture.port.sent[0].vm, { first, "u1", FencingToken { 7 } }, fixture.now);
+        fixture.executor.onEnded("z", { first, "u1", RunOutcome::Stopped }, fixture.now);
+        tick(Milliseconds { 20 });
+        REQUIRE(resends().size() == 1);
+        CHECK(resends()[0].resends[0].statedBy == "z");
+    }
+
+    SECTION("with itself as the VM that said so, for a lost owner and for one that has restarted")
+    {
+        fixture.submit(jobOf("j", 1));
+        fixture.executor.onOwnerLost(fixture.port.sent[0].vm, fixture.now);
+        REQUIRE(fixture.port.sent.size() == 2);
+        fixture.executor.onOwnerRestarted(fixture.port.sent[1].vm, fixture.now);
+        tick(fixture.limits.orphanedRunTimeout + Milliseconds { 1 });
+        tick(Milliseconds { 20 });
+        REQUIRE(resends().size() == 2);
+        CHECK(resends()[0].resends[0].earlier.basis == "owner-lost");
+        CHECK(resends()[0].resends[0].statedBy == "x");
+        CHECK(resends()[1].resends[0].earlier.basis == "orphan-time-over");
+        CHECK(resends()[1].resends[0].statedBy == "x");
+    }
+
+    SECTION("also if the job is done before the next tick, and not for a task that is sent once")
+    {
+        fixture.submit(jobOf("j", 1));
+        fixture.submit(jobOf("k", 1), 2);
+        fixture.executor.onReturned(fixture.port.sent[0].vm, { fixture.request(0).run, ReturnReason::Unschedulable }, fixture.now);
+        fixture.endAll(RunOutcome::Done);
+        CHECK(fixture.executor.jobs() == 0);
+        REQUIRE(resends().size() == 1);
+        CHECK(resends()[0].job == "j");
+        CHECK(resends()[0].resends[0].earlier.basis == "returned-unschedulable");
+    }
+}
+
+// Guards against runs of a job that has ended of which no log says by when they had to be over, and whether they were.
+TEST_CASE("executor reports the runs that it withdraws when a job ends, and when they are over too late")
+{
+    ExecutorFixture fixture;
+    const auto withdrawn = [&fixture] { return eventsOfKind(fixture, JobEvent::Kind::RunsWithdrawn); };
+    const auto outlived = [&fixture] { return eventsOfKind(fixture, JobEvent::Kind::RunsOutlived); };
+    fixture.submit(jobOf("j", 2));
+    REQUIRE(fixture.port.sent.size() == 2);
+    fixture.executor.onStarted(fixture.port.sent[0].vm, { fixture.request(0).run, "u1", {} }, fixture.now);
+    fixture.now += Milliseconds { 100 };
+    const auto endRun = [&fixture](std::size_t index) { fixture.executor.onEnded(fixture.port.sent[index].vm, { fixture.request(index).run, "u1", RunOutcome::Stopped }, fixture.now); };
+
+    SECTION("with their number, the reason, and the time that they have left")
+    {
+        fixture.executor.onCallerDisconnected(1, fixture.now);
+        REQUIRE(withdrawn().size() == 1);
+        const JobEvent event = withdrawn()[0];
+        CHECK(event.reason == "caller-left");
+        CHECK(event.withdrawnRuns == 2);
+        CHECK(event.endIn == fixture.limits.withdrawnRunLimit);
+        CHECK_FALSE(event.callersUncheckedFor);
+        REQUIRE(event.runs.size() == 2);
+        CHECK(event.runs[0].run == fixture.request(0).run);
+        CHECK(event.runs[0].vm == fixture.port.sent[0].vm);
+        CHECK(event.runs[0].upstream == "u1");
+        CHECK(event.runs[0].basis == "started");
+        CHECK(event.runs[1].basis == "requested");
+        CHECK(ageNamed(event.runs[1], "sent") == Milliseconds { 100 });
+    }
+
+    SECTION("with the time for which callers were unchecked, which the runs do not have")
+    {
+        fixture.executor.setCallersUncheckedSince(fixture.now - Milliseconds { 80 });
+        fixture.executor.onCallerDisconnected(1, fixture.now);
+        REQUIRE(withdrawn().size() == 1);
+        CHECK(withdrawn()[0].callersUncheckedFor == Milliseconds { 80 });
+        CHECK(withdrawn()[0].endIn == fixture.limits.withdrawnRunLimit - Milliseconds { 80 });
+    }
+
+    SECTION("not for a job that is done")
+    {
+        fixture.endAll(RunOutcome::Done);
+        CHECK(fixture.executor.jobs() == 0);
+        CHECK(withdrawn().empty());
+        CHECK(outlived().empty());
+    }
+
+    SECTION("nothing more if the last of them is over in time")
+    {
+        fixture.executor.onCallerDisconnected(1, fixture.now);
+        endRun(0);
+        fixture.now += fixture.limits.withdrawnRunLimit;
+        endRun(1);
+        CHECK(fixture.executor.jobs() == 0);
+        CHECK(outlived().empty());
+    }
+
+    SECTION("once, with the last run, how late it is and on what it is considered over")
+    {
+        fixture.executor.onCallerDisconnected(1, fixture.now);
+        fixture.now += fixture.limits.withdrawnRunLimit + Milliseconds { 5 };
+        endRun(0);
+        CHECK(outlived().empty());
+        fixture.now += Milliseconds { 7 };
+        endRun(1);
+        CHECK(fixture.executor.jobs() == 0);
+        REQUIRE(outlived().size() == 1);
+        const JobEvent event = outlived()[0];
+        CHECK(event.reason == "caller-left");
+        CHECK(event.withdrawnRuns == 2);
+        CHECK(event.sinceEnd == fixture.limits.withdrawnRunLimit + Milliseconds { 12 });
+        CHECK(event.late == Milliseconds { 12 });
+        REQUIRE(event.runs.size() == 1);
+        CHECK(event.runs[0].run == fixture.request(1).run);
+        CHECK(event.runs[0].basis == "ended-stopped");
+    }
+
+    SECTION("also if no owner ever confirms it")
+    {
+        fixture.executor.onCallerDisconnected(1, fixture.now);
+        endRun(0);
+        fixture.now += Seconds { 10 };
+        fixture.executor.tick(fixture.now);
+        CHECK(fixture.executor.jobs() == 0);
+        REQUIRE(outlived().size() == 1);
+        CHECK(outlived()[0].runs[0].basis == "withdrawal-unconfirmed");
+    }
+}
--- a/tests/unit/unit-upstream-owner.cpp
+++ b/tests/unit/unit-upstream-owner.cpp
@@ -1,3 +1,6 @@
+#include <algorithm>
+#include <iterator>
+
 #include <catch2/catch.hpp>
 
 #include <egrettrestle/decision/job_executor.hpp>
@@ -1216,3 +1219,250 @@
         CHECK(fixture.lastMessage().started);
     }
 }
+
+namespace {
+
+/// The events of one kind that the owner has reported.
+std::vector<OwnerEvent> eventsOfKind(const OwnerFixture& fixture, OwnerEvent::Kind kind)
+{
+    std::vector<OwnerEvent> found;
+    std::copy_if(fixture.port.events.begin(), fixture.port.events.end(), std::back_inserter(found), [kind](const OwnerEvent& event) { return event.kind == kind; });
+    return found;
+}
+
+/// An age of a run; a negative one if it is not reported.
+Milliseconds ageNamed(const RunNote& note, const std::string& name)
+{
+    const auto found = std::find_if(note.ages.begin(), note.ages.end(), [&name](const auto& age) { return name == age.first; });
+    return found == note.ages.end() ? Milliseconds { -1 } : found->second;
+}
+
+}
+
+// Guards against runs that go on beside those of a later submission, which only the bench would see.
+TEST_CASE("owner reports runs that it finds past the time by which they had to be over")
+{
+    OwnerFixture fixture;
+    fixture.poll(fixture.reply());
+    const TaskRun run = fixture.startOne("j");
+    const TimePoint endBy = fixture.now + Milliseconds { 300 };
+    fixture.owner.withdraw("x", { run, false, "u1", endBy }, fixture.now);
+    const auto reports = [&fixture] { return eventsOfKind(fixture, OwnerEvent::Kind::RunsPastEnd); };
+
+    SECTION("once when a poll sent after that time lists the run, and again when it ends")
+    {
+        fixture.advance(Milliseconds { 340 });
+        fixture.poll(fixture.reply({ run }));
+        REQUIRE(reports().size() == 1);
+        CHECK(reports()[0].cause == "listed");
+        CHECK(reports()[0].upstream == "u1");
+        CHECK(reports()[0].count == 1);
+        REQUIRE(reports()[0].evidence);
+        CHECK(reports()[0].evidence->token == token);
+        REQUIRE(reports()[0].notes.size() == 1);
+        CHECK(reports()[0].notes[0].run == run);
+        CHECK(reports()[0].notes[0].vm == "x");
+        CHECK(reports()[0].notes[0].basis == "stop-unanswered");
+        CHECK(ageNamed(reports()[0].notes[0], "late") == Milliseconds { 40 });
+        CHECK(ageNamed(reports()[0].notes[0], "stopSent") == Milliseconds { 340 });
+        fixture.advance(Milliseconds { 50 });
+        fixture.poll(fixture.reply({ run }));
+        CHECK(reports().size() == 1);
+        fixture.owner.onStopReply(fixture.port.stops.back(), { OrderOutcome::Accepted, std::nullopt }, fixture.now);
+        fixture.advance(Milliseconds { 60 });
+        fixture.poll(fixture.reply({}, { fixture.end(run, RunOutcome::Stopped) }));
+        REQUIRE(reports().size() == 2);
+        CHECK(reports()[1].cause == "ended");
+        CHECK(reports()[1].notes[0].basis == "stop-accepted");
+        CHECK(ageNamed(reports()[1].notes[0], "late") == Milliseconds { 90 });
+        CHECK(ageNamed(reports()[1].notes[0], "lateAtMost") == Milliseconds { 150 });
+    }
+
+    SECTION("not for a poll that was sent before that time, whose reply may have been late")
+    {
+        const PollOrder order = *fixture.owner.nextPoll("u1", fixture.now);
+        const TimePoint sentAt = fixture.now;
+        fixture.advance(Milliseconds { 340 });
+        fixture.owner.onPollReply("u1", order, fixture.reply({ run }), sentAt, fixture.now);
+        CHECK(reports().empty());
+    }
+
+    SECTION("not for a run that ends in time")
+    {
+        fixture.advance(Milliseconds { 300 });
+        fixture.poll(fixture.reply({}, { fixture.end(run, RunOutcome::Stopped) }));
+        CHECK(reports().empty());
+    }
+
+    SECTION("not for a run whose job goes on")
+    {
+        const TaskRun other = fixture.startOne("k");
+        fixture.advance(Milliseconds { 200 });
+        fixture.poll(fixture.reply({ other }, { fixture.end(run, RunOutcome::Stopped) }));
+        fixture.advance(Milliseconds { 200 });
+        fixture.poll(fixture.reply({ other }));
+        fixture.poll(fixture.reply({}, { fixture.end(other, RunOutcome::Done) }));
+        CHECK(reports().empty());
+    }
+}
+
+// Guards against runs at an upstream that its owner did not start, of which no log says when they were found and under what
+// token.
+TEST_CASE("owner reports the runs that a poll lists and it does not know, in one event for each poll")
+{
+    OwnerFixture fixture;
+    const auto reports = [&fixture] { return eventsOfKind(fixture, OwnerEvent::Kind::RunsUnclaimed); };
+    const TaskRun first { { "j", 0, 0 }, 1 };
+    const TaskRun second { { "k", 0, 0 }, 1 };
+
+    SECTION("the first one, once for each run")
+    {
+        fixture.poll(fixture.reply({ first, second }));
+        REQUIRE(reports().size() == 1);
+        CHECK(reports()[0].cause == "first-poll");
+        CHECK(reports()[0].upstream == "u1");
+        CHECK(reports()[0].count == 2);
+        REQUIRE(reports()[0].evidence);
+        CHECK(reports()[0].evidence->token == token);
+        REQUIRE(reports()[0].notes.size() == 2);
+        CHECK(reports()[0].notes[1].run == second);
+        fixture.poll(fixture.reply({ first, second }));
+        CHECK(reports().size() == 1);
+    }
+
+    SECTION("a later one")
+    {
+        fixture.poll(fixture.reply());
+        fixture.poll(fixture.reply({ first }));
+        REQUIRE(reports().size() == 1);
+        CHECK(reports()[0].cause == "later-poll");
+    }
+
+    SECTION("one that shows a restart")
+    {
+        fixture.poll(fixture.reply());
+        PollReply restarted = fixture.reply({ first });
+        restarted.startedAt = Milliseconds { 2'000 };
+        fixture.poll(restarted);
+        REQUIRE(reports().size() == 1);
+        CHECK(reports()[0].cause == "restarted");
+        REQUIRE(reports()[0].evidence);
+        CHECK(reports()[0].evidence->startedAt == Milliseconds { 2'000 });
+    }
+
+    SECTION("not a run that was claimed or started here, nor one that has ended")
+    {
+        fixture.owner.claim("x", { first, "u1", token }, fixture.now);
+        fixture.poll(fixture.reply({ first }));
+        const TaskRun own = fixture.startOne("own");
+        fixture.poll(fixture.reply({ first, own }));
+        fixture.poll(fixture.reply({ first }, { fixture.end(own, RunOutcome::Done) }));
+        fixture.poll(fixture.reply({ first, own }));
+        CHECK(reports().empty());
+    }
+}
+
+// Guards against a task that is started again although its run goes on, where no log says why the owner returned the run.
+TEST_CASE("owner reports on what it returns runs as lost")
+{
+    OwnerFixture fixture;
+    fixture.poll(fixture.reply());
+    const auto reports = [&fixture] { return eventsOfKind(fixture, OwnerEvent::Kind::RunsReturnedLost); };
+
+    SECTION("a poll that does not list a confirmed run")
+    {
+        const TaskRun run = fixture.startOne("j");
+        fixture.advance(Milliseconds { 10 });
+        fixture.poll(fixture.reply({ run }));
+        const PollOrder order = *fixture.owner.nextPoll("u1", fixture.now + Milliseconds { 20 });
+        const TimePoint sentAt = fixture.now + Milliseconds { 20 };
+        fixture.advance(Milliseconds { 50 });
+        fixture.owner.onPollReply("u1", order, fixture.reply(), sentAt, fixture.now);
+        REQUIRE(reports().size() == 1);
+        CHECK(reports()[0].cause == "poll");
+        CHECK(reports()[0].age == Milliseconds { 30 });
+        REQUIRE(reports()[0].evidence);
+        CHECK(reports()[0].evidence->token == token);
+        CHECK(reports()[0].evidence->leaseExpiredFor.count() < 0);
+        REQUIRE(reports()[0].notes.size() == 1);
+        CHECK(reports()[0].notes[0].run == run);
+        CHECK(reports()[0].notes[0].vm == "x");
+        CHECK(reports()[0].notes[0].basis == "absent");
+        CHECK(ageNamed(reports()[0].notes[0], "confirmed") == Milliseconds { 30 });
+        CHECK(ageNamed(reports()[0].notes[0], "listed") == Milliseconds { 20 });
+    }
+
+    SECTION("a poll after an accepted stop")
+    {
+        const TaskRun run = fixture.startOne("j");
+        fixture.owner.withdraw("x", { run, false, "u1" }, fixture.now);
+        fixture.owner.onStopReply(fixture.port.stops.back(), { OrderOutcome::Accepted, std::nullopt }, fixture.now);
+        fixture.advance(fixture.limits.maxStopDuration + Milliseconds { 7 });
+        fixture.poll(fixture.reply());
+        REQUIRE(reports().size() == 1);
+        CHECK(reports()[0].notes[0].basis == "absent-after-stop");
+        CHECK(ageNamed(reports()[0].notes[0], "stopEffective") == Milliseconds { 7 });
+    }
+
+    SECTION("a restart of the upstream")
+    {
+        fixture.startOne("j");
+        PollReply restarted = fixture.reply();
+        restarted.startedAt = Milliseconds { 2'000 };
+        fixture.advance(Milliseconds { 10 });
+        fixture.poll(restarted);
+        REQUIRE(reports().size() == 1);
+        CHECK(reports()[0].cause == "restart");
+        CHECK(reports()[0].notes[0].basis == "absent-after-restart");
+    }
+
+    SECTION("withdrawn runs that it does not know, in one event, with what it knows of their upstreams")
+    {
+        fixture.owner.acquire(upstreamNamed("u2"), token, fixture.now);
+        fixture.owner.withdraw("x", { { { "j", 0, 0 }, 1 }, false, "u1" }, fixture.now);
+        fixture.owner.withdraw("x", { { { "j", 0, 1 }, 1 }, false, "u2" }, fixture.now);
+        fixture.owner.withdraw("x", { { { "j", 0, 2 }, 1 }, false, "u3" }, fixture.now);
+        fixture.owner.withdraw("x", { { { "j", 0, 3 }, 1 }, false, {} }, fixture.now);
+        fixture.owner.tick(fixture.now);
+        REQUIRE(reports().size() == 1);
+        CHECK(reports()[0].cause == "unknown-run");
+        REQUIRE(reports()[0].notes.size() == 4);
+        CHECK(reports()[0].notes[0].basis == "not-listed");
+        CHECK(reports()[0].notes[1].basis == "not-polled");
+        CHECK(reports()[0].notes[2].basis == "not-owned");
+        CHECK(reports()[0].notes[3].basis == "no-upstream-named");
+        CHECK(reports()[0].notes[3].vm == "x");
+        fixture.owner.tick(fixture.now);
+        CHECK(reports().size() == 1);
+    }
+
+    SECTION("a claim of a run that no poll lists")
+    {
+        fixture.advance(Milliseconds { 25 });
+        fixture.owner.claim("x", { { { "j", 0, 0 }, 1 }, "u1", token }, fixture.now);
+        const std::vector<OwnerEvent> claims = eventsOfKind(fixture, OwnerEvent::Kind::ClaimHandled);
+        REQUIRE(claims.size() == 1);
+        CHECK(claims[0].cause == "lost");
+        REQUIRE(claims[0].evidence);
+        CHECK(claims[0].evidence->synced);
+        CHECK(claims[0].evidence->pollAge == Milliseconds { 25 });
+        CHECK(claims[0].evidence->clockAge == Milliseconds { 25 });
+    }
+
+    SECTION("an expired lease")
+    {
+        fixture.startOne("j");
+        for (int failure = 0; failure < 5; ++failure) {
+            fixture.advance(Milliseconds { 400 });
+            fixture.failPoll();
+        }
+        fixture.owner.tick(fixture.now);
+        const std::vector<OwnerEvent> lost = eventsOfKind(fixture, OwnerEvent::Kind::RunsLost);
+        REQUIRE(lost.size() == 1);
+        REQUIRE(lost[0].evidence);
+        CHECK(lost[0].evidence->token == token);
+        CHECK(lost[0].evidence->pollAge == Seconds { 2 });
+        CHECK(lost[0].evidence->leaseExpiredFor > Milliseconds { 0 });
+        CHECK(lost[0].evidence->leaseExpiredFor < Seconds { 2 } - fixture.limits.leaseDuration);
+    }
+}
