Show what runs are considered over in the traces of the exploration

A trace said that an executor sent a task again, by the message that it sent, but not on which statement; nor did it show the owner's lines about runs past their end, unclaimed runs and what returned-lost stands on.

--- a/tests/model/dispatch_simulation.cpp
+++ b/tests/model/dispatch_simulation.cpp
@@ -58,6 +58,14 @@
         return run.task.job + '.' + std::to_string(run.task.index) + '#' + std::to_string(run.number);
     }
 
+    std::string textOf(const RunNote& note)
+    {
+        std::string text = textOf(note.run) + ' ' + note.vm + ' ' + note.upstream + ' ' + note.basis;
+        for (const auto& age : note.ages)
+            text += std::string(" ") + age.first + ' ' + std::to_string(age.second.count());
+        return text;
+    }
+
     const char* nameOf(OrderOutcome outcome)
     {
         static const std::map<OrderOutcome, const char*> names {
@@ -109,6 +117,9 @@
             { OwnerEvent::Kind::StartUnanswered, "start-unanswered" },
             { OwnerEvent::Kind::RunStopped, "run-stopped" },
             { OwnerEvent::Kind::ClaimHandled, "claim-handled" },
+            { OwnerEvent::Kind::RunsPastEnd, "runs-past-end" },
+            { OwnerEvent::Kind::RunsUnclaimed, "runs-unclaimed" },
+            { OwnerEvent::Kind::RunsReturnedLost, "runs-returned-lost" },
         };
         const auto found = names.find(kind);
         return found == names.end() ? nullptr : found->second;
@@ -290,11 +301,18 @@
             simulation.note(event.run.task.job, text + ' ' + textOf(event.run));
         for (const LostRun& lost : event.runs)
             simulation.note(lost.run.task.job, text + ' ' + textOf(lost.run));
+        for (const RunNote& note : event.notes)
+            simulation.note(note.run.task.job, text + ' ' + textOf(note));
     }
     void recordEvent(const EvacuationEvent&) override { }
     void recordEvent(const JobEvent& event) override
     {
-        simulation.note(event.job, vmId(number) + " job event " + std::to_string(static_cast<int>(event.kind)) + ' ' + event.reason + " age " + std::to_string(event.age.count()));
+        const std::string text = vmId(number) + " job event " + std::to_string(static_cast<int>(event.kind)) + ' ' + event.reason + " age " + std::to_string(event.age.count());
+        simulation.note(event.job, text);
+        for (const RunNote& note : event.runs)
+            simulation.note(event.job, text + ' ' + textOf(note));
+        for (const ResentRun& resend : event.resends)
+            simulation.note(event.job, text + ' ' + textOf(resend.earlier) + " said by " + resend.statedBy + ", now run " + std::to_string(resend.run) + " at " + resend.owner);
     }
     void onOwnedUpstreamsChanged() override
     {
