Tell a withdrawn run that is there unclaimed from one that is not there

An owner that answers a withdrawal with lost reported the run as not listed by its last poll also if the run was there without an executor, or for another one. The line now says so.

--- a/packages/decision/src/upstream_owner_statements.cpp
+++ b/packages/decision/src/upstream_owner_statements.cpp
@@ -25,11 +25,14 @@
         return note;
     }
 
-    /// Why a run is not known that was withdrawn from an upstream; null for one that is not owned.
-    const char* basisOfUnknownRun(const OwnedUpstream* upstream)
+    /// Why a run is not known as one of the executor that has withdrawn it from an upstream; null for one that is not owned.
+    const char* basisOfUnknownRun(const OwnedUpstream* upstream, const TaskRun& run)
     {
         if (!upstream)
             return "not-owned";
+        const auto found = upstream->runs.find(run);
+        if (found != upstream->runs.end())
+            return found->second.executor.empty() ? "there-unclaimed" : "there-for-another-executor";
         return upstream->synced ? "not-listed" : "not-polled";
     }
 
@@ -101,7 +104,7 @@
     if (upstream)
         note.ages.emplace_back("poll", toMilliseconds(now - upstream->lastSuccessfulPoll));
     if (!withdrawal.upstream.empty())
-        note.basis = basisOfUnknownRun(upstream);
+        note.basis = basisOfUnknownRun(upstream, withdrawal.run);
     m_unknownRuns.push_back(std::move(note));
 }
 
--- a/tests/unit/unit-upstream-owner.cpp
+++ b/tests/unit/unit-upstream-owner.cpp
@@ -1436,6 +1436,20 @@
         CHECK(reports().size() == 1);
     }
 
+    SECTION("withdrawn runs that are there, but not as runs of the executor")
+    {
+        const TaskRun unclaimed { { "j", 0, 0 }, 1 };
+        const TaskRun other = fixture.startOne("k");
+        fixture.poll(fixture.reply({ unclaimed, other }));
+        fixture.owner.withdraw("y", { unclaimed, false, "u1" }, fixture.now);
+        fixture.owner.withdraw("y", { other, false, "u1" }, fixture.now);
+        fixture.owner.tick(fixture.now);
+        REQUIRE(reports().size() == 1);
+        REQUIRE(reports()[0].notes.size() == 2);
+        CHECK(reports()[0].notes[0].basis == "there-unclaimed");
+        CHECK(reports()[0].notes[1].basis == "there-for-another-executor");
+    }
+
     SECTION("a claim of a run that no poll lists")
     {
         fixture.advance(Milliseconds { 25 });
