--- a/tests/model/unit-dispatch-rules.cpp
+++ b/tests/model/unit-dispatch-rules.cpp
@@ -151,9 +151,10 @@
 DispatchFaults withLeavingCallersAndAllFaults()
 {
     DispatchFaults faults { 0.03, 0.03, 0.03, 3, 2, 3, 2, 0.05, 1 };
-    faults.freezes = 1;
-    faults.stallSeries = 1;
+    faults.freezes = 4;
+    faults.lateStopPeriods = 6;
     faults.longTaskProbability = 0.3;
+    faults.brokenConnectionProbability = 0.5;
     return faults;
 }
 
@@ -195,7 +196,7 @@
     constexpr std::uint64_t maxSchedules = 400;
     const RuleCase cases[] = {
         { "withdrawn run limit", &DispatchRules::withdrawnRunLimit, withLeavingCallers(0, 6, 0.2), 600'000 },
-        { "pause check", &DispatchRules::pauseCheck, withLeavingCallersAndAllFaults(), 1 },
+        { "pause check", &DispatchRules::pauseCheck, withLeavingCallersAndAllFaults(), 761'300 },
         { "request age", &DispatchRules::requestAge, withStalls(20, 0, 0.5), 740'300 },
     };
     for (const RuleCase& example : cases) {
