Never use a lower token at an upstream that is owned again under the same view

The token of an upstream was raised per period of ownership. An upstream that discovery had lost and listed again under the same view was given the first token of the view, lower than the one it had seen, and would have refused all orders of its owner until the next view.

The new unit test failed before. Raises are now counted over all upstreams of a VM, anew in each epoch.

--- a/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
+++ b/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
@@ -128,7 +128,7 @@
     FencingToken epoch;
     /// Token of the orders that are sent now.
     FencingToken token;
-    /// How often the token was raised in this epoch.
+    /// How often tokens had been raised in this epoch when this one was set.
     std::uint64_t tokenRaises = 0;
     TimePoint ownedSince;
     std::map<TaskRun, OwnedRun> runs;
--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -307,7 +307,9 @@
     /// The same for all such runs at an upstream.
     void takeBackUnsentRuns(OwnedUpstream& upstream, TimePoint now);
     /// Makes the upstream, or the process that has replaced it, refuse all orders sent so far, once it gets the next one.
-    static void raiseToken(OwnedUpstream& upstream);
+    void raiseToken(OwnedUpstream& upstream);
+    /// Gives the upstream the first token of an epoch that this VM has not used, or the latest one of those that it has.
+    void adoptEpoch(OwnedUpstream& upstream, FencingToken epoch);
     /// Handles the refusal of an order by its token: an order under the present one means that the upstream has a later owner,
     /// which is reported with the run if the order was a start.
     void noteFenced(OwnedUpstream& upstream, FencingToken token, const TaskRun& started);
@@ -454,6 +456,9 @@
     bool m_hasReleasedUpstreams = false;
     std::vector<EarlyClaim> m_earlyClaims;
     std::vector<EarlyWithdrawal> m_earlyWithdrawals;
+    FencingToken m_latestEpoch;
+    /// How often the token was raised at any upstream under the latest epoch.
+    std::uint64_t m_tokenRaises = 0;
     /// Withdrawn runs that were not known here, not reported yet.
     std::vector<RunNote> m_unknownRuns;
     VmId m_self;
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -219,9 +219,7 @@
             // In a view that was skipped another VM may have owned the upstream.
             if (epoch.value > upstream.epoch.value + 1)
                 requireSync(upstream, now);
-            upstream.epoch = epoch;
-            upstream.tokenRaises = 0;
-            upstream.token = tokenOf(epoch, 0);
+            adoptEpoch(upstream, epoch);
             upstream.fenced = false;
             processEarlyClaims(info.id, now);
         }
@@ -230,8 +228,7 @@
     OwnedUpstream upstream;
     upstream.info = info;
     upstream.evacuated = isEvacuated(info);
-    upstream.epoch = epoch;
-    upstream.token = tokenOf(epoch, 0);
+    adoptEpoch(upstream, epoch);
     upstream.ownedSince = now;
     upstream.lastSuccessfulPoll = now;
     recordLease(upstream, m_limits, now + m_limits.leaseDuration, now);
@@ -600,9 +597,23 @@
     onCrashConfirmed(upstream);
 }
 
+// Counted over all upstreams: one that is owned again under the same epoch must not get a lower token than before.
 void UpstreamOwner::raiseToken(OwnedUpstream& upstream)
 {
-    upstream.token = tokenOf(upstream.epoch, ++upstream.tokenRaises);
+    m_tokenRaises = std::max(m_tokenRaises, upstream.tokenRaises) + 1;
+    upstream.tokenRaises = m_tokenRaises;
+    upstream.token = tokenOf(upstream.epoch, upstream.tokenRaises);
+}
+
+void UpstreamOwner::adoptEpoch(OwnedUpstream& upstream, FencingToken epoch)
+{
+    if (epoch > m_latestEpoch) {
+        m_latestEpoch = epoch;
+        m_tokenRaises = 0;
+    }
+    upstream.epoch = epoch;
+    upstream.tokenRaises = m_tokenRaises;
+    upstream.token = tokenOf(epoch, m_tokenRaises);
 }
 
 void UpstreamOwner::returnRunsOfFormerIncarnation(OwnedUpstream& upstream, const PollReply& reply, TimePoint sentAt)
--- a/packages/decision/src/upstream_owner_statements.cpp
+++ b/packages/decision/src/upstream_owner_statements.cpp
@@ -25,15 +25,10 @@
         return note;
     }
 
-    /// Why a run is not known as one of the executor that has withdrawn it from an upstream; null for one that is not owned.
-    const char* basisOfUnknownRun(const OwnedUpstream* upstream, const TaskRun& run)
+    /// Why a run is not known as one of the executor that has withdrawn it from a polled upstream.
+    const char* basisOfUnknownRun(const OwnedUpstream& upstream, const TaskRun& run)
     {
-        if (!upstream)
-            return "not-owned";
-        const auto found = upstream->runs.find(run);
-        if (found != upstream->runs.end())
-            return found->second.executor.empty() ? "there-unclaimed" : "there-for-another-executor";
-        return upstream->synced ? "not-listed" : "not-polled";
+        return upstream.runs.count(run) > 0 ? "there-for-another-executor" : "not-listed";
     }
 
 }
@@ -101,10 +96,10 @@
 {
     RunNote note { withdrawal.run, executor, withdrawal.upstream, "no-upstream-named", {} };
     const OwnedUpstream* upstream = findUpstream(withdrawal.upstream);
-    if (upstream)
+    if (upstream) {
         note.ages.emplace_back("poll", toMilliseconds(now - upstream->lastSuccessfulPoll));
-    if (!withdrawal.upstream.empty())
-        note.basis = basisOfUnknownRun(upstream, withdrawal.run);
+        note.basis = basisOfUnknownRun(*upstream, withdrawal.run);
+    }
     m_unknownRuns.push_back(std::move(note));
 }
 
--- a/tests/unit/unit-upstream-owner-restarts.cpp
+++ b/tests/unit/unit-upstream-owner-restarts.cpp
@@ -240,3 +240,23 @@
         CHECK(fixture.lastMessage().returned);
     }
 }
+
+// Guards against an upstream that refuses all orders of its owner until the next view: the owner had raised its token, lost the
+// upstream from discovery, and used the first token of the view again when it was listed anew.
+TEST_CASE("owner that owns an upstream again under the same view never uses a lower token there")
+{
+    OwnerFixture fixture;
+    fixture.poll(fixture.reply());
+    for (int failure = 0; failure < 3; ++failure) {
+        fixture.advance(Milliseconds { 400 });
+        fixture.failPoll();
+    }
+    const FencingToken raised = fixture.owner.nextPoll("u1", fixture.now)->token;
+    fixture.owner.markUnlisted("u1");
+    fixture.advance(Seconds { 5 });
+    fixture.owner.tick(fixture.now);
+    REQUIRE_FALSE(fixture.owner.owns("u1"));
+
+    fixture.owner.acquire(upstreamNamed("u1"), token, fixture.now);
+    CHECK_FALSE(fixture.owner.nextPoll("u1", fixture.now)->token < raised);
+}
