Forget the ends at an upstream that has restarted

What callers would see: a run that goes on beside a second one of its task (TWICE), or a task that is started again while it is at work.

Cause: an owner remembers ends for 5 s by upstream and run number, since a process accepts each number once. The next process under the same id accepts it again, and each submission at another VM numbers its runs from 1. So a run of the next process was taken for the one that had ended: a poll that listed it was ignored, so that it was never stopped, and a claim was answered with the earlier run's end.

Found by reading.

Fix: the ends at an upstream are forgotten when a poll shows that it has restarted.

--- a/packages/decision/include/egrettrestle/decision/recent_runs.hpp
+++ b/packages/decision/include/egrettrestle/decision/recent_runs.hpp
@@ -33,6 +33,13 @@
         removeIf(run, [&executor](const Entry& entry) { return entry.executor == executor; });
     }
 
+    /// Removes the records of the runs at an upstream, whose next process accepts their numbers again.
+    void removeAt(const UpstreamId& upstream)
+    {
+        for (auto entry = m_entries.begin(); entry != m_entries.end();)
+            entry = entry->second.record.upstream == upstream ? m_entries.erase(entry) : std::next(entry);
+    }
+
     /// The record of an executor's run; null if there is none.
     const Record* find(const VmId& executor, const TaskRun& run) const
     {
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -557,6 +557,7 @@
         returnRunsOfFormerIncarnation(*owned, reply, sentAt);
         raiseToken(*owned);
         m_port.pollNow(upstream);
+        m_recentEnds.removeAt(upstream);
         owned->acknowledgedEnd = 0;
         owned->clockOffset.reset();
     } else {
--- a/tests/unit/unit-upstream-owner-restarts.cpp
+++ b/tests/unit/unit-upstream-owner-restarts.cpp
@@ -260,3 +260,51 @@
     fixture.owner.acquire(upstreamNamed("u1"), token, fixture.now);
     CHECK_FALSE(fixture.owner.nextPoll("u1", fixture.now)->token < raised);
 }
+
+// Guards against two runs of a task: an end at an earlier process of an upstream was taken for the end of a run of the same
+// number, of another executor, at the present process.
+TEST_CASE("owner forgets the ends at an upstream that has restarted")
+{
+    OwnerFixture fixture;
+    fixture.poll(fixture.reply());
+    const TaskRun run = fixture.startOne("j");
+    fixture.advance(Milliseconds { 50 });
+    fixture.poll(fixture.reply({}, { fixture.end(run, RunOutcome::Stopped) }));
+    fixture.advance(Seconds { 2 });
+    PollReply restarted = fixture.reply();
+    restarted.startedAt = Milliseconds { 2'000 };
+    restarted.clock = Milliseconds { 10 };
+
+    SECTION("a run that the present process lists is known")
+    {
+        restarted.running = { run };
+        fixture.poll(restarted);
+        CHECK(fixture.owner.running() == 1);
+    }
+
+    SECTION("a claim for a run that the present process has started is answered with its start")
+    {
+        fixture.poll(restarted);
+        fixture.owner.request("y", requestFor("j", 0, fixture.now + Seconds { 1 }), fixture.now);
+        fixture.owner.onStartReply(fixture.port.starts.back(), { OrderOutcome::Accepted, std::nullopt }, fixture.now);
+        REQUIRE(fixture.owner.running() == 1);
+        fixture.owner.claim("y", { run, "u1", token, {} }, fixture.now);
+        CHECK_FALSE(fixture.lastMessage().ended);
+        CHECK(fixture.lastMessage().started);
+    }
+}
+
+// Guards against a run that nobody holds and that goes on under leases which are extended again and again, while the stops
+// for it are not carried out.
+TEST_CASE("owner extends no lease for a run without an executor until a stop is accepted")
+{
+    OwnerFixture fixture;
+    fixture.poll(fixture.reply());
+    fixture.advance(Milliseconds { 100 });
+    const TaskRun run { { "unknown", 0, 0 }, 1 };
+    fixture.poll(fixture.reply({ run }));
+    REQUIRE(fixture.port.stops.size() == 1);
+    CHECK_FALSE(fixture.owner.nextPoll("u1", fixture.now)->leaseEnd);
+    fixture.owner.onStopReply(fixture.port.stops[0], { OrderOutcome::Accepted, std::nullopt }, fixture.now);
+    CHECK(fixture.owner.nextPoll("u1", fixture.now)->leaseEnd);
+}
