Do not take a batch that holds back its messages for news of wanted runs

A batch is made without the messages that wait while callers are unchecked, or while its time-stamp is old. The messages may be withdrawals, so the owner must not extend leases on the strength of such a batch: a withdrawal that waited for the reply to an earlier batch could be overtaken by up to the time-out of that one, 350 ms. Found by reading; a batch with messages held back now states a lag that makes it tell nothing new. The exploration does the same.

--- a/packages/fleet/src/peer_links.cpp
+++ b/packages/fleet/src/peer_links.cpp
@@ -13,6 +13,8 @@
     constexpr const char* configurationPath = "/v1/configuration";
     // Enough for a VM that is not scheduled for 100 ms and for one lost packet.
     constexpr HttpTimeouts peerTimeouts { Milliseconds { 200 }, Milliseconds { 350 } };
+    // A batch without the messages that wait, which may be withdrawals, tells nothing new of the runs that are still wanted.
+    constexpr Milliseconds lagWithMessagesHeldBack { 60'000 };
     // Shortest interval of the batches that report free capacity and show that this VM is alive.
     constexpr Milliseconds minKeepAliveInterval { 100 };
     // The interval grows with the number of contacts, so that the capacity reports of a VM cost about the same. Between VMs
@@ -249,6 +251,8 @@
     // batch.
     if (!held && (!timestampExpired || peer.repeat))
         batch.messages = peer.channel->pendingMessages();
+    else if (!peer.channel->isEmpty())
+        batch.executorLag = lagWithMessagesHeldBack;
     peer.urgent = (held || timestampExpired) && peer.urgent;
     peer.lastSent = now;
     if (!peer.unansweredSince)
--- a/tests/model/dispatch_simulation.cpp
+++ b/tests/model/dispatch_simulation.cpp
@@ -34,6 +34,7 @@
     constexpr int maxCatchUpTime = 10;
     constexpr int maxStallsOfSeries = 12;
     constexpr int maxLag = 600;
+    constexpr Seconds lagWithMessagesHeldBack { 60 };
     constexpr double slowestClockRate = 0.98;
     // Of a VM that ends as planned: until the load balancer sends it no new connections, the latest end of its jobs, the interval
     // at which it looks whether they have ended, and the time that it waits for the owners' replies at the end.
@@ -852,7 +853,7 @@
     capacity.requestsReceived = from.dispatcher.requestsReceived(to);
     const PeerChannel& channel = from.channel(to);
     const bool held = from.dispatcher.hasUncheckedCallers();
-    const Batch batch { from.number, from.processIncarnation, number, channel.batchHeader(), held ? std::vector<PeerMessage> {} : channel.pendingMessages(), capacity, from.dispatcher.executorLag(m_now), m_now };
+    const Batch batch { from.number, from.processIncarnation, number, channel.batchHeader(), held ? std::vector<PeerMessage> {} : channel.pendingMessages(), capacity, held && !channel.isEmpty() ? lagWithMessagesHeldBack : from.dispatcher.executorLag(m_now), m_now };
     afterOn(from.number, peerTimeout, [this, batch] {
         Vm* sender = aliveProcess(batch.from, batch.senderIncarnation);
         if (!sender || *batch.completed)
