Close the gaps that a review of the leases has found

The owner before, which may not have adopted the view, went on extending the lease: it is told as well (new unit test). - Under a short lease polls did not wait at the upstream at all, and became about six times as frequent just where VMs are late: they wait for up to half of the lease. - A withdrawal at an upstream that was not polled could stop another executor's run of the same number, and count its need twice. - Claims and withdrawals that wait for the ownership outlived the process of their executor. - A run shares a lease that was granted before it was started; with half a lease required at the start that could reach 41 ms past the second submission, with three fifths it cannot.

The wire test sets the lag of a batch now, for both readers.

--- a/packages/decision/include/egrettrestle/decision/job_executor.hpp
+++ b/packages/decision/include/egrettrestle/decision/job_executor.hpp
@@ -341,6 +341,8 @@
         TimePoint movedAt;
         /// When the last claim was sent to a new owner; empty once the owner has replied.
         std::optional<TimePoint> claimSentAt;
+        /// The last owner that is known to have had the run, while the claim at the present one is pending. Empty for none.
+        VmId claimedFrom;
         /// When the present owner has confirmed that it has taken the run over; empty if it has started the run.
         std::optional<TimePoint> claimConfirmedAt;
         /// When a run started by an earlier incarnation of the owner must have ended.
@@ -463,6 +465,8 @@
     /// Withdraws tasks that have been queued too long at an owner without places for them, if another owner has some.
     void moveQueuedTasks(Job& job, TimePoint now);
     void claimIfOwnerChanged(Job& job, Task& task, TimePoint now);
+    /// Claims a run at the new owner of its upstream.
+    void passToOwner(Job& job, Task& task, const VmId& owner, TimePoint now);
     void sendClaim(Job& job, Task& task, TimePoint now);
     /// Whether nothing of a job has been started or sent and no owner has upstreams for it.
     bool cannotBePlaced(const Job& job) const;
--- a/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
+++ b/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
@@ -59,8 +59,9 @@
     /// Factor on the duration of a task that runs outside the rack of its data.
     double remoteDataFactor = 1;
 
-    /// The shortest lease with which a run is started: the polls that follow extend it in time.
-    Milliseconds minStartLease() const { return leaseDuration / 2; }
+    /// The shortest lease with which a run is started. A run also gets what is left of a lease granted before, which may last
+    /// longer by the rest of `leaseDuration`; with less than three fifths that could reach a second submission of its job.
+    Milliseconds minStartLease() const { return leaseDuration * 3 / 5; }
 };
 
 /// Why a run is stopped.
--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -418,6 +418,8 @@
     OwnedRun& assumeRunning(OwnedUpstream& upstream, const VmId& executor, const TaskRun& run, const Resources& need, TimePoint now);
     /// Processes the claims and withdrawals that arrived before this VM owned the upstream.
     void processEarlyClaims(const UpstreamId& upstream, TimePoint now);
+    /// Drops the claims and withdrawals of an executor that waits for this VM's ownership: its process is lost, or repeats them.
+    void dropEarlyMessages(const VmId& executor);
     /// Drops the claims and withdrawals that have waited too long.
     void expireEarlyClaims(TimePoint now);
     void recordClaim(const RunClaim& claim, const char* outcome, TimePoint receivedAt, TimePoint now);
--- a/packages/decision/src/job_executor.cpp
+++ b/packages/decision/src/job_executor.cpp
@@ -368,6 +368,7 @@
     task.startEpoch = {};
     task.claimSentAt.reset();
     task.claimConfirmedAt.reset();
+    task.claimedFrom.clear();
     task.orphanedUntil.reset();
     task.sentAt = now;
     task.movingTo.clear();
@@ -479,8 +480,10 @@
     task->orphanedUntil.reset();
     const bool claimConfirmed = task->claimSentAt.has_value();
     task->claimSentAt.reset();
-    if (claimConfirmed)
+    if (claimConfirmed) {
         task->claimConfirmedAt = now;
+        task->claimedFrom.clear();
+    }
     if (claimConfirmed && task->state == TaskState::Withdrawn && job->ending)
         withdrawTask(*job, *task, false);
     const bool startedBeforeWithdrawal = task->state == TaskState::Withdrawn && !job->ending;
@@ -597,8 +600,7 @@
             const bool ownerUnchanged = owner->second == task.owner;
             if (ownerUnchanged && (!newView || stableOwners.count(task.owner) > 0))
                 continue;
-            task.owner = owner->second;
-            sendClaim(entry.second, task, now);
+            passToOwner(entry.second, task, owner->second, now);
         }
     }
 }
@@ -610,7 +612,14 @@
     // The run was started under a later view than this VM's, which therefore does not know the run's present owner.
     if (!mayBeRunning || owner == m_owners.end() || owner->second == task.owner || m_epoch < task.startEpoch)
         return;
-    task.owner = owner->second;
+    passToOwner(job, task, owner->second, now);
+}
+
+void JobExecutor::passToOwner(Job& job, Task& task, const VmId& owner, TimePoint now)
+{
+    if (task.owner != owner && task.claimedFrom.empty())
+        task.claimedFrom = task.owner;
+    task.owner = owner;
     sendClaim(job, task, now);
 }
 
@@ -671,7 +680,11 @@
 void JobExecutor::withdrawTask(const Job& job, Task& task, bool onlyIfWaiting)
 {
     task.state = TaskState::Withdrawn;
-    m_port.send(task.owner, { {}, {}, {}, {}, RunWithdrawal { runOf(job, task), onlyIfWaiting, task.upstream, job.runsEndBy }, {} });
+    const RunWithdrawal withdrawal { runOf(job, task), onlyIfWaiting, task.upstream, job.runsEndBy };
+    // The owner before extends the lease until it adopts the view, or the new one has polled the upstream.
+    if (!task.claimedFrom.empty() && task.claimedFrom != task.owner)
+        m_port.send(task.claimedFrom, { {}, {}, {}, {}, withdrawal, {} });
+    m_port.send(task.owner, { {}, {}, {}, {}, withdrawal, {} });
 }
 
 void JobExecutor::end(Job& job, JobOutcome outcome, const std::string& reason, TimePoint now)
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -398,7 +398,7 @@
         m_earlyWithdrawals.push_back({ executor, withdrawal, now });
         return;
     }
-    if (!upstream || upstream->synced) {
+    if (!upstream || upstream->synced || upstream->runs.count(withdrawal.run) > 0) {
         // It may have run: ends are forgotten after a time, and a report of the end may not have reached the executor.
         noteUnknownRun(executor, withdrawal, now);
         returnRun(executor, withdrawal.run, ReturnReason::Lost);
@@ -453,8 +453,11 @@
     assumed.state = RunState::Running;
     assumed.startSentAt = now;
     assumed.confirmedAt = upstream.ownedSince;
-    upstream.used = upstream.used + assumed.request.need;
-    return upstream.runs.emplace(run, std::move(assumed)).first->second;
+    const Resources counted = assumed.request.need;
+    const auto [entry, isNew] = upstream.runs.emplace(run, std::move(assumed));
+    if (isNew)
+        upstream.used = upstream.used + counted;
+    return entry->second;
 }
 
 void UpstreamOwner::recordClaim(const RunClaim& claim, const char* outcome, TimePoint receivedAt, TimePoint now)
@@ -478,8 +481,16 @@
     return runsEndBy(executor, contactOf(executor)).value_or(now + m_limits.orphanedRunLimit);
 }
 
+void UpstreamOwner::dropEarlyMessages(const VmId& executor)
+{
+    const auto isFrom = [&executor](const auto& early) { return early.executor == executor; };
+    m_earlyClaims.erase(std::remove_if(m_earlyClaims.begin(), m_earlyClaims.end(), isFrom), m_earlyClaims.end());
+    m_earlyWithdrawals.erase(std::remove_if(m_earlyWithdrawals.begin(), m_earlyWithdrawals.end(), isFrom), m_earlyWithdrawals.end());
+}
+
 void UpstreamOwner::onExecutorLost(const VmId& executor, TimePoint now)
 {
+    dropEarlyMessages(executor);
     // An executor that is still alive thereby learns the fate of each of its tasks.
     for (const TaskRun& run : m_queue.removeRunsOf(executor))
         returnRun(executor, run, ReturnReason::Withdrawn);
@@ -496,6 +507,7 @@
 
 void UpstreamOwner::onExecutorRestarted(const VmId& executor, TimePoint now)
 {
+    dropEarlyMessages(executor);
     m_queue.removeRunsOf(executor);
     const TimePoint endBy = orphanedRunsEndBy(executor, now);
     for (auto& entry : m_upstreams) {
@@ -522,8 +534,8 @@
     order.acknowledged = owned->acknowledgedEnd;
     const bool knowsRuns = owned->synced && owned->claimsResolved && owned->failedPolls == 0 && owned->clockOffset;
     const std::optional<TimePoint> leaseEnd = knowsRuns ? grantableLease(*owned, now, Milliseconds { 1 }) : std::nullopt;
-    // A short lease is extended as soon as more is known of the executors.
-    order.wait = leaseEnd && *leaseEnd - now >= m_limits.minStartLease() ? m_limits.pollWait : Milliseconds { 0 };
+    // Below half of a short lease, so that it can be extended in time once more is known of the executors.
+    order.wait = leaseEnd ? std::min(m_limits.pollWait, toMilliseconds(*leaseEnd - now) / 2) : Milliseconds { 0 };
     if (leaseEnd) {
         order.leaseEnd = upstreamTimeAt(*owned, *leaseEnd);
         recordLease(*owned, m_limits, *leaseEnd, now);
--- a/tests/unit/unit-job-executor.cpp
+++ b/tests/unit/unit-job-executor.cpp
@@ -1,3 +1,5 @@
+#include <set>
+
 #include <algorithm>
 #include <iterator>
 
@@ -431,6 +433,29 @@
     }
 }
 
+// Guards against a run whose lease is extended after its job has ended: the owner before had not adopted the new view, and was not
+// told of the withdrawal.
+TEST_CASE("executor withdraws a run whose claim is pending from the owner before as well")
+{
+    ExecutorFixture fixture;
+    fixture.submit(jobOf("j", 1));
+    const TaskRun run = fixture.request(0).run;
+    fixture.executor.onStarted("x", { run, "u", { 1 } }, fixture.now);
+    fixture.executor.onOwnersChanged({ { "u", "y" } }, { 2 }, {}, fixture.now);
+    fixture.executor.onOwnersChanged({ { "u", "z" } }, { 3 }, {}, fixture.now);
+    fixture.port.sent.clear();
+    fixture.executor.onCallerDisconnected(1, fixture.now);
+
+    std::set<VmId> told;
+    for (const SentMessage& sent : fixture.port.sent) {
+        REQUIRE(sent.message.withdrawal);
+        CHECK(sent.message.withdrawal->run == run);
+        CHECK(sent.message.withdrawal->endBy);
+        told.insert(sent.vm);
+    }
+    CHECK(told == std::set<VmId> { "x", "z" });
+}
+
 // Guards against a second run beside the first one: the new owner was silent before it took the run over, which says nothing of
 // the lease that the previous owner had granted.
 TEST_CASE("executor waits for the lease of a run whose new owner is lost right after it has confirmed the claim")
--- a/tests/unit/unit-wire.cpp
+++ b/tests/unit/unit-wire.cpp
@@ -148,6 +148,7 @@
     DispatchBatch batch;
     batch.sender = "a";
     batch.stamp = { 7, 8, 99, 3 };
+    batch.executorLag = Milliseconds { 35 };
     batch.capacity.typicalNeed = { 27'000, 64, 1 };
     batch.capacity.completeAtEpoch = { 4 };
     batch.capacity.kinds.push_back({ "print", "a", 2, 8, 1.5, { { 24'000, 3 }, { 40'000, 1 } } });
@@ -184,6 +185,8 @@
         const std::optional<DispatchBatch> without = parseDispatchBatch(text, now);
         REQUIRE(with);
         REQUIRE(without);
+        CHECK(with->executorLag == batch.executorLag);
+        CHECK(without->executorLag == batch.executorLag);
         DispatchBatch expected = *with;
         expected.messages.clear();
         CHECK(toText(expected, now) == text);
