--- a/review/standins-3/case_driver.cpp
+++ b/review/standins-3/case_driver.cpp
@@ -23,17 +23,17 @@
 
     std::vector<VmSettings> threeVms() { return { { "front-1", "almaty-a" }, { "front-2", "almaty-a" }, { "front-3", "almaty-a" } }; }
 
-    MinionSettings minion(int number, const std::string& kind)
+    MinionSettings minion(int number, const std::string& kind, const std::string& zone = "almaty-a")
     {
         constexpr int minionsPerRack = 8;
-        return { "w" + std::to_string(number), "print-hub", "almaty-a", { kind, "r1-" + std::to_string(1 + number / minionsPerRack) }, { 64'000, 262'144, 0 } };
+        return { "w" + std::to_string(number), "print-hub", zone, { kind, "r1-" + std::to_string(1 + number / minionsPerRack) }, { 64'000, 262'144, 0 } };
     }
 
-    std::vector<MinionSettings> minions(int count)
+    std::vector<MinionSettings> minions(int count, const std::string& zone)
     {
         std::vector<MinionSettings> settings;
         for (int number = 0; number < count; ++number)
-            settings.push_back(minion(number, "a"));
+            settings.push_back(minion(number, "a", zone));
         return settings;
     }
 
@@ -109,7 +109,8 @@
         constexpr int jobs = 100;
         constexpr long longestSilence = 12'000;
         constexpr Milliseconds length { 40'000 };
-        Deployment deployment(options, { { { "front-1", "shymkent-a" } }, minions(12) });
+        const std::string zone = "shymkent-a";
+        Deployment deployment(options, { { { "front-1", zone } }, minions(12, zone) });
         if (!deployment.waitReady())
             return NotRun;
         Vm& vm = deployment.vm(0);
