Log which process of an upstream discovery describes

The start of the process that a poll has shown overwrote the start in the description that discovery had given for the process before, so the owner itself could not tell the two apart.

An owner now keeps the start of the process that answers polls beside the description, and reports when discovery begins (6118 description-outdated) and ceases (6119 description-current) to describe another one, with the start of both, the facts and their age. 6106 and 6111 hold the facts as well.

--- a/packages/base/src/event.cpp
+++ b/packages/base/src/event.cpp
@@ -106,6 +106,8 @@
         events::upstreamReachable,
         events::entryFieldIgnored,
         events::claimHandled,
+        events::descriptionOutdated,
+        events::descriptionCurrent,
         events::waitsEnded,
         events::runsPastEnd,
         events::runsUnclaimed,
--- a/packages/decision/include/egrettrestle/decision/dispatch_types.hpp
+++ b/packages/decision/include/egrettrestle/decision/dispatch_types.hpp
@@ -264,8 +264,6 @@
     friend bool operator<(const UpstreamIncarnation& left, const UpstreamIncarnation& right) { return std::tie(left.upstream, left.startedAt) < std::tie(right.upstream, right.startedAt); }
 };
 
-inline UpstreamIncarnation incarnationOf(const UpstreamInfo& info) { return { info.id, info.startedAt }; }
-
 /// How far a route was exposed to a crash.
 struct RouteExposure {
     std::string route;
--- a/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
+++ b/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
@@ -124,7 +124,15 @@
 
 /// An upstream that this VM owns.
 struct OwnedUpstream {
+    /// What discovery says of the upstream. It describes the process that started at `info.startedAt`.
     UpstreamInfo info;
+    /// When that was last changed.
+    TimePoint describedAt;
+    /// Unix time of the start of the process that the runs, the numbers of ends and the clock belong to: as discovery said first,
+    /// and then as polls do. 0 if it is not known.
+    Milliseconds startedAt { 0 };
+    /// Since when discovery and the polls have named different processes; empty if they name the same one.
+    std::optional<TimePoint> outdatedSince;
     /// Epoch of the view under which it is owned.
     FencingToken epoch;
     /// Token of the orders that are sent now.
@@ -188,6 +196,12 @@
     Resources available() const { return info.capacity - used; }
 };
 
+/// The process of an upstream that its owner's knowledge of runs belongs to.
+inline UpstreamIncarnation incarnationOf(const OwnedUpstream& upstream) { return { upstream.info.id, upstream.startedAt }; }
+
+/// Whether what discovery says of an upstream describes the process that answers polls.
+bool isDescribed(const OwnedUpstream& upstream);
+
 /// Whether an upstream has a label; true for an empty one.
 bool hasLabel(const UpstreamInfo& info, const std::string& label);
 
@@ -230,6 +244,17 @@
 /// The evidence that there is about an upstream now.
 UpstreamEvidence evidenceOf(const OwnedUpstream& upstream, TimePoint now);
 
+/// What an owner knows of an upstream from discovery, and of which process, for the log.
+struct DescriptionEvidence {
+    UpstreamInfo description;
+    /// Time since discovery last changed it.
+    Milliseconds age { 0 };
+    /// Unix time of the start of the process that answers polls.
+    Milliseconds startedAt { 0 };
+};
+
+DescriptionEvidence descriptionEvidenceOf(const OwnedUpstream& upstream, TimePoint now);
+
 /// A decision of an owner, reported for the log.
 struct OwnerEvent {
     enum class Kind {
@@ -255,6 +280,10 @@
         RunsUnclaimed,
         /// Runs were returned as lost.
         RunsReturnedLost,
+        /// Discovery describes another process of an upstream than the one that answers polls.
+        DescriptionOutdated,
+        /// Discovery describes the process that answers polls again.
+        DescriptionCurrent,
     };
 
     Kind kind = Kind::Owned;
@@ -276,6 +305,8 @@
     std::optional<UpstreamEvidence> evidence = {};
     /// The runs concerned by RunsPastEnd, RunsUnclaimed and RunsReturnedLost.
     std::vector<RunNote> notes = {};
+    /// What the owner knows of the upstream, for Restarted, DescriptionOutdated and DescriptionCurrent.
+    std::optional<DescriptionEvidence> description = {};
 };
 
 } // namespace egrettrestle
--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -332,7 +332,11 @@
     /// Handles the proof that the upstream's process has ended.
     void onCrashConfirmed(OwnedUpstream& upstream);
     /// Reports the restart of an upstream under its id, once.
-    void confirmRestart(OwnedUpstream& upstream, const char* cause);
+    void confirmRestart(OwnedUpstream& upstream, const char* cause, TimePoint now);
+    /// Adopts what discovery says of an owned upstream.
+    void updateDescription(OwnedUpstream& upstream, const UpstreamInfo& info, TimePoint now);
+    /// Reports that discovery has begun or ceased to describe another process of an upstream than the one that answers polls.
+    void reportDescription(OwnedUpstream& upstream, TimePoint now);
     /// Returns the runs that ended with the former incarnation of an upstream, by the first poll of the new one. A start order
     /// without a reply may have reached the new incarnation, or may still do so: its run is kept until the new incarnation
     /// lists it, or has accepted a stop of it.
--- a/packages/decision/src/owned_upstream.cpp
+++ b/packages/decision/src/owned_upstream.cpp
@@ -11,6 +11,8 @@
     return { epoch.value * tokensPerEpoch + std::min(raises, tokensPerEpoch - 1) };
 }
 
+bool isDescribed(const OwnedUpstream& upstream) { return upstream.info.startedAt == upstream.startedAt; }
+
 bool hasLabel(const UpstreamInfo& info, const std::string& label)
 {
     return label.empty() || std::find(info.labels.begin(), info.labels.end(), label) != info.labels.end();
@@ -52,7 +54,7 @@
 {
     UpstreamEvidence evidence;
     evidence.token = upstream.token;
-    evidence.startedAt = upstream.info.startedAt;
+    evidence.startedAt = upstream.startedAt;
     evidence.synced = upstream.synced;
     evidence.pollAge = toMilliseconds(now - upstream.lastSuccessfulPoll);
     if (upstream.clockOffset)
@@ -61,4 +63,9 @@
     return evidence;
 }
 
+DescriptionEvidence descriptionEvidenceOf(const OwnedUpstream& upstream, TimePoint now)
+{
+    return { upstream.info, toMilliseconds(now - upstream.describedAt), upstream.startedAt };
+}
+
 } // namespace egrettrestle
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -198,21 +198,8 @@
     const auto found = m_upstreams.find(info.id);
     if (found != m_upstreams.end()) {
         OwnedUpstream& upstream = found->second;
-        const bool restarted = upstream.info.startedAt.count() > 0 && info.startedAt.count() > 0 && info.startedAt > upstream.info.startedAt;
-        if (info.startedAt >= upstream.info.startedAt) {
-            const bool shrunk = !fits(upstream.info.capacity, info.capacity);
-            const Milliseconds knownStart = upstream.info.startedAt;
-            upstream.info = info;
-            // The first poll of the new incarnation shows that it has restarted, and which runs it has.
-            if (restarted) {
-                takeBackUnsentRuns(upstream, now);
-                upstream.info.startedAt = knownStart;
-                confirmRestart(upstream, "discovery");
-                m_port.pollNow(info.id);
-            }
-            if (shrunk)
-                removeImpossibleNeeds();
-        }
+        if (info.startedAt >= upstream.startedAt && upstream.info != info)
+            updateDescription(upstream, info, now);
         upstream.unlisted = false;
         upstream.evacuated = isEvacuated(upstream.info);
         if (epoch > upstream.epoch) {
@@ -227,6 +214,8 @@
     }
     OwnedUpstream upstream;
     upstream.info = info;
+    upstream.describedAt = now;
+    upstream.startedAt = info.startedAt;
     upstream.evacuated = isEvacuated(info);
     adoptEpoch(upstream, epoch);
     upstream.ownedSince = now;
@@ -237,6 +226,40 @@
     processEarlyClaims(info.id, now);
 }
 
+void UpstreamOwner::updateDescription(OwnedUpstream& upstream, const UpstreamInfo& info, TimePoint now)
+{
+    const bool shrunk = !fits(upstream.info.capacity, info.capacity);
+    upstream.info = info;
+    upstream.describedAt = now;
+    if (upstream.startedAt.count() == 0)
+        upstream.startedAt = info.startedAt;
+    // The first poll of the new incarnation shows that it has restarted, and which runs it has.
+    if (info.startedAt > upstream.startedAt) {
+        takeBackUnsentRuns(upstream, now);
+        confirmRestart(upstream, "discovery", now);
+        m_port.pollNow(info.id);
+    }
+    if (shrunk)
+        removeImpossibleNeeds();
+    reportDescription(upstream, now);
+}
+
+void UpstreamOwner::reportDescription(OwnedUpstream& upstream, TimePoint now)
+{
+    if (isDescribed(upstream) == !upstream.outdatedSince)
+        return;
+    OwnerEvent event;
+    event.kind = upstream.outdatedSince ? EventKind::DescriptionCurrent : EventKind::DescriptionOutdated;
+    event.upstream = upstream.info.id;
+    event.age = toMilliseconds(now - upstream.outdatedSince.value_or(now));
+    event.description = descriptionEvidenceOf(upstream, now);
+    m_port.recordEvent(event);
+    if (upstream.outdatedSince)
+        upstream.outdatedSince.reset();
+    else
+        upstream.outdatedSince = now;
+}
+
 void UpstreamOwner::requireSync(OwnedUpstream& upstream, TimePoint now)
 {
     upstream.synced = false;
@@ -562,10 +585,10 @@
         return;
     }
     owned->pollReplyDueAt.reset();
-    const bool restarted = reply.startedAt && owned->info.startedAt.count() > 0 && *reply.startedAt > owned->info.startedAt;
+    const bool restarted = reply.startedAt && owned->startedAt.count() > 0 && *reply.startedAt > owned->startedAt;
     if (restarted) {
         takeBackUnsentRuns(*owned, now);
-        confirmRestart(*owned, "look");
+        confirmRestart(*owned, "look", now);
         returnRunsOfFormerIncarnation(*owned, reply, sentAt);
         raiseToken(*owned);
         m_port.pollNow(upstream);
@@ -577,8 +600,9 @@
     }
     owned->replaced = false;
     owned->crashReported = false;
-    if (reply.startedAt && *reply.startedAt >= owned->info.startedAt)
-        owned->info.startedAt = *reply.startedAt;
+    if (reply.startedAt && *reply.startedAt >= owned->startedAt)
+        owned->startedAt = *reply.startedAt;
+    reportDescription(*owned, now);
     updateClockOffset(*owned, reply.clock, now);
     owned->unreachableCause.clear();
     owned->failedPolls = 0;
@@ -600,13 +624,13 @@
     startQueuedRuns(now);
 }
 
-void UpstreamOwner::confirmRestart(OwnedUpstream& upstream, const char* cause)
+void UpstreamOwner::confirmRestart(OwnedUpstream& upstream, const char* cause, TimePoint now)
 {
     m_speeds.forget(upstream.info.id);
     // Discovery may have told of it before a poll does.
     if (upstream.replaced)
         return;
-    m_port.recordEvent({ EventKind::Restarted, upstream.info.id, {}, cause, {}, upstream.runs.size(), runsAt(upstream) });
+    m_port.recordEvent({ EventKind::Restarted, upstream.info.id, {}, cause, {}, upstream.runs.size(), runsAt(upstream), {}, {}, descriptionEvidenceOf(upstream, now) });
     onCrashConfirmed(upstream);
 }
 
--- a/packages/decision/src/upstream_owner_crashes.cpp
+++ b/packages/decision/src/upstream_owner_crashes.cpp
@@ -40,7 +40,7 @@
 
 void UpstreamOwner::reportCrash(const OwnedUpstream& upstream, CrashEvidence evidence)
 {
-    const UpstreamIncarnation incarnation = incarnationOf(upstream.info);
+    const UpstreamIncarnation incarnation = incarnationOf(upstream);
     // A previous owner may have reported suspects that this one does not know.
     if (upstream.suspects.empty() && !m_crashes.isSuspected(incarnation))
         return;
@@ -64,7 +64,7 @@
     if (!upstream.unreachableCause.empty())
         m_port.recordEvent({ OwnerEvent::Kind::Reachable, upstream.info.id, {}, upstream.unreachableCause, toMilliseconds(now - upstream.lastSuccessfulPoll), upstream.runs.size() });
     // The previous owner may have reported it.
-    if (upstream.crashReported || m_crashes.isSuspected(incarnationOf(upstream.info)))
+    if (upstream.crashReported || m_crashes.isSuspected(incarnationOf(upstream)))
         reportCrash(upstream, CrashEvidence::Refuted);
 }
 
--- a/packages/fleet/include/egrettrestle/fleet/decision_log.hpp
+++ b/packages/fleet/include/egrettrestle/fleet/decision_log.hpp
@@ -14,6 +14,9 @@
 
 /// @}
 
+/// The labels of an upstream, separated by spaces.
+std::string labelsToString(const UpstreamInfo& upstream);
+
 /// Whether an event reports the outcome of a job.
 bool isOutcome(JobEvent::Kind kind);
 
--- a/packages/fleet/src/decision_log.cpp
+++ b/packages/fleet/src/decision_log.cpp
@@ -24,6 +24,14 @@
     }
 }
 
+std::string labelsToString(const UpstreamInfo& upstream)
+{
+    std::string text;
+    for (const std::string& label : upstream.labels)
+        text += (text.empty() ? "" : " ") + label;
+    return text;
+}
+
 namespace {
 
     std::string runToString(const TaskRun& run)
@@ -104,6 +112,8 @@
             { OwnerEvent::Kind::RunsPastEnd, &events::runsPastEnd },
             { OwnerEvent::Kind::RunsUnclaimed, &events::runsUnclaimed },
             { OwnerEvent::Kind::RunsReturnedLost, &events::runsReturnedLost },
+            { OwnerEvent::Kind::DescriptionOutdated, &events::descriptionOutdated },
+            { OwnerEvent::Kind::DescriptionCurrent, &events::descriptionCurrent },
         };
         return *events.at(kind);
     }
@@ -182,6 +192,12 @@
         log.write(eventOf(event.kind), { { "request", event.run.task.job }, { "run", runToString(event.run) }, { "upstream", event.upstream }, { "cause", event.cause }, { "ageMs", event.age.count() }, { "count", static_cast<std::int64_t>(event.count) }, { "token", static_cast<std::int64_t>(evidence.token.value) }, { "startedAt", evidence.startedAt.count() }, { "synced", evidence.synced ? "yes" : "no" }, { "pollMs", evidence.pollAge.count() }, { "clockMs", optionalTime(evidence.clockAge) }, { "leaseExpiredMs", evidence.leaseExpiredFor.count() }, { "runs", runs } });
         return;
     }
+    if (event.description) {
+        const DescriptionEvidence& evidence = *event.description;
+        const UpstreamInfo& info = evidence.description;
+        log.write(eventOf(event.kind), { { "upstream", event.upstream }, { "cause", event.cause }, { "ageMs", event.age.count() }, { "count", static_cast<std::int64_t>(event.count) }, { "startedAt", evidence.startedAt.count() }, { "describedStart", info.startedAt.count() }, { "describedMs", evidence.age.count() }, { "service", info.service }, { "labels", labelsToString(info) }, { "milliCores", info.capacity.milliCores }, { "state", info.draining ? "draining" : "ready" }, { "runs", runs } });
+        return;
+    }
     log.write(eventOf(event.kind), { { "request", event.run.task.job }, { "run", runToString(event.run) }, { "upstream", event.upstream }, { "cause", event.cause }, { "ageMs", event.age.count() }, { "count", static_cast<std::int64_t>(event.count) }, { "runs", runs } });
 }
 
--- a/packages/fleet/src/store_watcher.cpp
+++ b/packages/fleet/src/store_watcher.cpp
@@ -1,5 +1,6 @@
 #include <egrettrestle/fleet/store_watcher.hpp>
 
+#include <egrettrestle/fleet/decision_log.hpp>
 #include <egrettrestle/fleet/dispatch_service.hpp>
 #include <egrettrestle/fleet/membership.hpp>
 
@@ -256,7 +257,7 @@
         return differs;
     });
     if (changed)
-        m_context.log.write(events::upstreamListed, { { "upstream", upstream->id }, { "revision", static_cast<std::int64_t>(entry.modRevision) }, { "address", upstream->address }, { "state", upstream->draining ? "draining" : "ready" }, { "startedAt", upstream->startedAt.count() }, { "milliCores", upstream->capacity.milliCores } });
+        m_context.log.write(events::upstreamListed, { { "upstream", upstream->id }, { "revision", static_cast<std::int64_t>(entry.modRevision) }, { "address", upstream->address }, { "state", upstream->draining ? "draining" : "ready" }, { "startedAt", upstream->startedAt.count() }, { "service", upstream->service }, { "labels", labelsToString(*upstream) }, { "milliCores", upstream->capacity.milliCores } });
 }
 
 void StoreWatcher::removeUpstream(Stream& stream, const std::string& key)
--- a/tests/unit/unit-decision-log.cpp
+++ b/tests/unit/unit-decision-log.cpp
@@ -102,6 +102,40 @@
     }
 }
 
+// Guards against a wrong start whose log does not tell what its owner knew of the upstream, of which process, and since when.
+TEST_CASE("the lines about an upstream's description name the process that it describes and the one that answers polls")
+{
+    UpstreamInfo info;
+    info.startedAt = Milliseconds { 1'000 };
+    info.service = "print";
+    info.labels = { "a", "r1-1" };
+    info.capacity = { 64'000, 100'000, 0 };
+    OwnerEvent event;
+    event.upstream = "u1";
+    event.description = DescriptionEvidence { info, Milliseconds { 730 }, Milliseconds { 2'000 } };
+
+    SECTION("when they begin to differ")
+    {
+        event.kind = OwnerEvent::Kind::DescriptionOutdated;
+        CHECK(lineOf(event) == R"("event":6118,"name":"description-outdated","upstream":"u1","cause":"","ageMs":0,"count":0,"startedAt":2000,"describedStart":1000,"describedMs":730,"service":"print","labels":"a r1-1","milliCores":64000,"state":"ready","runs":""})"
+                               "\n");
+    }
+
+    SECTION("when they are the same again")
+    {
+        event.kind = OwnerEvent::Kind::DescriptionCurrent;
+        event.age = Milliseconds { 420 };
+        CHECK(lineOf(event).find(R"("event":6119,"name":"description-current","upstream":"u1","cause":"","ageMs":420,)") == 0);
+    }
+
+    SECTION("when a restart is found")
+    {
+        event.kind = OwnerEvent::Kind::Restarted;
+        event.cause = "look";
+        CHECK(lineOf(event).find(R"("event":6106,"name":"upstream-reborn","upstream":"u1","cause":"look",)") == 0);
+    }
+}
+
 // Guards against lines from which it cannot be told on what an owner's statement about a run stands.
 TEST_CASE("the lines about an owner's statements name the token and the ages of what they stand on")
 {
