Start nothing on an upstream until discovery describes its present process

Cause: an owner has two sources about an upstream. Polls say which process answers, what runs there and its clock; discovery says its service, labels, capacity, rack and whether it drains. Both carry the start of the process that they are about. When a poll found a new process, the owner wrote its start into the description of the process before, and went on by the facts of that one until the store's entry arrived: up to 0.5 s, or as long as the store was away. An entry whose start was lower than the one known, as after a clock that was set back, was never adopted.

Fix: an owner compares the two starts, and starts nothing, and reports no capacity, at an upstream where they differ, in whichever order they are read and however long the store is away. Two processes are told apart by different starts, not by a later one, except before the first poll. Kinds are not learned from runs at an upstream whose kind is not known.

The same cause on related paths, by the same rule: the service, the capacity of an upstream that does not check it (LIMIT), draining (DRAIN), a new owner, a change of the view, a late entry of an earlier process.

The model did not know labels, kinds or upstreams that do not check their capacity. Unit tests that expected a start after a poll alone now have discovery describe the new process first; one of them checks that nothing starts before.

--- a/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
+++ b/packages/decision/include/egrettrestle/decision/owned_upstream.hpp
@@ -131,6 +131,8 @@
     /// Unix time of the start of the process that the runs, the numbers of ends and the clock belong to: as discovery said first,
     /// and then as polls do. 0 if it is not known.
     Milliseconds startedAt { 0 };
+    /// Whether a poll has said so.
+    bool startPolled = false;
     /// Since when discovery and the polls have named different processes; empty if they name the same one.
     std::optional<TimePoint> outdatedSince;
     /// Epoch of the view under which it is owned.
@@ -199,7 +201,8 @@
 /// The process of an upstream that its owner's knowledge of runs belongs to.
 inline UpstreamIncarnation incarnationOf(const OwnedUpstream& upstream) { return { upstream.info.id, upstream.startedAt }; }
 
-/// Whether what discovery says of an upstream describes the process that answers polls.
+/// Whether what discovery says of an upstream describes the process that answers polls. Otherwise nothing is known of that process
+/// but its runs, and nothing may be started there: it may have another service, other labels or less capacity.
 bool isDescribed(const OwnedUpstream& upstream);
 
 /// Whether an upstream has a label; true for an empty one.
@@ -211,6 +214,9 @@
 /// Whether an upstream can be used at all for a request, whatever its state and its load at present.
 bool isUsableFor(const OwnedUpstream& upstream, const RunRequest& request);
 
+/// Whether a poll was answered by another process than the one that its upstream's owner knows.
+bool isOtherProcess(const OwnedUpstream& upstream, Milliseconds startedAt);
+
 /// Whether a run that has been placed on an upstream may be started there now.
 bool acceptsPlacedRuns(const OwnedUpstream& upstream, const OwnerLimits& limits, TimePoint now);
 
--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -62,9 +62,9 @@
     /// @{
 
     /// Takes ownership of an upstream under the epoch of a view, or updates the description and epoch of one that is owned
-    /// already. Nothing is started there before the first successful poll has listed what is running. Runs found there
-    /// that no executor claims within the claim grace period are stopped. A newer start time in `info` means that the
-    /// upstream has restarted: nothing is started there until a poll has shown which runs the new incarnation has.
+    /// already. Nothing is started there before the first successful poll has listed what is running, and while `info` describes
+    /// another process of the upstream, by its start time, than the one that answers polls. Runs found there that no executor
+    /// claims within the claim grace period are stopped. A newer start time in `info` means that the upstream has restarted.
     void acquire(const UpstreamInfo& info, FencingToken epoch, TimePoint now);
 
     /// Gives up ownership of an upstream. Its runs pass to the next owner; executors of runs whose start is unconfirmed
--- a/packages/decision/src/owned_upstream.cpp
+++ b/packages/decision/src/owned_upstream.cpp
@@ -38,10 +38,19 @@
     return lasting && matches && std::find(request.avoid.begin(), request.avoid.end(), upstream.info.id) == request.avoid.end();
 }
 
+bool isOtherProcess(const OwnedUpstream& upstream, Milliseconds startedAt)
+{
+    if (upstream.startedAt.count() == 0)
+        return false;
+    // The first reply may come from an earlier process than the one that discovery describes already. Later ones come in order,
+    // as those under earlier tokens are ignored, and a lower start is that of a machine whose clock was set back.
+    return upstream.startPolled ? startedAt != upstream.startedAt : startedAt > upstream.startedAt;
+}
+
 bool acceptsPlacedRuns(const OwnedUpstream& upstream, const OwnerLimits& limits, TimePoint now)
 {
     const bool reachable = upstream.synced && upstream.claimsResolved && upstream.failedPolls == 0 && now - upstream.lastSuccessfulPoll < limits.upstreamTimeout;
-    const bool accepting = !upstream.info.draining && !upstream.unlisted && !upstream.replaced && !upstream.fenced && !upstream.startsBlocked && !upstream.evacuated;
+    const bool accepting = !upstream.info.draining && !upstream.unlisted && !upstream.replaced && !upstream.fenced && !upstream.startsBlocked && !upstream.evacuated && isDescribed(upstream);
     return reachable && accepting && now >= upstream.pausedUntil;
 }
 
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -198,7 +198,7 @@
     const auto found = m_upstreams.find(info.id);
     if (found != m_upstreams.end()) {
         OwnedUpstream& upstream = found->second;
-        if (info.startedAt >= upstream.startedAt && upstream.info != info)
+        if (upstream.info != info)
             updateDescription(upstream, info, now);
         upstream.unlisted = false;
         upstream.evacuated = isEvacuated(upstream.info);
@@ -229,19 +229,24 @@
 void UpstreamOwner::updateDescription(OwnedUpstream& upstream, const UpstreamInfo& info, TimePoint now)
 {
     const bool shrunk = !fits(upstream.info.capacity, info.capacity);
+    const bool wasDescribed = isDescribed(upstream);
     upstream.info = info;
     upstream.describedAt = now;
     if (upstream.startedAt.count() == 0)
         upstream.startedAt = info.startedAt;
-    // The first poll of the new incarnation shows that it has restarted, and which runs it has.
-    if (info.startedAt > upstream.startedAt) {
+    if (!isDescribed(upstream)) {
         takeBackUnsentRuns(upstream, now);
-        confirmRestart(upstream, "discovery", now);
+        // A lower start may be that of an earlier process. The next poll shows which process is there, and which runs it has.
+        if (info.startedAt > upstream.startedAt)
+            confirmRestart(upstream, "discovery", now);
         m_port.pollNow(info.id);
     }
     if (shrunk)
         removeImpossibleNeeds();
     reportDescription(upstream, now);
+    // Runs may have waited for this alone.
+    if (!wasDescribed && isDescribed(upstream))
+        startQueuedRuns(now);
 }
 
 void UpstreamOwner::reportDescription(OwnedUpstream& upstream, TimePoint now)
@@ -585,7 +590,7 @@
         return;
     }
     owned->pollReplyDueAt.reset();
-    const bool restarted = reply.startedAt && owned->startedAt.count() > 0 && *reply.startedAt > owned->startedAt;
+    const bool restarted = reply.startedAt && isOtherProcess(*owned, *reply.startedAt);
     if (restarted) {
         takeBackUnsentRuns(*owned, now);
         confirmRestart(*owned, "look", now);
@@ -600,8 +605,11 @@
     }
     owned->replaced = false;
     owned->crashReported = false;
-    if (reply.startedAt && *reply.startedAt >= owned->startedAt)
+    owned->startPolled = owned->startPolled || reply.startedAt;
+    if (reply.startedAt)
         owned->startedAt = *reply.startedAt;
+    else if (!owned->startPolled)
+        owned->startedAt = owned->info.startedAt;
     reportDescription(*owned, now);
     updateClockOffset(*owned, reply.clock, now);
     owned->unreachableCause.clear();
@@ -721,10 +729,11 @@
 
 void UpstreamOwner::finishRun(OwnedUpstream& upstream, const OwnedRun& run, RunOutcome outcome, TimePoint now)
 {
-    // A run that began on a cold upstream tells nothing about the speed of its kind, neither here nor at the executor.
-    const bool measured = run.state != RunState::Starting && run.confirmedAt != TimePoint {} && run.confirmedAt >= upstream.coldUntil;
+    // A run that began on a cold upstream, or on one whose kind is not known, tells nothing about the speed of a kind, neither here
+    // nor at the executor.
+    const bool measured = isDescribed(upstream) && run.state != RunState::Starting && run.confirmedAt != TimePoint {} && run.confirmedAt >= upstream.coldUntil;
     const Milliseconds took = measured ? toMilliseconds(now - run.confirmedAt) : Milliseconds { 0 };
-    const RunEnded ended { run.request.run, upstream.info.id, outcome, took, upstream.info.kind };
+    const RunEnded ended { run.request.run, upstream.info.id, outcome, took, isDescribed(upstream) ? upstream.info.kind : std::string() };
     m_recentEnds.add(run.executor, ended, now);
     if (outcome == RunOutcome::Done) {
         upstream.consecutiveFailures = 0;
--- a/tests/model/dispatch_simulation.cpp
+++ b/tests/model/dispatch_simulation.cpp
@@ -55,6 +55,14 @@
     constexpr int largeJobCount = 15;
     // Tasks whose upstream may have crashed under them each need another one for themselves.
     constexpr int upstreamCountForLargeJobs = 12;
+    constexpr int maxTimeAway = 2'000;
+    // Discovery is usually read within this time, and later while the store is away.
+    constexpr int usualDescriptionDelay = 500;
+    constexpr int maxDescriptionDelay = 3'000;
+    constexpr double lateDescriptionShare = 0.3;
+    constexpr std::int64_t milliCoresOfTask = 27'000;
+    const Resources capacityOfKindA { 64'000, 100'000, 0 };
+    const Resources capacityOfKindB { 32'000, 100'000, 0 };
     const std::string hotRack = "r1";
 
     constexpr std::chrono::hours simulationBegin { 1 };
@@ -1146,27 +1154,87 @@
     note(restarted.info.id + " is cut off for " + std::to_string(cut.count()) + " and then restarts");
     after(cut, [this, &restarted] {
         restarted.restarting = false;
-        for (const Upstream::ActiveRun& running : restarted.running) {
-            if (++m_accidents[running.run.task] == 2)
-                m_unluckyJobs.insert(running.run.task.job);
-        }
+        countAccidents(restarted);
+        replaceProcess(restarted);
+        describeToVms(restarted.info, usualDescriptionDelay);
+    });
+}
+
+void DispatchSimulation::countAccidents(const Upstream& crashed)
+{
+    for (const Upstream::ActiveRun& running : crashed.running) {
+        if (++m_accidents[running.run.task] == 2)
+            m_unluckyJobs.insert(running.run.task.job);
+    }
+}
+
+/// Begins another process of an upstream, which knows nothing of before.
+void DispatchSimulation::replaceProcess(Upstream& restarted)
+{
+    restarted.running.clear();
+    restarted.ended.clear();
+    restarted.highestEnded.clear();
+    restarted.endedCount = 0;
+    restarted.token = {};
+    restarted.leaseEnd = UpstreamClock { 0 };
+    restarted.clockBegin = m_now;
+    restarted.info.startedAt = toMilliseconds(m_now.time_since_epoch());
+}
+
+void DispatchSimulation::describeToVms(const UpstreamInfo& info, int maxDelay)
+{
+    for (int number = 0; number < vmCount; ++number) {
+        after(randomDuration(10, maxDelay), [this, number, info] {
+            if (m_vms[static_cast<std::size_t>(number)]->up)
+                m_vms[static_cast<std::size_t>(number)]->dispatcher.setUpstream(info, m_now);
+        });
+    }
+}
+
+void DispatchSimulation::restartAsOtherKind(Upstream& restarted, bool behindCut)
+{
+    if (restarted.restarting || restarted.down)
+        return;
+    const Milliseconds away = randomDuration(50, maxTimeAway);
+    // Behind a cut its runs may be considered lost before it crashes.
+    countAccidents(restarted);
+    if (behindCut) {
+        restarted.restarting = true;
+        restarted.silentUntil = m_now + away;
+    } else {
+        restarted.down = true;
         restarted.running.clear();
-        restarted.ended.clear();
-        restarted.highestEnded.clear();
-        restarted.endedCount = 0;
-        restarted.token = {};
-        restarted.leaseEnd = UpstreamClock { 0 };
-        restarted.clockBegin = m_now;
-        restarted.info.startedAt = toMilliseconds(m_now.time_since_epoch());
-        for (int number = 0; number < vmCount; ++number) {
-            after(randomDuration(10, 500), [this, number, info = restarted.info] {
-                if (m_vms[static_cast<std::size_t>(number)]->up)
-                    m_vms[static_cast<std::size_t>(number)]->dispatcher.setUpstream(info, m_now);
-            });
-        }
+    }
+    note(restarted.info.id + (behindCut ? " is cut off for " : " is down for ") + std::to_string(away.count()) + " and then of another kind");
+    after(away, [this, &restarted] {
+        restarted.restarting = false;
+        restarted.down = false;
+        replaceProcess(restarted);
+        const bool wasKindA = restarted.info.kind == "a";
+        restarted.info.kind = wasKindA ? "b" : "a";
+        restarted.info.labels = { restarted.info.kind };
+        restarted.info.capacity = wasKindA ? capacityOfKindB : capacityOfKindA;
+        describeToVms(restarted.info, chance(lateDescriptionShare) ? maxDescriptionDelay : usualDescriptionDelay);
     });
 }
 
+/// Records a start that the present process of an upstream must not have got.
+void DispatchSimulation::checkPlace(const Upstream& target, const TaskRun& run)
+{
+    const auto report = [this, &target, &run](const std::string& fault) {
+        m_result.misplacedRuns.push_back(textOf(run) + " on " + target.info.id + ' ' + fault);
+    };
+    const std::string label = requiredLabel(run.task.job);
+    if (!label.empty() && target.info.kind != label)
+        report("without label " + label);
+    if (static_cast<std::int64_t>(target.running.size() + 1) * milliCoresOfTask > target.info.capacity.milliCores)
+        report("beyond its capacity");
+    const std::uint32_t most = maxPerUpstream(run.task.job);
+    const auto isOfStep = [&run](const Upstream::ActiveRun& running) { return running.run.task.job == run.task.job && running.run.task.step == run.task.step; };
+    if (most > 0 && std::count_if(target.running.begin(), target.running.end(), isOfStep) >= static_cast<std::ptrdiff_t>(most))
+        report("beside another task of its step");
+}
+
 /// Cuts off the upstream that a VM fills first, and submits a job to that VM before it can have noticed.
 void DispatchSimulation::cutOffBeforeJob(int number)
 {
@@ -1217,7 +1285,9 @@
     const bool alreadyRunning = std::any_of(target.running.begin(), target.running.end(), [&order](const Upstream::ActiveRun& running) { return running.run == order.run; });
     if (alreadyRunning)
         return { OrderOutcome::Accepted, clock };
-    if (target.running.size() >= (m_faults.restartsBehindCuts > 0 ? slotsForSmallTasks : slotsPerUpstream))
+    if (m_faults.changesKinds())
+        checkPlace(target, order.run);
+    else if (target.running.size() >= (m_faults.restartsBehindCuts > 0 ? slotsForSmallTasks : slotsPerUpstream))
         return { OrderOutcome::InsufficientCapacity, clock };
     for (const auto& entry : m_upstreams) {
         endDueRuns(*entry);
@@ -1326,6 +1396,16 @@
     return m_faults.callersLeave() ? shortCallerTimeout : Milliseconds { 3'000 };
 }
 
+std::string DispatchSimulation::requiredLabel(const std::string& job) const
+{
+    return m_faults.changesKinds() && std::stoi(job) % 2 == 0 ? "a" : std::string();
+}
+
+std::uint32_t DispatchSimulation::maxPerUpstream(const std::string& job) const
+{
+    return m_faults.changesKinds() && std::stoi(job) % 3 == 0 ? 1 : 0;
+}
+
 DispatchJob DispatchSimulation::jobFor(const std::string& id)
 {
     DispatchJob job;
@@ -1337,7 +1417,9 @@
     }
     JobStep step;
     step.count = static_cast<std::uint32_t>(1 + std::stoi(id) % 4);
-    step.need = { 27'000, 64, 0 };
+    step.need = { milliCoresOfTask, 64, 0 };
+    step.requiredLabel = requiredLabel(id);
+    step.maxPerUpstream = maxPerUpstream(id);
     if (m_faults.restartsBehindCuts > 0) {
         step.count *= taskFactorOfLargeJobs;
         step.need.milliCores = 1'600;
@@ -1455,8 +1537,13 @@
         info.startedAt = Milliseconds { 1 };
         info.service = "print";
         info.dataCentre = "dc1";
-        info.capacity = { 64'000, 100'000, 0 };
+        info.capacity = capacityOfKindA;
         info.kind = "a";
+        if (m_faults.changesKinds()) {
+            info.kind = number % 2 == 0 ? "a" : "b";
+            info.labels = { info.kind };
+            info.capacity = number % 2 == 0 ? capacityOfKindA : capacityOfKindB;
+        }
         if (m_faults.slowClocks)
             m_upstreams.back()->clockRate = std::uniform_real_distribution<double>(slowestClockRate, 1)(m_random);
         if (m_faults.hotRack)
@@ -1513,6 +1600,12 @@
         after(randomDuration(1'500, 10'000), [this, upstreams] { crashUpstream(*m_upstreams[static_cast<std::size_t>(randomDuration(0, upstreams - 1).count())]); });
     for (int restart = 0; restart < m_faults.restartsBehindCuts; ++restart)
         after(randomDuration(1'500, 10'000), [this, number = jobs + restart] { cutOffBeforeJob(number); });
+    const auto restartAsOtherKinds = [this, upstreams](int restarts, bool behindCut) {
+        for (int restart = 0; restart < restarts; ++restart)
+            after(randomDuration(1'500, 10'000), [this, upstreams, behindCut] { restartAsOtherKind(*m_upstreams[static_cast<std::size_t>(randomDuration(0, upstreams - 1).count())], behindCut); });
+    };
+    restartAsOtherKinds(m_faults.otherKinds, false);
+    restartAsOtherKinds(m_faults.otherKindsBehindCuts, true);
     for (int period = 0; period < m_faults.silentPeriods; ++period) {
         after(randomDuration(1'500, 10'000), [this, upstreams] {
             Upstream& silent = *m_upstreams[static_cast<std::size_t>(randomDuration(0, upstreams - 1).count())];
--- a/tests/model/dispatch_simulation.hpp
+++ b/tests/model/dispatch_simulation.hpp
@@ -77,7 +77,14 @@
     int upstreamCuts = 0;
     /// Whether the upstreams' clocks are up to 2% slow.
     bool slowClocks = false;
+    /// Number of times that an upstream crashes and is back under its id within 2 s as one of another kind: with another label, and
+    /// less or more capacity, which it does not check. Discovery describes its new process up to 3 s later. Half of the jobs then
+    /// require a label, and a third allow one of their tasks on an upstream.
+    int otherKinds = 0;
+    /// The same behind a cut, in which upstreams neither receive orders nor reply.
+    int otherKindsBehindCuts = 0;
 
+    bool changesKinds() const { return otherKinds > 0 || otherKindsBehindCuts > 0; }
     bool vmsStandStill() const { return freezes > 0 || stallSeries > 0 || lagPeriods > 0; }
     bool callersLeave() const { return vmsStandStill() || lateStopPeriods > 0 || longTaskProbability > 0; }
 };
@@ -114,6 +121,9 @@
     /// Jobs that were answered as failed although no task of theirs crashes upstreams, and no two upstreams have crashed by
     /// themselves under one.
     std::vector<std::string> falseFailures;
+    /// Starts on an upstream without the label that the job requires, beyond its capacity, or with more tasks of a step there than
+    /// allowed.
+    std::vector<std::string> misplacedRuns;
     /// Number of upstreams that crashed under a task.
     int crashesUnderTasks = 0;
     /// Number of crashing jobs that were answered as failed.
@@ -207,6 +217,11 @@
     void countStartOfCrashingTask(const TaskRef& task);
     void crashUpstream(Upstream& upstream);
     void restartBehindCut(Upstream& upstream);
+    void restartAsOtherKind(Upstream& upstream, bool behindCut);
+    void countAccidents(const Upstream& upstream);
+    void replaceProcess(Upstream& upstream);
+    void describeToVms(const UpstreamInfo& info, int maxDelay);
+    void checkPlace(const Upstream& upstream, const TaskRun& run);
     void cutOffBeforeJob(int job);
     UpstreamClock clockOf(const Upstream& upstream) const;
     void announceUpstream(const UpstreamInfo& info, const UpstreamId& formerId);
@@ -217,6 +232,8 @@
     void leave(const std::shared_ptr<Submission>& submission, bool connectionBroken);
     void checkCallers(int vm, std::uint64_t processIncarnation);
     Milliseconds callerTimeout() const;
+    std::string requiredLabel(const std::string& job) const;
+    std::uint32_t maxPerUpstream(const std::string& job) const;
     DispatchJob jobFor(const std::string& id);
     void onReply(int vm, CallerTicket ticket, const JobResult& result);
     /// Writes a line about a fault or a view to the trace.
--- a/tests/model/explore_dispatch.cpp
+++ b/tests/model/explore_dispatch.cpp
@@ -1,5 +1,6 @@
 // Runs simulated schedules of dispatchers, upstreams and callers: explore-dispatch --seed 1 --count 1000 [--without RULE] ...
-// Reports schedules in which a task ran twice at the same time or a job was refused as not run although it had started.
+// Reports schedules in which a task ran twice at the same time, a job was refused as not run although it had started, or a run was
+// started on an upstream that its job does not allow.
 
 #include <iostream>
 #include <map>
@@ -45,7 +46,7 @@
         "orders", "probability that an order is lost, that its reply is lost, and that it is late", cxxopts::value<double>()->default_value("0.03"))("slow", "probability that a message is slow", cxxopts::value<double>()->default_value("0.05"))(
         "kills", "number of VM crashes", cxxopts::value<int>()->default_value("3"))("power-offs", "number of times that all VMs crash", cxxopts::value<int>()->default_value("1"))(
         "cuts", "number of network partitions of a VM", cxxopts::value<int>()->default_value("2"))("strains", "number of times that a VM is starved of CPU", cxxopts::value<int>()->default_value("2"))(
-        "silences", "number of times that an upstream does not reply", cxxopts::value<int>()->default_value("3"))("crashing-jobs", "number of jobs whose first task crashes its upstream", cxxopts::value<int>()->default_value("0"))("upstream-crashes", "number of times that an upstream crashes by itself", cxxopts::value<int>()->default_value("0"))("freezes", "number of times that a VM stands still", cxxopts::value<int>()->default_value("0"))("stalls", "number of series of short stalls of a VM", cxxopts::value<int>()->default_value("0"))("broken-connections", "probability that the connection of a caller that may leave breaks", cxxopts::value<double>()->default_value("0"))("late-stops", "number of times that an upstream executes stops late", cxxopts::value<int>()->default_value("0"))("long-tasks", "probability that a task runs for 2 to 5 s", cxxopts::value<double>()->default_value("0"))("hot-rack", "whether all jobs name one rack, outside of which tasks take longer", cxxopts::value<bool>()->default_value("false"))("restarts-behind-cuts", "number of times that an upstream is cut off and starts again under its id", cxxopts::value<int>()->default_value("0"))("lags", "number of times that a VM handles its events late", cxxopts::value<int>()->default_value("0"))("planned-leaves", "number of times that all VMs end as planned in turn", cxxopts::value<int>()->default_value("0"))("pair-cuts", "number of cuts between two VMs, some of them one-way", cxxopts::value<int>()->default_value("0"))("upstream-cuts", "number of cuts of a VM from some upstreams, some of them one-way", cxxopts::value<int>()->default_value("0"))("slow-clocks", "whether the upstreams' clocks are up to 2% slow", cxxopts::value<bool>()->default_value("false"))("neighbours", "regular contacts of a VM on each side; all other VMs if not given", cxxopts::value<std::size_t>())("trace", "id of a job whose events are printed; for a single seed", cxxopts::value<std::string>())("without", "name of the rule to disable", cxxopts::value<std::string>()->default_value(""));
+        "silences", "number of times that an upstream does not reply", cxxopts::value<int>()->default_value("3"))("crashing-jobs", "number of jobs whose first task crashes its upstream", cxxopts::value<int>()->default_value("0"))("upstream-crashes", "number of times that an upstream crashes by itself", cxxopts::value<int>()->default_value("0"))("freezes", "number of times that a VM stands still", cxxopts::value<int>()->default_value("0"))("stalls", "number of series of short stalls of a VM", cxxopts::value<int>()->default_value("0"))("broken-connections", "probability that the connection of a caller that may leave breaks", cxxopts::value<double>()->default_value("0"))("late-stops", "number of times that an upstream executes stops late", cxxopts::value<int>()->default_value("0"))("long-tasks", "probability that a task runs for 2 to 5 s", cxxopts::value<double>()->default_value("0"))("hot-rack", "whether all jobs name one rack, outside of which tasks take longer", cxxopts::value<bool>()->default_value("false"))("restarts-behind-cuts", "number of times that an upstream is cut off and starts again under its id", cxxopts::value<int>()->default_value("0"))("lags", "number of times that a VM handles its events late", cxxopts::value<int>()->default_value("0"))("planned-leaves", "number of times that all VMs end as planned in turn", cxxopts::value<int>()->default_value("0"))("pair-cuts", "number of cuts between two VMs, some of them one-way", cxxopts::value<int>()->default_value("0"))("upstream-cuts", "number of cuts of a VM from some upstreams, some of them one-way", cxxopts::value<int>()->default_value("0"))("other-kinds", "number of times that an upstream crashes and is back under its id as one of another kind", cxxopts::value<int>()->default_value("0"))("other-kinds-behind-cuts", "the same behind a cut", cxxopts::value<int>()->default_value("0"))("slow-clocks", "whether the upstreams' clocks are up to 2% slow", cxxopts::value<bool>()->default_value("false"))("neighbours", "regular contacts of a VM on each side; all other VMs if not given", cxxopts::value<std::size_t>())("trace", "id of a job whose events are printed; for a single seed", cxxopts::value<std::string>())("without", "name of the rule to disable", cxxopts::value<std::string>()->default_value(""));
     const cxxopts::ParseResult arguments = options.parse(argc, argv);
     const double orders = arguments["orders"].as<double>();
     DispatchFaults faults { orders, orders, orders, arguments["kills"].as<int>(), arguments["cuts"].as<int>(), arguments["silences"].as<int>(), arguments["strains"].as<int>(),
@@ -63,6 +64,8 @@
     faults.plannedLeaves = arguments["planned-leaves"].as<int>();
     faults.pairCuts = arguments["pair-cuts"].as<int>();
     faults.upstreamCuts = arguments["upstream-cuts"].as<int>();
+    faults.otherKinds = arguments["other-kinds"].as<int>();
+    faults.otherKindsBehindCuts = arguments["other-kinds-behind-cuts"].as<int>();
     faults.slowClocks = arguments["slow-clocks"].as<bool>();
     const DispatchRules rules = rulesWithout(arguments["without"].as<std::string>());
     ContactLimits contacts;
@@ -86,9 +89,11 @@
             std::cout << "seed " << seed << ": started three times more after three crashes, job " << job << '\n';
         for (const std::string& job : result.falseFailures)
             std::cout << "seed " << seed << ": failed although none of its tasks crashes upstreams, job " << job << '\n';
+        for (const std::string& run : result.misplacedRuns)
+            std::cout << "seed " << seed << ": started where it must not be, " << run << '\n';
         waits += result.waits;
         crashes += result.crashesUnderTasks;
-        bad += result.concurrentRuns.empty() && result.falseRefusals.empty() && result.excessStarts.empty() && result.falseFailures.empty() ? 0 : 1;
+        bad += result.concurrentRuns.empty() && result.falseRefusals.empty() && result.excessStarts.empty() && result.falseFailures.empty() && result.misplacedRuns.empty() ? 0 : 1;
     }
     std::cout << "schedules " << count << ", waits for a better place " << waits << ", upstreams crashed under tasks " << crashes << ", bad " << bad << '\n';
     return bad == 0 ? 0 : 1;
--- a/tests/model/unit-dispatch-rules.cpp
+++ b/tests/model/unit-dispatch-rules.cpp
@@ -326,6 +326,33 @@
     }
 }
 
+// Guards against starts by what discovery said of an earlier process of an upstream: without the required label, beyond the capacity
+// of an upstream that does not check it, or beside too many tasks of the same step.
+TEST_CASE("upstreams that are back as another kind get no run that their present process must not have")
+{
+    DispatchFaults restarts;
+    restarts.otherKinds = 12;
+    DispatchFaults withVmCrashes { 0, 0, 0, 3, 2, 0, 0, 0.05 };
+    withVmCrashes.otherKinds = 12;
+    DispatchFaults withLostReplies { 0, 0.03, 0, 0, 0, 3, 2 };
+    withLostReplies.otherKinds = 12;
+    const FaultCase cases[] = {
+        { "restarts alone", restarts, 960'000 },
+        { "VMs crash and are partitioned, slow messages", withVmCrashes, 961'000 },
+        { "replies lost, silent upstreams, starved VMs", withLostReplies, 962'000 },
+    };
+    for (const FaultCase& example : cases) {
+        for (std::uint64_t seed = example.firstSeed; seed < example.firstSeed + schedulesPerCase; ++seed) {
+            const DispatchResult result = DispatchSimulation(seed, example.faults).run();
+            CAPTURE(example.name, seed, result.misplacedRuns, result.concurrentRuns, result.falseRefusals);
+            CHECK(result.started > 0);
+            CHECK(result.misplacedRuns.empty());
+            CHECK(result.concurrentRuns.empty());
+            CHECK(result.falseRefusals.empty());
+        }
+    }
+}
+
 TEST_CASE("regression: schedules in which a task ran twice at the same time")
 {
     // Causes: a run claim lost before the first poll of the upstream; a withdrawal answered by a restarted process; an ended
--- a/tests/unit/owner_fixture.hpp
+++ b/tests/unit/owner_fixture.hpp
@@ -38,6 +38,14 @@
         owner.onPollReply("u1", order, reply, now, now);
     }
 
+    /// Has discovery describe a process of `u1` that is like the first one.
+    void describeProcess(Milliseconds startedAt)
+    {
+        UpstreamInfo info = upstreamNamed("u1");
+        info.startedAt = startedAt;
+        owner.acquire(info, token, now);
+    }
+
     void failPoll()
     {
         const PollOrder order = *owner.nextPoll("u1", now);
--- a/tests/unit/unit-upstream-owner-restarts.cpp
+++ b/tests/unit/unit-upstream-owner-restarts.cpp
@@ -80,6 +80,7 @@
         fixture.poll(fixture.replyOfNextProcess());
         CHECK(fixture.owner.nextPoll("u1", fixture.now)->token > order.token);
         CHECK(fixture.port.polls.size() == polls + 1);
+        fixture.describeProcess(Milliseconds { 2'000 });
         CHECK(fixture.orderStart("k").token > order.token);
     }
 
@@ -121,6 +122,7 @@
     const TaskRun run { { "j", 0, 0 }, 1 };
     fixture.advance(Milliseconds { 10 });
     fixture.poll(fixture.replyOfNextProcess());
+    fixture.describeProcess(Milliseconds { 2'000 });
     fixture.port.notifications.clear();
 
     SECTION("one of its epoch is answered")
@@ -230,6 +232,7 @@
         fixture.poll(fixture.reply());
         fixture.advance(Milliseconds { 10 });
         fixture.poll(fixture.replyOfNextProcess());
+        fixture.describeProcess(Milliseconds { 2'000 });
         fixture.startOne("j");
         fixture.port.notifications.clear();
         loseContact();
@@ -285,6 +288,7 @@
     SECTION("a claim for a run that the present process has started is answered with its start")
     {
         fixture.poll(restarted);
+        fixture.describeProcess(Milliseconds { 2'000 });
         fixture.owner.request("y", requestFor("j", 0, fixture.now + Seconds { 1 }), fixture.now);
         fixture.owner.onStartReply(fixture.port.starts.back(), { OrderOutcome::Accepted, std::nullopt }, fixture.now);
         REQUIRE(fixture.owner.running() == 1);
--- a/tests/unit/unit-upstream-owner.cpp
+++ b/tests/unit/unit-upstream-owner.cpp
@@ -1214,6 +1214,8 @@
         restarted.clock = Milliseconds { 10 };
         fixture.poll(restarted);
         CHECK_FALSE(fixture.owner.startToSend(order, fixture.now));
+        CHECK(fixture.port.starts.size() == 1);
+        fixture.describeProcess(Milliseconds { 2'000 });
         REQUIRE(fixture.port.starts.size() == 2);
         CHECK(fixture.port.starts.back().leaseEnd < order.leaseEnd);
         CHECK(fixture.port.notifications.empty());
