Send a start only if the upstream's label and capacity still allow it

startToSend() now asks again whether the upstream can run the request, and whether all that is placed there fits. A run whose order does not stand is queued again.

unit-upstream-owner-descriptions: "owner sends a start only if what discovery says of the upstream still allows it"; the sections on the label and the capacity failed before.

--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -950,7 +950,9 @@
     const bool wanted = run.state == RunState::Starting && run.request.latestStart >= now && (m_ownStartsEnabled || run.executor != m_self);
     const std::optional<TimePoint> leaseEnd = grantableLease(*upstream, now, m_limits.minStartLease());
     const bool leaseStands = leaseEnd && order.leaseEnd > upstreamTimeAt(*upstream, now);
-    if (!wanted || !leaseStands || !acceptsPlacedRuns(*upstream, m_limits, now)) {
+    // The upstream's labels and capacity may have changed since the run was placed.
+    const bool allowed = isUsableFor(*upstream, run.request) && fits(upstream->used, upstream->info.capacity);
+    if (!wanted || !leaseStands || !allowed || !acceptsPlacedRuns(*upstream, m_limits, now)) {
         takeBackRun(*upstream, order.run, now);
         return std::nullopt;
     }
--- a/tests/unit/unit-upstream-owner-descriptions.cpp
+++ b/tests/unit/unit-upstream-owner-descriptions.cpp
@@ -258,6 +258,48 @@
     }
 }
 
+// Guards against a start that was decided by facts that no longer hold when its order is sent.
+TEST_CASE("owner sends a start only if what discovery says of the upstream still allows it")
+{
+    DescriptionFixture fixture;
+    fixture.pollProcess(firstStart);
+    REQUIRE(fixture.starts("job", "a", 27'000));
+    const StartOrder order = fixture.port.starts.back();
+    UpstreamInfo changed = fixture.description(firstStart, "a");
+
+    SECTION("of the same process")
+    {
+        CHECK(fixture.owner.startToSend(order, fixture.now));
+    }
+
+    SECTION("not for another process")
+    {
+        changed.startedAt = nextStart;
+        fixture.describe(changed);
+        CHECK_FALSE(fixture.owner.startToSend(order, fixture.now));
+        CHECK(fixture.owner.queued() == 1);
+    }
+
+    SECTION("not without the label")
+    {
+        changed.labels = { "b" };
+        fixture.describe(changed);
+        CHECK_FALSE(fixture.owner.startToSend(order, fixture.now));
+        CHECK(fixture.owner.queued() == 1);
+    }
+
+    SECTION("not beyond a capacity that has shrunk")
+    {
+        REQUIRE(fixture.starts("second", {}, 27'000));
+        const StartOrder second = fixture.port.starts.back();
+        changed.capacity.milliCores = 30'000;
+        fixture.describe(changed);
+        CHECK_FALSE(fixture.owner.startToSend(order, fixture.now));
+        CHECK(fixture.owner.startToSend(second, fixture.now));
+        CHECK(fixture.owner.queued() == 1);
+    }
+}
+
 // Guards against too many tasks of one step on an upstream: those that its present process has must count.
 TEST_CASE("owner counts the tasks of a step at the present process of an upstream")
 {
