Let a run of unknown size take what a new description adds to the capacity

A run that a poll finds and nobody claims counts with all that is free, since an upstream that does not check its capacity would start whatever is ordered beside it.

A new description now lets such a run take what is free by the present capacity.

unit-upstream-owner-descriptions: "owner counts a run of unknown size with all that is free by the present process's capacity" fails without the change.

--- a/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_owner.hpp
@@ -335,6 +335,8 @@
     void confirmRestart(OwnedUpstream& upstream, const char* cause, TimePoint now);
     /// Adopts what discovery says of an owned upstream.
     void updateDescription(OwnedUpstream& upstream, const UpstreamInfo& info, TimePoint now);
+    /// Lets a run of unknown size take all that is free by a new description.
+    static void coverUnknownRun(OwnedUpstream& upstream);
     /// Reports that discovery has begun or ceased to describe another process of an upstream than the one that answers polls.
     void reportDescription(OwnedUpstream& upstream, TimePoint now);
     /// Returns the runs that ended with the former incarnation of an upstream, by the first poll of the new one. A start order
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -243,12 +243,27 @@
     }
     if (shrunk)
         removeImpossibleNeeds();
+    coverUnknownRun(upstream);
     reportDescription(upstream, now);
     // Runs may have waited for this alone.
     if (!wasDescribed && isDescribed(upstream))
         startQueuedRuns(now);
 }
 
+void UpstreamOwner::coverUnknownRun(OwnedUpstream& upstream)
+{
+    const Resources free = upstream.available();
+    for (auto& entry : upstream.runs) {
+        OwnedRun& run = entry.second;
+        if (run.placement != 0 || !run.executor.empty())
+            continue;
+        const Resources added { std::max<std::int64_t>(0, free.milliCores), std::max<std::int64_t>(0, free.memoryMb), std::max<std::int64_t>(0, free.accelerators) };
+        run.request.need = run.request.need + added;
+        upstream.used = upstream.used + added;
+        return;
+    }
+}
+
 void UpstreamOwner::reportDescription(OwnedUpstream& upstream, TimePoint now)
 {
     if (isDescribed(upstream) == !upstream.outdatedSince)
--- a/tests/unit/unit-upstream-owner-descriptions.cpp
+++ b/tests/unit/unit-upstream-owner-descriptions.cpp
@@ -300,6 +300,26 @@
     }
 }
 
+// Guards against starts beyond the capacity of an upstream that does not check it: a run of unknown size was counted with what
+// was free by the capacity of the process before.
+TEST_CASE("owner counts a run of unknown size with all that is free by the present process's capacity")
+{
+    DescriptionFixture fixture;
+    fixture.describe(fixture.description(firstStart, "a", 32'000));
+    fixture.pollProcess(firstStart);
+    const TaskRun found { { "found", 0, 0 }, 1 };
+    fixture.pollProcess(nextStart, { found });
+    REQUIRE(fixture.port.stops.size() == 1);
+    fixture.owner.onStopReply(fixture.port.stops[0], { OrderOutcome::Accepted, std::nullopt }, fixture.now);
+    UpstreamInfo larger = fixture.description(nextStart, "a", 64'000);
+    larger.capacity.memoryMb *= 2;
+    fixture.describe(larger);
+    CHECK_FALSE(fixture.starts("job"));
+    fixture.advance(fixture.limits.maxStopDuration);
+    fixture.pollProcess(nextStart);
+    CHECK(fixture.port.starts.size() == 1);
+}
+
 // Guards against too many tasks of one step on an upstream: those that its present process has must count.
 TEST_CASE("owner counts the tasks of a step at the present process of an upstream")
 {
