Send a start only on a connection that leads to the process it is for

A start names its upstream's id, which the next process under that id shares, and that one has seen no fencing token and refuses nothing. Where an upstream restarts behind a cut, its owner learns of it up to 360 ms later, from a poll that times out. Until then a start on a new connection was carried out by the next process, by the labels and capacity of the one before (ROUTE, LIMIT), or beside the task's next run.

A connection ends with the process at its end. AsyncHttpClient can now be asked to send a request only on connections that have shown which server they lead to; a new one is probed first. An order that another process would have got was not sent: its run is queued again, and nothing is started there until the next poll.

--- a/packages/decision/include/egrettrestle/decision/upstream_orders.hpp
+++ b/packages/decision/include/egrettrestle/decision/upstream_orders.hpp
@@ -19,6 +19,8 @@
     UpstreamClock leaseEnd { 0 };
     /// Number of the decision to start the run, which may be made again for the same run.
     std::uint64_t placement = 0;
+    /// Unix time of the start of the upstream's process that the run is for; no other process may get the order. 0 if any may.
+    Milliseconds process { 0 };
 };
 
 /// Orders an upstream to stop a run, and not to start it if a start order arrives later.
@@ -55,6 +57,8 @@
     Unhealthy,
     /// Another upstream is now at that address.
     WrongUpstream,
+    /// Another process of the upstream, or none that could be told, is now at that address. The order was not sent.
+    WrongProcess,
     /// The upstream could not parse the order.
     Malformed,
     /// The order was not sent.
--- a/packages/decision/src/upstream_owner.cpp
+++ b/packages/decision/src/upstream_owner.cpp
@@ -936,6 +936,7 @@
         return;
     case OrderOutcome::InsufficientCapacity:
     case OrderOutcome::LeaseExpired:
+    case OrderOutcome::WrongProcess:
         upstream->startsBlocked = true;
         m_port.pollNow(order.upstream);
         break;
@@ -976,6 +977,7 @@
     StartOrder current = order;
     current.leaseEnd = std::min(order.leaseEnd, upstreamTimeAt(*upstream, *leaseEnd));
     current.token = upstream->token;
+    current.process = upstream->startPolled ? upstream->startedAt : Milliseconds { 0 };
     return current;
 }
 
--- a/packages/http/include/egrettrestle/http/client.hpp
+++ b/packages/http/include/egrettrestle/http/client.hpp
@@ -20,6 +20,8 @@
     SendFailed,
     ReplyLost,
     ReplyTimedOut,
+    /// The connection leads to another server than the one that the request is for. The request was not sent.
+    WrongServer,
 };
 
 /// The response of a call, or why there is none.
--- a/packages/http/src/async_client.cpp
+++ b/packages/http/src/async_client.cpp
@@ -44,30 +44,34 @@
 
 }
 
-/// The idle connections by address. Used on the loop's thread only.
+/// The idle connections by address and the server that they have shown to lead to, if that was checked. Used on the loop's thread
+/// only.
 struct AsyncHttpClient::Pool {
-    std::map<std::string, std::deque<std::shared_ptr<Connection>>> idle;
+    using Key = std::pair<std::string, std::string>;
+
+    std::map<Key, std::deque<std::shared_ptr<Connection>>> idle;
     bool closed = false;
 
-    std::shared_ptr<Connection> acquire(const std::string& address);
+    std::shared_ptr<Connection> acquire(const Key& key);
     void release(const std::shared_ptr<Connection>& connection);
-    void closeIdle(const std::string& address) { idle.erase(address); }
+    void closeIdle(const std::string& address);
     void closeOutdated();
 };
 
 /// One connection, which carries one request at a time.
 class AsyncHttpClient::Connection : public std::enable_shared_from_this<Connection> {
 public:
-    Connection(boost::asio::io_context& context, std::string address, std::weak_ptr<Pool> pool)
+    Connection(boost::asio::io_context& context, std::string address, std::shared_ptr<const ServerCheck> check, std::weak_ptr<Pool> pool)
         : m_socket(context)
         , m_timer(context)
         , m_address(std::move(address))
+        , m_check(std::move(check))
         , m_pool(std::move(pool))
     {
         m_buffer.max_size(maxUnparsedBytes);
     }
 
-    const std::string& address() const { return m_address; }
+    Pool::Key key() const { return { m_address, m_check ? m_check->name : std::string() }; }
     TimePoint idleSince() const { return m_idleSince; }
     void markIdle() { m_idleSince = SteadyClock::now(); }
 
@@ -100,7 +104,10 @@
                 self->finish(failed(HttpFailure::ConnectFailed));
                 return;
             }
-            self->write(deadline);
+            if (self->m_check)
+                self->sendProbe(deadline);
+            else
+                self->write(deadline);
         });
     }
 
@@ -136,15 +143,34 @@
         finish(failed(m_timedOutAs));
     }
 
+    void sendProbe(TimePoint deadline)
+    {
+        m_probing = true;
+        m_checkedOutput = std::move(m_output);
+        m_output = detail::serializeRequest(m_check->probe(), m_address);
+        write(deadline);
+    }
+
+    void onProbed(const HttpResponse& response, bool reusable)
+    {
+        m_probing = false;
+        if (!reusable || !m_check->matches(response)) {
+            finish(failed(HttpFailure::WrongServer));
+            return;
+        }
+        m_output = std::move(m_checkedOutput);
+        write(m_timer.expiry());
+    }
+
     void write(TimePoint deadline)
     {
-        m_timedOutAs = HttpFailure::ReplyTimedOut;
+        m_timedOutAs = m_probing ? HttpFailure::ConnectTimedOut : HttpFailure::ReplyTimedOut;
         startTimer(deadline);
         boost::asio::async_write(m_socket, boost::asio::buffer(m_output), [self = shared_from_this()](const ErrorCode& error, std::size_t sent) {
             if (!self->m_onResult)
                 return;
             if (error)
-                self->finish(failed(sent == 0 ? HttpFailure::ClosedBeforeSend : HttpFailure::SendFailed));
+                self->finish(failed(sent == 0 || self->m_probing ? HttpFailure::ClosedBeforeSend : HttpFailure::SendFailed));
             else
                 self->read();
         });
@@ -154,19 +180,22 @@
     {
         m_parser.emplace();
         m_parser->body_limit(maxReplyBytes);
-        m_parser->skip(m_headRequest);
+        m_parser->skip(m_headRequest && !m_probing);
         m_buffer.reserve(detail::readBufferBytes);
         boost::beast::http::async_read(m_socket, m_buffer, *m_parser, [self = shared_from_this()](const ErrorCode& error, std::size_t) {
             if (!self->m_onResult)
                 return;
             if (error) {
-                self->finish(failed(HttpFailure::ReplyLost));
+                self->finish(failed(self->m_probing ? HttpFailure::ClosedBeforeSend : HttpFailure::ReplyLost));
                 return;
             }
             const bool reusable = self->m_parser->keep_alive() && self->m_buffer.size() == 0;
             HttpResult result;
             result.response = detail::toResponse(self->m_parser->release());
-            self->finish(std::move(result), reusable);
+            if (self->m_probing)
+                self->onProbed(result.response, reusable);
+            else
+                self->finish(std::move(result), reusable);
         });
     }
 
@@ -202,8 +231,12 @@
     tcp::socket m_socket;
     boost::asio::steady_timer m_timer;
     std::string m_address;
+    std::shared_ptr<const ServerCheck> m_check;
     std::weak_ptr<Pool> m_pool;
     std::string m_output;
+    /// The request that is sent once the connection has been checked.
+    std::string m_checkedOutput;
+    bool m_probing = false;
     boost::beast::flat_buffer m_buffer;
     std::optional<Parser> m_parser;
     Callback m_onResult;
@@ -212,9 +245,9 @@
     TimePoint m_idleSince;
 };
 
-std::shared_ptr<AsyncHttpClient::Connection> AsyncHttpClient::Pool::acquire(const std::string& address)
+std::shared_ptr<AsyncHttpClient::Connection> AsyncHttpClient::Pool::acquire(const Key& key)
 {
-    const auto found = idle.find(address);
+    const auto found = idle.find(key);
     while (found != idle.end() && !found->second.empty()) {
         const std::shared_ptr<Connection> connection = found->second.back();
         found->second.pop_back();
@@ -226,12 +259,18 @@
 
 void AsyncHttpClient::Pool::release(const std::shared_ptr<Connection>& connection)
 {
-    std::deque<std::shared_ptr<Connection>>& connections = idle[connection->address()];
+    std::deque<std::shared_ptr<Connection>>& connections = idle[connection->key()];
     connection->markIdle();
     if (!closed && connections.size() < maxIdlePerAddress)
         connections.push_back(connection);
 }
 
+void AsyncHttpClient::Pool::closeIdle(const std::string& address)
+{
+    for (auto entry = idle.lower_bound({ address, {} }); entry != idle.end() && entry->first.first == address;)
+        entry = idle.erase(entry);
+}
+
 void AsyncHttpClient::Pool::closeOutdated()
 {
     const TimePoint oldest = SteadyClock::now() - idleLifetime;
@@ -256,16 +295,26 @@
 AsyncHttpClient::~AsyncHttpClient() = default;
 
 void AsyncHttpClient::call(const std::string& address, HttpRequest request, HttpTimeouts timeouts, Callback onResult)
+{
+    startCall(address, std::move(request), timeouts, nullptr, std::move(onResult));
+}
+
+void AsyncHttpClient::call(const std::string& address, HttpRequest request, HttpTimeouts timeouts, ServerCheck check, Callback onResult)
+{
+    startCall(address, std::move(request), timeouts, std::make_shared<const ServerCheck>(std::move(check)), std::move(onResult));
+}
+
+void AsyncHttpClient::startCall(const std::string& address, HttpRequest request, HttpTimeouts timeouts, std::shared_ptr<const ServerCheck> check, Callback onResult)
 {
     const TimePoint deadline = SteadyClock::now() + timeouts.total;
-    const auto begin = [&context = m_loop.state().context, weakPool = std::weak_ptr<Pool>(m_pool), address, timeouts, deadline](const HttpRequest& outgoing, Callback callback) {
+    const auto begin = [&context = m_loop.state().context, weakPool = std::weak_ptr<Pool>(m_pool), address, timeouts, deadline, check = std::move(check)](const HttpRequest& outgoing, Callback callback) {
         const std::shared_ptr<Pool> pool = weakPool.lock();
         if (!pool)
             return;
-        if (const std::shared_ptr<Connection> connection = pool->acquire(address))
+        if (const std::shared_ptr<Connection> connection = pool->acquire({ address, check ? check->name : std::string() }))
             connection->send(outgoing, deadline, std::move(callback));
         else
-            std::make_shared<Connection>(context, address, pool)->connectAndSend(outgoing, timeouts, deadline, std::move(callback));
+            std::make_shared<Connection>(context, address, check, pool)->connectAndSend(outgoing, timeouts, deadline, std::move(callback));
     };
     if (m_loop.isLoopThread())
         begin(request, std::move(onResult));
--- a/tests/unit/unit-async-http.cpp
+++ b/tests/unit/unit-async-http.cpp
@@ -738,6 +738,111 @@
     }
 }
 
+namespace {
+
+/// A server that tells its name at `/name`, as long as it answers that, and records the paths of all requests.
+struct NamedServer {
+    explicit NamedServer(EventLoop& loop)
+        : server(loop, "127.0.0.1:0", {}, [this](const std::shared_ptr<HttpExchange>& exchange) { handle(exchange); })
+    {
+    }
+
+    void handle(const std::shared_ptr<HttpExchange>& exchange)
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        const std::string path = exchange->request().path;
+        paths.push_back(path);
+        if (path == "/name" && !answersName)
+            return;
+        HttpResponse response;
+        response.body = path == "/name" ? name : path;
+        exchange->reply(std::move(response));
+    }
+
+    void rename(const std::string& newName)
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        name = newName;
+    }
+
+    std::vector<std::string> receivedPaths()
+    {
+        const std::lock_guard<std::mutex> lock(mutex);
+        return paths;
+    }
+
+    std::mutex mutex;
+    std::string name = "first";
+    bool answersName = true;
+    std::vector<std::string> paths;
+    AsyncHttpServer server;
+};
+
+HttpResult callServer(AsyncHttpClient& client, const std::string& address, const std::string& name)
+{
+    HttpRequest request;
+    request.path = "/order";
+    ServerCheck check;
+    check.name = name;
+    check.probe = [] {
+        HttpRequest probe;
+        probe.path = "/name";
+        return probe;
+    };
+    check.matches = [name](const HttpResponse& response) { return response.body == name; };
+    std::promise<HttpResult> received;
+    client.call(address, std::move(request), shortTimeouts, std::move(check), [&received](HttpResult result) { received.set_value(std::move(result)); });
+    return received.get_future().get();
+}
+
+}
+
+// Guards against a request that reaches the next process at an address, where nothing in it tells the two apart.
+TEST_CASE("AsyncHttpClient sends a request only on connections that have shown to lead to its server")
+{
+    RunningLoop running;
+    NamedServer named(running.loop);
+    REQUIRE(named.server.start().ok());
+    const std::string address = addressOf(named.server.port());
+    AsyncHttpClient client(running.loop);
+
+    SECTION("a new connection is probed once")
+    {
+        CHECK(callServer(client, address, "first").response.body == "/order");
+        CHECK(callServer(client, address, "first").response.body == "/order");
+        CHECK(named.receivedPaths() == std::vector<std::string> { "/name", "/order", "/order" });
+    }
+
+    SECTION("a connection without a probe is not used")
+    {
+        callAndWait(client, address);
+        CHECK(callServer(client, address, "first").ok());
+        CHECK(named.receivedPaths() == std::vector<std::string> { "/", "/name", "/order" });
+    }
+
+    SECTION("nothing is sent to another server")
+    {
+        CHECK(callServer(client, address, "second").failure == HttpFailure::WrongServer);
+        CHECK(named.receivedPaths() == std::vector<std::string> { "/name" });
+    }
+
+    SECTION("a connection to one server is not used for another one")
+    {
+        CHECK(callServer(client, address, "first").ok());
+        named.rename("second");
+        CHECK(callServer(client, address, "second").ok());
+        CHECK(named.receivedPaths() == std::vector<std::string> { "/name", "/order", "/name", "/order" });
+    }
+
+    SECTION("without a reply to the probe nothing was sent")
+    {
+        named.answersName = false;
+        const HttpResult result = callServer(client, address, "first");
+        CHECK((result.failure == HttpFailure::ClosedBeforeSend || result.failure == HttpFailure::ConnectTimedOut));
+        CHECK(named.receivedPaths() == std::vector<std::string> { "/name" });
+    }
+}
+
 // A call that timed out while its reply arrived left a read operation behind, which went on with what the call had freed.
 // The loop is kept busy until the deadline has passed and several reads' worth of the reply has arrived.
 TEST_CASE("AsyncHttpClient calls that time out while their reply arrives")
--- a/tests/unit/unit-upstream-owner-descriptions.cpp
+++ b/tests/unit/unit-upstream-owner-descriptions.cpp
@@ -320,6 +320,30 @@
     CHECK(fixture.port.starts.size() == 1);
 }
 
+// Guards against a start that reaches the next process of an upstream before a poll has found that process.
+TEST_CASE("owner names the process that a start is for")
+{
+    DescriptionFixture fixture;
+    fixture.pollProcess(firstStart);
+    REQUIRE(fixture.starts("job"));
+    const StartOrder order = *fixture.owner.startToSend(fixture.port.starts.back(), fixture.now);
+    CHECK(order.process == firstStart);
+
+    SECTION("where another one was found, the run waits until a poll has shown it")
+    {
+        const std::size_t polls = fixture.port.polls.size();
+        fixture.owner.onStartReply(order, { OrderOutcome::WrongProcess, std::nullopt }, fixture.now);
+        CHECK(fixture.port.starts.size() == 1);
+        CHECK(fixture.owner.queued() == 1);
+        CHECK(fixture.port.polls.size() == polls + 1);
+        CHECK_FALSE(fixture.starts("other"));
+        fixture.describe(fixture.description(nextStart, "a"));
+        fixture.pollProcess(nextStart);
+        CHECK(fixture.port.starts.size() == 3);
+        CHECK(fixture.owner.startToSend(fixture.port.starts.back(), fixture.now)->process == nextStart);
+    }
+}
+
 // Guards against too many tasks of one step on an upstream: those that its present process has must count.
 TEST_CASE("owner counts the tasks of a step at the present process of an upstream")
 {
