--- a/tests/unit/unit-upstream-owner-descriptions.cpp
+++ b/tests/unit/unit-upstream-owner-descriptions.cpp
@@ -37,7 +37,7 @@
         poll(replyOf(startedAt, std::move(running)));
     }
 
-    /// Requests a run that the upstream is started with if it may be, and returns whether it was.
+    /// Requests a run, and returns whether its start was ordered.
     bool starts(const std::string& job, const std::string& label = {}, std::int64_t milliCores = 10'000)
     {
         const std::size_t before = port.starts.size();
